--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,6 @@
+//! Decisions of the camphorwinch load balancer.
+//!
+//! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
+//! the time come in as arguments, effects go out as return values.
+
+pub mod object;
--- /dev/null
+++ b/crates/core/src/object.rs
@@ -0,0 +1,440 @@
+//! Objects that the platform keeps: their kinds, their specs and the rules a spec must obey.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::{IpAddr, SocketAddr},
+};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, base64::Base64, serde_as};
+use thiserror::Error;
+
+/// Largest size of one object in the platform, in bytes.
+pub const MAX_OBJECT: usize = 1 << 20;
+/// Name of the only object of kind `keys`.
+pub const KEYS_NAME: &str = "fleet";
+
+/// Kind of an object that the system reads from the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A service: an address and the pool of upstreams behind it.
+    Service,
+    /// A planned change, such as a drain.
+    Change,
+    /// A TLS certificate with its private key.
+    Certificate,
+    /// The keys that seal connection IDs and authenticate packets.
+    Keys,
+    /// A lease held by a balancer.
+    Lease,
+    /// Events of a zone's processes.
+    Timeline,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 6] =
+        [Kind::Service, Kind::Change, Kind::Certificate, Kind::Keys, Kind::Lease, Kind::Timeline];
+    /// Kinds that are configuration: written by operators, in force at every daemon.
+    pub const CONFIG: [Kind; 4] = [Kind::Service, Kind::Change, Kind::Certificate, Kind::Keys];
+
+    /// The kind's name in a path or an object.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Service => "service",
+            Kind::Change => "change",
+            Kind::Certificate => "certificate",
+            Kind::Keys => "keys",
+            Kind::Lease => "lease",
+            Kind::Timeline => "timeline",
+        }
+    }
+
+    /// Parses a kind's name.
+    pub fn parse(s: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|it| it.as_str() == s)
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// An object as the platform stores it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// Kind, as text: the platform may hold kinds that this version does not know.
+    pub kind: String,
+    /// Name, unique within the kind.
+    pub name: String,
+    /// The platform's revision at the last write; 0 before the first.
+    #[serde(default)]
+    pub version: u64,
+    /// Mark of the last writer.
+    #[serde(default)]
+    pub writer: String,
+    /// The content, whose shape depends on the kind.
+    pub spec: serde_json::Value,
+}
+
+/// A fault in an object, with the path of the field.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{path}: {reason}")]
+pub struct SpecError {
+    /// Path of the field, such as `service/ledger.spec.address`.
+    pub path: String,
+    /// What is wrong and what is allowed.
+    pub reason: String,
+}
+
+impl SpecError {
+    fn new(path: &str, reason: impl Into<String>) -> SpecError {
+        SpecError { path: path.to_owned(), reason: reason.into() }
+    }
+}
+
+/// What a service gives up first when its upstreams differ in load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Policy {
+    /// Keep flows and requests where they are, and within the caller's zone, while there is room.
+    #[default]
+    Steady,
+    /// Keep upstreams equally loaded, at the price of more hand-overs.
+    Even,
+}
+
+/// Spec of a service.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Address at which callers reach the service.
+    #[serde_as(as = "DisplayFromStr")]
+    pub address: SocketAddr,
+    /// Pool of agents that may serve it.
+    pub pool: String,
+    /// Name of the certificate object.
+    pub certificate: String,
+    /// Balance policy.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Weights of agents by name, over those the agents announce.
+    #[serde(default)]
+    pub weights: BTreeMap<String, f64>,
+    /// For how long an idempotency key is remembered, in seconds.
+    #[serde(default = "default_key_window")]
+    pub key_window_s: u32,
+    /// Retries allowed as a share of requests.
+    #[serde(default = "default_retry_budget")]
+    pub retry_budget: f64,
+    /// Most flows that an agent may hold for this service.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+}
+
+fn default_key_window() -> u32 {
+    600
+}
+
+fn default_retry_budget() -> f64 {
+    0.1
+}
+
+fn default_connections() -> u32 {
+    2_000
+}
+
+/// What a planned change applies to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Target {
+    /// One upstream, by the name of its agent.
+    Upstream(String),
+    /// Every process on a VM.
+    Vm(String),
+    /// Every process in an availability zone.
+    Zone(String),
+}
+
+impl Target {
+    /// Whether the target covers the process with this name, VM and zone.
+    pub fn covers(&self, name: &str, vm: &str, zone: &str) -> bool {
+        match self {
+            Target::Upstream(it) => it == name,
+            Target::Vm(it) => it == vm,
+            Target::Zone(it) => it == zone,
+        }
+    }
+}
+
+/// Action of a planned change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Action {
+    /// Gets no new work; what is in progress finishes.
+    Drain,
+}
+
+/// Spec of a planned change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// What is to be done.
+    pub action: Action,
+    /// To what.
+    pub target: Target,
+}
+
+/// Spec of a certificate.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Certificate {
+    /// Certificate chain, PEM.
+    pub chain_pem: String,
+    /// Private key, PEM.
+    pub key_pem: String,
+}
+
+impl fmt::Debug for Certificate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Certificate").finish_non_exhaustive()
+    }
+}
+
+/// How a key may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KeyUse {
+    /// Accepted, not used for new flows.
+    Open,
+    /// Accepted and used for new flows.
+    Seal,
+}
+
+/// One key of the fleet.
+#[serde_as]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySpec {
+    /// Number that a connection ID carries in clear.
+    pub epoch: u8,
+    /// The secret from which the working keys are derived.
+    #[serde_as(as = "Base64")]
+    pub secret: [u8; 32],
+    /// How it may be used.
+    #[serde(rename = "use")]
+    pub usage: KeyUse,
+}
+
+impl fmt::Debug for KeySpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeySpec")
+            .field("epoch", &self.epoch)
+            .field("usage", &self.usage)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Spec of the fleet's keys.
+#[serde_as]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// Secret behind stateless reset tokens; the same for the life of the fleet.
+    #[serde_as(as = "Base64")]
+    pub reset: [u8; 32],
+    /// The keys, of which exactly one seals.
+    pub keys: Vec<KeySpec>,
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Keys").field("keys", &self.keys).finish_non_exhaustive()
+    }
+}
+
+/// A configuration object's spec, parsed and checked.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Spec {
+    /// A service.
+    Service(Service),
+    /// A planned change.
+    Change(Change),
+    /// A certificate.
+    Certificate(Certificate),
+    /// The fleet's keys.
+    Keys(Keys),
+}
+
+impl Spec {
+    /// Parses and checks the spec of a configuration object.
+    pub fn parse(object: &Object) -> Result<Spec, SpecError> {
+        let path = format!("{}/{}", object.kind, object.name);
+        check_name(&object.name)
+            .map_err(|reason| SpecError::new(&format!("{path}.name"), reason))?;
+        let Some(kind) = Kind::parse(&object.kind) else {
+            return Err(SpecError::new(
+                &path,
+                "unknown kind; allowed: service, change, certificate, keys",
+            ));
+        };
+        let at = format!("{path}.spec");
+        match kind {
+            Kind::Service => {
+                let spec: Service = from_value(&at, &object.spec)?;
+                check_service(&at, &spec)?;
+                Ok(Spec::Service(spec))
+            }
+            Kind::Change => {
+                let spec: Change = from_value(&at, &object.spec)?;
+                check_change(&at, &spec)?;
+                Ok(Spec::Change(spec))
+            }
+            Kind::Certificate => {
+                let spec: Certificate = from_value(&at, &object.spec)?;
+                check_certificate(&at, &spec)?;
+                Ok(Spec::Certificate(spec))
+            }
+            Kind::Keys => {
+                let spec: Keys = from_value(&at, &object.spec)?;
+                check_keys(&at, &object.name, &spec)?;
+                Ok(Spec::Keys(spec))
+            }
+            Kind::Lease | Kind::Timeline => {
+                Err(SpecError::new(&path, "this kind is written by the system, not by operators"))
+            }
+        }
+    }
+}
+
+fn from_value<'a, T>(path: &str, value: &'a serde_json::Value) -> Result<T, SpecError>
+where
+    T: Deserialize<'a>,
+{
+    T::deserialize(value).map_err(|e| SpecError::new(path, e.to_string()))
+}
+
+/// Checks an object's name.
+pub fn check_name(name: &str) -> Result<(), String> {
+    let inner = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit() || c == b'.' || c == b'-';
+    let edge = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit();
+    let bytes = name.as_bytes();
+    let fits = (1..=63).contains(&bytes.len());
+    let ok =
+        fits && bytes.iter().all(|&c| inner(c)) && edge(bytes[0]) && edge(bytes[bytes.len() - 1]);
+    if ok {
+        Ok(())
+    } else {
+        Err(format!(
+            "{name:?} is no name: 1 to 63 of a-z, 0-9, '.', '-', with a letter or digit at both ends"
+        ))
+    }
+}
+
+fn check_service(at: &str, it: &Service) -> Result<(), SpecError> {
+    if it.address.port() == 0 {
+        return Err(SpecError::new(&format!("{at}.address"), "the port must be 1 to 65535"));
+    }
+    check_name(&it.pool).map_err(|e| SpecError::new(&format!("{at}.pool"), e))?;
+    check_name(&it.certificate).map_err(|e| SpecError::new(&format!("{at}.certificate"), e))?;
+    for (name, &weight) in &it.weights {
+        if !weight.is_finite() || !(0.0..=1_000.0).contains(&weight) {
+            return Err(SpecError::new(&format!("{at}.weights.{name}"), "a weight is 0 to 1000"));
+        }
+    }
+    if !(0.0..=1.0).contains(&it.retry_budget) {
+        return Err(SpecError::new(&format!("{at}.retry_budget"), "a budget is 0 to 1"));
+    }
+    if it.connections == 0 {
+        return Err(SpecError::new(&format!("{at}.connections"), "at least 1"));
+    }
+    Ok(())
+}
+
+fn check_change(at: &str, it: &Change) -> Result<(), SpecError> {
+    let (field, name) = match &it.target {
+        Target::Upstream(name) => ("upstream", name),
+        Target::Vm(name) => ("vm", name),
+        Target::Zone(name) => ("zone", name),
+    };
+    check_name(name).map_err(|e| SpecError::new(&format!("{at}.target.{field}"), e))
+}
+
+fn check_certificate(at: &str, it: &Certificate) -> Result<(), SpecError> {
+    if !it.chain_pem.contains("-----BEGIN CERTIFICATE-----") {
+        return Err(SpecError::new(&format!("{at}.chain_pem"), "holds no PEM certificate"));
+    }
+    if !it.key_pem.contains("PRIVATE KEY-----") {
+        return Err(SpecError::new(&format!("{at}.key_pem"), "holds no PEM private key"));
+    }
+    Ok(())
+}
+
+fn check_keys(at: &str, name: &str, it: &Keys) -> Result<(), SpecError> {
+    if name != KEYS_NAME {
+        return Err(SpecError::new(
+            at,
+            format!("the only object of this kind is named {KEYS_NAME:?}"),
+        ));
+    }
+    let mut epochs = BTreeSet::new();
+    for key in &it.keys {
+        if !epochs.insert(key.epoch) {
+            return Err(SpecError::new(
+                &format!("{at}.keys"),
+                format!("epoch {} stands twice", key.epoch),
+            ));
+        }
+    }
+    let sealing = it.keys.iter().filter(|key| key.usage == KeyUse::Seal).count();
+    if sealing != 1 {
+        return Err(SpecError::new(
+            &format!("{at}.keys"),
+            format!("exactly one key must have use \"seal\", found {sealing}"),
+        ));
+    }
+    Ok(())
+}
+
+/// Number of a service: the first four bytes of the SHA-256 of its name, as carried in connection IDs and packets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServiceId(pub u32);
+
+impl ServiceId {
+    /// The number of the service with this name.
+    pub fn new(name: &str) -> ServiceId {
+        use sha2::Digest;
+        let digest = sha2::Sha256::digest(name.as_bytes());
+        ServiceId(u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]]))
+    }
+}
+
+/// Finds faults that show only when all services are seen together: two services with one address or one number.
+pub fn check_services<'a, I>(services: I) -> Result<(), SpecError>
+where
+    I: IntoIterator<Item = (&'a str, &'a Service)>,
+{
+    let mut addresses: BTreeMap<(IpAddr, u16), &str> = BTreeMap::new();
+    let mut ids: BTreeMap<ServiceId, &str> = BTreeMap::new();
+    for (name, it) in services {
+        let at = format!("service/{name}");
+        if let Some(other) = addresses.insert((it.address.ip(), it.address.port()), name) {
+            return Err(SpecError::new(
+                &format!("{at}.spec.address"),
+                format!("{} is also the address of {other:?}", it.address),
+            ));
+        }
+        if let Some(other) = ids.insert(ServiceId::new(name), name) {
+            return Err(SpecError::new(
+                &format!("{at}.name"),
+                format!("has the same number as {other:?}; choose another name"),
+            ));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
