--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,3 +4,5 @@
 //! the time come in as arguments, effects go out as return values.
 
 pub mod object;
+pub mod report;
+pub mod timeline;
