--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for the surroundings of camphorwinch, used by tests: the platform's object API, the fabric, upstreams,
+//! callers, and the site that ties them together.
+
+pub mod cmd;
+pub mod config;
