--- /dev/null
+++ b/crates/standin/src/caller/ask.rs
@@ -0,0 +1,160 @@
+//! Requests that callers send.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use rand::{Rng, RngCore, rngs::StdRng};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Header under which a request may be repeated without running twice.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+const CHUNK_SIZES: std::ops::Range<usize> = 1_024..16_384;
+const CHUNK_COUNTS: std::ops::Range<usize> = 2..8;
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A small GET.
+    Screen,
+    /// A GET whose answer streams for long.
+    Feed,
+    /// A PUT in chunks.
+    Upload,
+    /// A small POST, which is not idempotent.
+    Transfer,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 4] = [Kind::Screen, Kind::Feed, Kind::Upload, Kind::Transfer];
+
+    /// Name in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Screen => "screen",
+            Kind::Feed => "feed",
+            Kind::Upload => "upload",
+            Kind::Transfer => "transfer",
+        }
+    }
+
+    /// Whether running such a request twice is harmless.
+    pub fn idempotent(self) -> bool {
+        self != Kind::Transfer
+    }
+
+    fn method(self) -> Method {
+        match self {
+            Kind::Screen | Kind::Feed => Method::GET,
+            Kind::Upload => Method::PUT,
+            Kind::Transfer => Method::POST,
+        }
+    }
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Kind.
+    pub kind: Kind,
+    /// Token that the answer must echo; new for each attempt.
+    pub token: String,
+    /// Idempotency key; the same for each attempt.
+    pub key: Option<String>,
+    /// Query beyond the token.
+    pub query: String,
+    /// Body, in the chunks in which it is sent.
+    pub chunks: Vec<Bytes>,
+    /// Pause between two chunks.
+    pub pause: Duration,
+    /// How long the answer takes by the nature of the request.
+    pub span: Duration,
+}
+
+impl Ask {
+    /// A small GET.
+    pub fn screen(rng: &mut StdRng) -> Ask {
+        Ask::new(Kind::Screen, rng)
+    }
+
+    /// A stream of `lines` lines, one every `every`.
+    pub fn feed(rng: &mut StdRng, span: Duration, every: Duration) -> Ask {
+        let mut ask = Ask::new(Kind::Feed, rng);
+        ask.query = format!("&ms={}&every={}", span.as_millis(), every.as_millis());
+        ask.span = span;
+        ask
+    }
+
+    /// A body in chunks.
+    pub fn upload(rng: &mut StdRng) -> Ask {
+        let mut ask = Ask::new(Kind::Upload, rng);
+        for _ in 0..rng.random_range(CHUNK_COUNTS) {
+            let mut chunk = vec![0; rng.random_range(CHUNK_SIZES)];
+            rng.fill_bytes(&mut chunk);
+            ask.chunks.push(Bytes::from(chunk));
+        }
+        ask.pause = Duration::from_millis(rng.random_range(1..40));
+        ask.span = ask.pause * ask.chunks.len() as u32;
+        ask
+    }
+
+    /// A small POST under a key of its own.
+    pub fn transfer(rng: &mut StdRng, work: Duration) -> Ask {
+        let mut ask = Ask::new(Kind::Transfer, rng);
+        ask.key = Some(token(rng));
+        ask.query = format!("&work_ms={}", work.as_millis());
+        ask.chunks.push(Bytes::from(format!("amount={}", rng.random_range(1..10_000))));
+        ask.span = work;
+        ask
+    }
+
+    fn new(kind: Kind, rng: &mut StdRng) -> Ask {
+        Ask {
+            kind,
+            token: token(rng),
+            key: None,
+            query: String::new(),
+            chunks: Vec::new(),
+            pause: Duration::ZERO,
+            span: Duration::ZERO,
+        }
+    }
+
+    /// The same request for a further attempt, under a new token.
+    pub fn again(&self, rng: &mut StdRng) -> Ask {
+        Ask { token: token(rng), ..self.clone() }
+    }
+
+    /// The request's head, as sent to the service with this name.
+    pub fn head(&self, service: &str) -> http::Result<Request<()>> {
+        let uri =
+            format!("https://{service}/{}?echo={}{}", self.kind.as_str(), self.token, self.query);
+        let mut builder = Request::builder().method(self.kind.method()).uri(uri);
+        if let Some(key) = &self.key {
+            builder = builder.header(IDEMPOTENCY_KEY, key);
+        }
+        builder.body(())
+    }
+
+    /// Length of the body.
+    pub fn size(&self) -> usize {
+        self.chunks.iter().map(Bytes::len).sum()
+    }
+
+    /// SHA-256 of the body.
+    pub fn digest(&self) -> [u8; 32] {
+        let mut hash = Sha256::new();
+        for chunk in &self.chunks {
+            hash.update(chunk);
+        }
+        hash.finalize().into()
+    }
+}
+
+fn token(rng: &mut StdRng) -> String {
+    format!("{:032x}", rng.random::<u128>())
+}
--- /dev/null
+++ b/crates/standin/src/site/http.rs
@@ -0,0 +1,91 @@
+//! A small HTTP/1.1 client for the platform, the stand-ins' admin addresses and the daemons' operator addresses.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::time;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A client that keeps connections.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Http {
+    fn default() -> Http {
+        Http::new()
+    }
+}
+
+impl Http {
+    /// A client.
+    pub fn new() -> Http {
+        Http { client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        peer: SocketAddr,
+        path: &str,
+        body: Option<&Value>,
+    ) -> anyhow::Result<(StatusCode, Bytes)> {
+        let step = || format!("{method} http://{peer}{path}");
+        let bytes = body.map(Value::to_string).unwrap_or_default();
+        let request = Request::builder()
+            .method(method.clone())
+            .uri(format!("http://{peer}{path}"))
+            .body(Full::new(Bytes::from(bytes)))
+            .with_context(step)?;
+        let exchange = async {
+            let answer = self.client.request(request).await?;
+            let status = answer.status();
+            let body = answer.into_body().collect().await?.to_bytes();
+            anyhow::Ok((status, body))
+        };
+        time::timeout(TIMEOUT, exchange).await.with_context(step)?.with_context(step)
+    }
+
+    /// Reads JSON.
+    pub async fn get<T>(&self, peer: SocketAddr, path: &str) -> anyhow::Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        let (status, body) = self.call(Method::GET, peer, path, None).await?;
+        if !status.is_success() {
+            bail!("GET http://{peer}{path}: status {status}");
+        }
+        serde_json::from_slice(&body).with_context(|| format!("GET http://{peer}{path}: JSON"))
+    }
+
+    /// Reads text.
+    pub async fn text(&self, peer: SocketAddr, path: &str) -> anyhow::Result<String> {
+        let (status, body) = self.call(Method::GET, peer, path, None).await?;
+        if !status.is_success() {
+            bail!("GET http://{peer}{path}: status {status}");
+        }
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Writes JSON; anything but success is an error.
+    pub async fn put(&self, peer: SocketAddr, path: &str, body: &Value) -> anyhow::Result<Value> {
+        let (status, answer) = self.call(Method::PUT, peer, path, Some(body)).await?;
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&answer);
+            bail!("PUT http://{peer}{path}: status {status}: {text}");
+        }
+        Ok(serde_json::from_slice(&answer).unwrap_or(Value::Null))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/launch.rs
@@ -0,0 +1,299 @@
+//! How each process of a deployment is started.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+};
+
+use super::{
+    block::Block,
+    deployment::{Deployment, Service},
+    fleet::{Fleet, Member, Role},
+    pki::Authority,
+    process::Launch,
+};
+
+const PLATFORM_PORT: u16 = 0;
+const FABRIC_PORT: u16 = 1;
+const DATA_PORT: u16 = 2;
+const CONTROL_PORT: u16 = 3;
+const OPERATOR_PORT: u16 = 4;
+const UPSTREAM_PORT: u16 = 5;
+const ADMIN_PORT: u16 = 6;
+const SERVICE_PORTS: u16 = 10;
+
+/// Name of the platform's process.
+pub const PLATFORM: &str = "platform";
+/// Name of the fabric's process.
+pub const FABRIC: &str = "fabric";
+
+/// Builds processes, each on a VM with an address of its own.
+pub struct Launcher {
+    deployment: &'static Deployment,
+    authority: Authority,
+    block: Block,
+    bin_dir: PathBuf,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Admin address of the fabric.
+    pub fabric: SocketAddr,
+    /// Addresses of the services, in their order.
+    pub services: Vec<SocketAddr>,
+    seed: u64,
+    entries: usize,
+    vms: usize,
+}
+
+impl Launcher {
+    /// A launcher for the deployment, with programs from the folder.
+    pub fn new(
+        deployment: &'static Deployment,
+        bin_dir: PathBuf,
+        seed: u64,
+    ) -> anyhow::Result<Launcher> {
+        let mut block = Block::new()?;
+        let platform = SocketAddr::new(block.host()?, block.port(PLATFORM_PORT));
+        let fabric = SocketAddr::new(block.host()?, block.port(FABRIC_PORT));
+        let mut services = Vec::new();
+        for i in 0..deployment.services.len() {
+            let port = block.port(SERVICE_PORTS + i as u16);
+            services.push(SocketAddr::new(block.host()?, port));
+        }
+        let authority = Authority::new("fleet")?;
+        Ok(Launcher {
+            deployment,
+            authority,
+            block,
+            bin_dir,
+            platform,
+            fabric,
+            services,
+            seed,
+            entries: 0,
+            vms: 0,
+        })
+    }
+
+    /// Addresses for callers to send from.
+    pub fn callers(&mut self, count: usize) -> anyhow::Result<Vec<IpAddr>> {
+        (0..count).map(|_| self.block.host()).collect()
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> Member {
+        let args = vec!["platform".to_owned(), "--listen".to_owned(), self.platform.to_string()];
+        self.standin(PLATFORM, Role::Platform, self.platform, args)
+    }
+
+    /// The fabric, with routes to these balancers.
+    pub fn fabric(&self, balancers: &[IpAddr]) -> Member {
+        let mut args = vec![
+            "fabric".to_owned(),
+            "--admin".to_owned(),
+            self.fabric.to_string(),
+            "--seed".to_owned(),
+            self.seed.to_string(),
+        ];
+        for (service, route) in self.routes(balancers) {
+            let list: Vec<String> = route.iter().map(SocketAddr::to_string).collect();
+            args.push("--route".to_owned());
+            args.push(format!("{service}={}", list.join(",")));
+        }
+        self.standin(FABRIC, Role::Fabric, self.fabric, args)
+    }
+
+    /// Where each service's packets go, with these balancers.
+    pub fn routes(&self, balancers: &[IpAddr]) -> Vec<(SocketAddr, Vec<SocketAddr>)> {
+        let mut routes = Vec::new();
+        for &service in &self.services {
+            let route =
+                balancers.iter().map(|&it| SocketAddr::new(it, service.port())).collect();
+            routes.push((service, route));
+        }
+        routes
+    }
+
+    /// A further balancer.
+    pub fn balancer(&mut self, peers: &[SocketAddr]) -> anyhow::Result<Member> {
+        self.entries += 1;
+        let name = format!("entry-{}", self.entries);
+        let vm = format!("vm-{name}");
+        let host = self.block.host()?;
+        let zone = self.zone(self.entries - 1);
+        let mut args = vec!["balance".to_owned()];
+        args.extend(self.common(&name, &vm, zone, host));
+        args.extend(["--bind".to_owned(), "own".to_owned()]);
+        args.extend(["--data".to_owned(), self.at(host, DATA_PORT)]);
+        if !peers.is_empty() {
+            let list: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+            args.extend(["--peer".to_owned(), list.join(",")]);
+        }
+        Ok(Member {
+            role: Role::Balancer,
+            vm,
+            zone: zone.to_owned(),
+            host,
+            service: None,
+            admin: SocketAddr::new(host, self.block.port(OPERATOR_PORT)),
+            launch: self.launch(&name, "camphorwinchd", args, self.identity(&name, host)?),
+            process: None,
+        })
+    }
+
+    /// Control address of the process on this VM.
+    pub fn control(&self, host: IpAddr) -> SocketAddr {
+        SocketAddr::new(host, self.block.port(CONTROL_PORT))
+    }
+
+    /// A VM with an upstream of the service and its agent.
+    pub fn upstream(
+        &mut self,
+        service: &Service,
+        number: usize,
+        peers: &[SocketAddr],
+        journals: &std::path::Path,
+    ) -> anyhow::Result<[Member; 2]> {
+        self.vms += 1;
+        let agent = format!("{}-{number}", service.name);
+        let upstream = format!("{agent}-upstream");
+        let vm = format!("vm-{}", self.vms);
+        let host = self.block.host()?;
+        let zone = self.zone(number - 1);
+        let journal = journals.join(format!("{agent}.journal"));
+        let mut flags = vec!["agent".to_owned()];
+        flags.extend(self.common(&agent, &vm, zone, host));
+        let more = [
+            ("--pool", service.name.to_owned()),
+            ("--data", self.at(host, DATA_PORT)),
+            ("--upstream", self.at(host, UPSTREAM_PORT)),
+            ("--slots", self.deployment.slots.to_string()),
+            ("--connections", self.deployment.connections.to_string()),
+            ("--reply", "own".to_owned()),
+        ];
+        push(&mut flags, more);
+        if !peers.is_empty() {
+            let list: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+            push(&mut flags, [("--peer", list.join(","))]);
+        }
+        let mut args = vec!["upstream".to_owned()];
+        let more = [
+            ("--name", agent.clone()),
+            ("--pool", service.name.to_owned()),
+            ("--listen", self.at(host, UPSTREAM_PORT)),
+            ("--admin", self.at(host, ADMIN_PORT)),
+            ("--slots", self.deployment.slots.to_string()),
+            ("--connections", self.deployment.connections.to_string()),
+            ("--journal", journal.display().to_string()),
+        ];
+        push(&mut args, more);
+        let member = |role, admin, launch| Member {
+            role,
+            vm: vm.clone(),
+            zone: zone.to_owned(),
+            host,
+            service: Some(service.name.to_owned()),
+            admin: SocketAddr::new(host, self.block.port(admin)),
+            launch,
+            process: None,
+        };
+        let identity = self.identity(&agent, host)?;
+        Ok([
+            member(
+                Role::Upstream,
+                ADMIN_PORT,
+                self.launch(&upstream, "camphorwinch-standin", args, Vec::new()),
+            ),
+            member(
+                Role::Agent,
+                OPERATOR_PORT,
+                self.launch(&agent, "camphorwinchd", flags, identity),
+            ),
+        ])
+    }
+
+    /// Adds all processes of the deployment to the fleet.
+    pub fn fill(&mut self, fleet: &mut Fleet, balancers: usize) -> anyhow::Result<()> {
+        fleet.add(self.platform());
+        let mut entries = Vec::new();
+        for _ in 0..balancers {
+            entries.push(self.balancer(&[])?);
+        }
+        let hosts: Vec<IpAddr> = entries.iter().map(|it| it.host).collect();
+        fleet.add(self.fabric(&hosts));
+        for entry in entries {
+            fleet.add(entry);
+        }
+        let folder = fleet.folder().clone();
+        for service in self.deployment.services {
+            for number in 1..=service.upstreams {
+                for member in self.upstream(service, number, &[], &folder)? {
+                    fleet.add(member);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn zone(&self, number: usize) -> &'static str {
+        let zones = self.deployment.zones;
+        zones[number % zones.len()]
+    }
+
+    fn at(&self, host: IpAddr, port: u16) -> String {
+        SocketAddr::new(host, self.block.port(port)).to_string()
+    }
+
+    fn common(&self, name: &str, vm: &str, zone: &str, host: IpAddr) -> Vec<String> {
+        let mut args = Vec::new();
+        let flags = [
+            ("--name", name.to_owned()),
+            ("--vm", vm.to_owned()),
+            ("--zone", zone.to_owned()),
+            ("--region", self.deployment.region.to_owned()),
+            ("--platform", format!("http://{}", self.platform)),
+            ("--control", self.at(host, CONTROL_PORT)),
+            ("--operator", self.at(host, OPERATOR_PORT)),
+        ];
+        push(&mut args, flags);
+        args
+    }
+
+    fn identity(&self, name: &str, host: IpAddr) -> anyhow::Result<Vec<(String, String)>> {
+        let leaf = self.authority.leaf(name, &[host])?;
+        Ok(vec![
+            ("CAMPHORWINCH_FLEET_CA".to_owned(), self.authority.pem().to_owned()),
+            ("CAMPHORWINCH_FLEET_CERT".to_owned(), leaf.chain),
+            ("CAMPHORWINCH_FLEET_KEY".to_owned(), leaf.key),
+        ])
+    }
+
+    fn standin(&self, name: &str, role: Role, address: SocketAddr, args: Vec<String>) -> Member {
+        Member {
+            role,
+            vm: name.to_owned(),
+            zone: self.zone(0).to_owned(),
+            host: address.ip(),
+            service: None,
+            admin: address,
+            launch: self.launch(name, "camphorwinch-standin", args, Vec::new()),
+            process: None,
+        }
+    }
+
+    fn launch(
+        &self,
+        name: &str,
+        program: &str,
+        args: Vec<String>,
+        env: Vec<(String, String)>,
+    ) -> Launch {
+        Launch { name: name.to_owned(), program: self.bin_dir.join(program), args, env }
+    }
+}
+
+fn push<const N: usize>(args: &mut Vec<String>, flags: [(&str, String); N]) {
+    for (name, value) in flags {
+        args.push(name.to_owned());
+        args.push(value);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/process.rs
@@ -0,0 +1,111 @@
+//! One process of a deployment.
+
+use std::{
+    fs::File,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use anyhow::{Context, bail};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tokio::{
+    process::{Child, Command},
+    time,
+};
+
+/// Longest that a process may take to stop after SIGTERM.
+pub const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// How to start a process.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// Name, unique within the deployment.
+    pub name: String,
+    /// Program.
+    pub program: PathBuf,
+    /// Arguments.
+    pub args: Vec<String>,
+    /// Environment variables.
+    pub env: Vec<(String, String)>,
+}
+
+/// A running process; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    pid: Pid,
+    child: Child,
+}
+
+impl Process {
+    /// Starts the process with its output in a file of the folder.
+    pub fn start(launch: &Launch, folder: &Path) -> anyhow::Result<Process> {
+        let step = || format!("start {}", launch.name);
+        let path = folder.join(format!("{}.log", launch.name));
+        let log = File::options().create(true).append(true).open(&path).with_context(step)?;
+        let child = Command::new(&launch.program)
+            .args(&launch.args)
+            .envs(launch.env.iter().map(|(name, value)| (name, value)))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().with_context(step)?)
+            .stderr(log)
+            // Ctrl-C in a terminal goes to the whole group: the processes are to be stopped in order instead.
+            .process_group(0)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(step)?;
+        let pid = child.id().with_context(step)?;
+        Ok(Process { name: launch.name.clone(), pid: Pid::from_raw(pid as i32), child })
+    }
+
+    /// Name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether it still runs.
+    pub fn alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Asks it to stop and waits; an error unless it ends in time with status 0.
+    pub async fn stop(mut self) -> anyhow::Result<Duration> {
+        if let Ok(Some(status)) = self.child.try_wait() {
+            bail!("stop {}: it had already ended with {status}", self.name);
+        }
+        let start = time::Instant::now();
+        self.signal(Signal::SIGTERM)?;
+        let Ok(ended) = time::timeout(STOP_LIMIT, self.child.wait()).await else {
+            self.child.start_kill().with_context(|| format!("kill {}", self.name))?;
+            bail!("stop {}: still running {STOP_LIMIT:?} after SIGTERM", self.name);
+        };
+        let status = ended.with_context(|| format!("stop {}", self.name))?;
+        if !status.success() {
+            bail!("stop {}: ended with {status}", self.name);
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Kills it without notice.
+    pub async fn kill(mut self) -> anyhow::Result<()> {
+        self.child.kill().await.with_context(|| format!("kill {}", self.name))
+    }
+
+    /// Stops it from running until [`Process::thaw`].
+    pub fn freeze(&self) -> anyhow::Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets it run again.
+    pub fn thaw(&self) -> anyhow::Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        kill(self.pid, signal).with_context(|| format!("send {signal} to {}", self.name))
+    }
+}
