--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,8 @@
 //! Stand-ins for the surroundings of camphorwinch, used by tests: the platform's object API, the fabric, upstreams,
 //! callers, and the site that ties them together.
 
+pub mod answer;
 pub mod cmd;
 pub mod config;
+pub mod server;
+pub mod stop;
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,191 @@
+//! A small HTTP/1.1 server over `hyper`: JSON answers, and connections that are dropped on purpose.
+
+use std::{future::Future, net::SocketAddr, str::FromStr};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+    task::JoinSet,
+};
+
+/// Body of an answer.
+pub type Body = BoxBody<Bytes, Dropped>;
+/// Outcome of a handler: an answer, or a connection closed without one.
+pub type Answer = Result<Response<Body>, Dropped>;
+
+/// The connection is closed on purpose, without an answer or in the middle of one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the connection is dropped on purpose")]
+pub struct Dropped;
+
+/// A refusal with its status and text.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{status}: {text}")]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// What is wrong.
+    pub text: String,
+}
+
+impl Refusal {
+    /// A refusal with this status.
+    pub fn new<S>(status: StatusCode, text: S) -> Refusal
+    where
+        S: Into<String>,
+    {
+        Refusal { status, text: text.into() }
+    }
+
+    /// A refusal of a malformed request.
+    pub fn bad<S>(text: S) -> Refusal
+    where
+        S: Into<String>,
+    {
+        Refusal::new(StatusCode::BAD_REQUEST, text)
+    }
+
+    /// A refusal of an unknown path.
+    pub fn unknown(path: &str) -> Refusal {
+        Refusal::new(StatusCode::NOT_FOUND, format!("no such path or method: {path}"))
+    }
+
+    /// The refusal as an answer.
+    pub fn answer(&self) -> Response<Body> {
+        json(self.status, &serde_json::json!({ "error": self.text }))
+    }
+}
+
+/// A server that ends, with all its connections, when this value is dropped.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    _open: oneshot::Sender<()>,
+}
+
+impl Server {
+    /// Listens on the address and answers with the handler.
+    pub async fn start<H, F>(listen: SocketAddr, handle: H) -> anyhow::Result<Server>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener =
+            TcpListener::bind(listen).await.with_context(|| format!("listen on {listen}"))?;
+        let addr = listener.local_addr().with_context(|| format!("listen on {listen}"))?;
+        let (open, closed) = oneshot::channel();
+        tokio::spawn(accept(listener, handle, closed));
+        Ok(Server { addr, _open: open })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handle: H, mut closed: oneshot::Receiver<()>)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            _ = &mut closed => return,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                connections.spawn(serve(stream, handle.clone()));
+            }
+        }
+    }
+}
+
+/// Answers the requests of one connection until it closes.
+pub async fn serve<H, F>(stream: TcpStream, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Answer>,
+{
+    let _ = stream.set_nodelay(true);
+    let served =
+        http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handle)).await;
+    if let Err(error) = served {
+        tracing::debug!(%error, "connection ended");
+    }
+}
+
+/// A body that is known as a whole.
+pub fn full<B>(bytes: B) -> Body
+where
+    B: Into<Bytes>,
+{
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
+/// An answer with JSON text.
+pub fn json_text<B>(status: StatusCode, text: B) -> Response<Body>
+where
+    B: Into<Bytes>,
+{
+    let mut answer = Response::new(full(text));
+    *answer.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// An answer with a value as JSON.
+pub fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(text) => json_text(status, text),
+        Err(error) => {
+            json_text(StatusCode::INTERNAL_SERVER_ERROR, format!("{{\"error\":\"{error}\"}}"))
+        }
+    }
+}
+
+/// Reads a JSON body of at most `limit` bytes.
+pub async fn read_json<T>(body: Incoming, limit: usize) -> Result<T, Refusal>
+where
+    T: DeserializeOwned,
+{
+    let whole = Limited::new(body, limit).collect().await.map_err(|error| {
+        if error.is::<http_body_util::LengthLimitError>() {
+            let text = format!("the body is larger than {limit} bytes");
+            return Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, text);
+        }
+        Refusal::bad(format!("the body breaks off: {error}"))
+    })?;
+    serde_json::from_slice(&whole.to_bytes()).map_err(|e| Refusal::bad(format!("body: {e}")))
+}
+
+/// The pairs of a query, as they stand.
+pub fn pairs(query: Option<&str>) -> Vec<(&str, &str)> {
+    let parts = query.unwrap_or_default().split('&').filter(|part| !part.is_empty());
+    parts.map(|part| part.split_once('=').unwrap_or((part, ""))).collect()
+}
+
+/// A value of the query, if it is given.
+pub fn value<T>(pairs: &[(&str, &str)], name: &str) -> Result<Option<T>, Refusal>
+where
+    T: FromStr,
+{
+    let Some((_, text)) = pairs.iter().find(|(key, _)| *key == name) else {
+        return Ok(None);
+    };
+    let wrong = |_| Refusal::bad(format!("query {name}={text:?} can't be read"));
+    text.parse().map(Some).map_err(wrong)
+}
