Sealed connection IDs and the encapsulation between balancer and agent

An agent's address, the service and 48 check bits fit one AES block, so that any balancer places a packet of an established flow without memory.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,9 @@
 //! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
 //! the time come in as arguments, effects go out as return values.
 
+pub mod candidates;
 pub mod invariant;
 pub mod member;
 pub mod object;
+pub mod seal;
 pub mod snapshot;
--- /dev/null
+++ b/crates/core/tests/seal.rs
@@ -0,0 +1,67 @@
+//! Sealed connection IDs: what opens, and that nothing else does.
+
+use std::net::SocketAddrV4;
+
+use camphorwinch_core::{
+    object::{KeySpec, KeyUse, Keys, ServiceId},
+    seal::{CID_LEN, Home, KeyRing, NONCE_LEN},
+};
+use quickcheck::quickcheck;
+
+fn key(epoch: u8, usage: KeyUse) -> KeySpec {
+    KeySpec { epoch, secret: [epoch; 32], usage }
+}
+
+fn ring(keys: Vec<KeySpec>) -> KeyRing {
+    KeyRing::new(&Keys { reset: [9; 32], keys }).expect("one key seals")
+}
+
+fn home(ip: u32, port: u16, service: u32) -> Home {
+    Home { agent: SocketAddrV4::new(ip.into(), port), service: ServiceId(service) }
+}
+
+quickcheck! {
+    fn opens_what_it_sealed(ip: u32, port: u16, service: u32, nonce: u32) -> bool {
+        let ring = ring(vec![key(7, KeyUse::Seal)]);
+        let home = home(ip, port, service);
+        let [_, nonce @ ..] = nonce.to_be_bytes();
+        ring.open(&ring.seal(home, nonce)) == Some(home)
+    }
+
+    fn any_changed_bit_is_refused(ip: u32, port: u16, bit: usize) -> bool {
+        let ring = ring(vec![key(7, KeyUse::Seal), key(6, KeyUse::Open)]);
+        let mut cid = ring.seal(home(ip, port, 1), [1; NONCE_LEN]);
+        let bit = bit % (CID_LEN * 8);
+        cid[bit / 8] ^= 1 << (bit % 8);
+        ring.open(&cid).is_none()
+    }
+
+    fn random_ids_are_refused(bytes: Vec<u8>) -> bool {
+        let opening = (1..=254).map(|it| key(it, KeyUse::Open));
+        let ring = ring(opening.chain([key(0, KeyUse::Seal)]).collect());
+        ring.open(&bytes).is_none()
+    }
+}
+
+#[test]
+fn rotation_opens_old_and_new_until_the_old_key_is_removed() {
+    let home = home(0x7f00_0001, 7000, 3);
+    let before = ring(vec![key(1, KeyUse::Seal)]);
+    let cid = before.seal(home, [5; NONCE_LEN]);
+
+    let announced = ring(vec![key(1, KeyUse::Seal), key(2, KeyUse::Open)]);
+    let turned = ring(vec![key(1, KeyUse::Open), key(2, KeyUse::Seal)]);
+    assert_eq!(announced.open(&cid), Some(home));
+    assert_eq!(turned.open(&cid), Some(home));
+    assert_eq!(announced.open(&turned.seal(home, [6; NONCE_LEN])), Some(home));
+
+    let removed = ring(vec![key(2, KeyUse::Seal)]);
+    assert_eq!(removed.open(&cid), None);
+    assert_eq!(before.reset_key(), removed.reset_key(), "reset tokens outlive a rotation");
+}
+
+#[test]
+fn keys_without_a_sealing_one_make_no_ring() {
+    let keys = Keys { reset: [0; 32], keys: vec![key(1, KeyUse::Open)] };
+    assert!(KeyRing::new(&keys).is_none());
+}
