--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -40,8 +40,8 @@
 
 impl Hlc {
     /// A clock that has seen nothing.
-    pub fn new() -> Hlc {
-        Hlc::default()
+    pub const fn new() -> Hlc {
+        Hlc { last: Stamp { ms: 0, counter: 0 } }
     }
 
     /// Stamp for a local event or for a message about to be sent. Each call returns a higher stamp than the one before.
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,257 @@
+//! Numbered events: what the process reports to its log and to the timeline.
+//!
+//! The catalogue stands in `docs/EVENTS.md`; a test holds the two equal.
+
+use std::{
+    collections::VecDeque,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use camphorwinch_core::timeline::{Event, Hlc, Stamp};
+
+use crate::clock::wall_ms;
+
+/// Events kept for the operator address.
+const KEPT: usize = 1_000;
+/// Events that may wait for the timeline; further ones are dropped and counted.
+const WAITING: usize = 1_000;
+
+/// Level at which an event is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Level {
+    Info,
+    Warn,
+    Error,
+}
+
+macro_rules! catalogue {
+    ($($id:literal $variant:ident $name:literal $level:ident $meaning:literal;)*) => {
+        /// Kind of an event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        #[allow(dead_code, reason = "roles emit different kinds")]
+        pub(crate) enum Id {
+            $(#[doc = $meaning] $variant = $id,)*
+        }
+
+        impl Id {
+            /// All kinds.
+            #[cfg(test)]
+            pub(crate) const ALL: &[Id] = &[$(Id::$variant,)*];
+
+            /// Name, as in the catalogue.
+            pub(crate) fn name(self) -> &'static str {
+                match self { $(Id::$variant => $name,)* }
+            }
+
+            /// Level.
+            pub(crate) fn level(self) -> Level {
+                match self { $(Id::$variant => Level::$level,)* }
+            }
+
+            /// Meaning, as in the catalogue.
+            #[cfg(test)]
+            pub(crate) fn meaning(self) -> &'static str {
+                match self { $(Id::$variant => $meaning,)* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    101 ProcessStarted "process-started" Info "the process started";
+    102 ProcessStopping "process-stopping" Info "the process was asked to stop and drains";
+    103 ProcessStopped "process-stopped" Info "the process stopped after its work was done";
+    104 Fenced "fenced" Error "a newer process took this one's name; this one stops";
+    105 InvariantViolated "invariant-violated" Error "an invariant of the decision code does not hold; report it";
+    106 DrainTimeout "drain-timeout" Warn "the drain timeout passed with requests still in progress";
+    201 ConfigInForce "config-in-force" Info "a revision of the configuration is in force in this process";
+    202 ConfigRefused "config-refused" Warn "an object could not be used; its last good version stays in force";
+    203 PlatformLost "platform-lost" Warn "the object API does not answer; work goes on with what is known";
+    204 PlatformBack "platform-back" Info "the object API answers again";
+    205 SeedTaken "seed-taken" Info "the process took a seed lease";
+    206 SeedLost "seed-lost" Warn "the process lost its seed lease";
+    207 WriteSettled "write-settled" Info "a write whose answer was lost was settled by reading it back";
+    301 LinkUp "link-up" Info "a link to another process is up";
+    302 LinkDown "link-down" Info "a link to another process is down";
+    303 LinkRefused "link-refused" Warn "another process was refused: not authenticated, or a faulty frame";
+    304 MemberDown "member-down" Warn "a member was found dead";
+    305 MemberBack "member-back" Info "a member that was found dead is alive";
+    306 MemberChanged "member-changed" Info "a member joined or changed its state";
+    401 DrainStarted "drain-started" Info "a drain began: no new work is taken";
+    402 DrainDone "drain-done" Info "a drain is done: no request is in progress";
+    403 DrainEnded "drain-ended" Info "a drain was taken back: new work is taken again";
+    404 UpstreamLost "upstream-lost" Warn "the upstream does not accept connections";
+    405 UpstreamBack "upstream-back" Info "the upstream accepts connections again";
+    406 RequestUnknown "request-unknown" Warn "the outcome of a request is not known; the caller was told so";
+    407 RequestHanded "request-handed" Info "a request was handed over to another agent";
+    408 RequestRefused "request-refused" Info "a request was refused without having run";
+    409 FlowRefused "flow-refused" Info "a flow was refused: no upstream of the service has room";
+    410 KeyRotated "key-rotated" Info "new flows use another sealing key";
+    411 CertificateChanged "certificate-changed" Info "new flows use another certificate";
+    412 ClaimRepeated "claim-repeated" Info "a request under a known idempotency key was answered without running it again";
+    501 ServiceOpened "service-opened" Info "the balancer listens on a service's address";
+    502 ServiceClosed "service-closed" Info "the balancer no longer listens on a service's address";
+    503 ServiceBindFailed "service-bind-failed" Error "the balancer can't listen on a service's address; it tries again";
+}
+
+/// What an event is about. All parts are optional.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct About {
+    service: Option<String>,
+    flow: Option<String>,
+    request: Option<String>,
+    upstream: Option<String>,
+}
+
+#[allow(dead_code, reason = "roles emit different kinds")]
+impl About {
+    /// About the process itself.
+    pub(crate) fn new() -> About {
+        About::default()
+    }
+
+    /// Names the service.
+    pub(crate) fn with_service(mut self, name: &str) -> About {
+        self.service = Some(name.to_owned());
+        self
+    }
+
+    /// Names the flow.
+    pub(crate) fn with_flow(mut self, flow: &str) -> About {
+        self.flow = Some(flow.to_owned());
+        self
+    }
+
+    /// Names the request.
+    pub(crate) fn with_request(mut self, request: &str) -> About {
+        self.request = Some(request.to_owned());
+        self
+    }
+
+    /// Names the upstream.
+    pub(crate) fn with_upstream(mut self, name: &str) -> About {
+        self.upstream = Some(name.to_owned());
+        self
+    }
+}
+
+struct Recorder {
+    process: String,
+    clock: Hlc,
+    next: u64,
+    kept: VecDeque<Event>,
+    waiting: VecDeque<Event>,
+    dropped: u64,
+}
+
+static RECORDER: Mutex<Recorder> = Mutex::new(Recorder {
+    process: String::new(),
+    clock: Hlc::new(),
+    next: 0,
+    kept: VecDeque::new(),
+    waiting: VecDeque::new(),
+    dropped: 0,
+});
+
+fn recorder() -> MutexGuard<'static, Recorder> {
+    RECORDER.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sets the name under which this process's events appear.
+pub(crate) fn init(process: &str) {
+    recorder().process = process.to_owned();
+}
+
+/// Records and logs an event.
+pub(crate) fn emit(id: Id, about: About, text: &str) {
+    let event = recorder().record(id, about, text);
+    log(id.level(), &event);
+}
+
+/// The newest events, oldest first.
+pub(crate) fn recent() -> Vec<Event> {
+    recorder().kept.iter().cloned().collect()
+}
+
+/// Takes the events that wait to be sent to the timeline.
+pub(crate) fn take_waiting() -> Vec<Event> {
+    recorder().waiting.drain(..).collect()
+}
+
+/// Puts back events that could not be sent, before those that came since.
+#[allow(dead_code, reason = "used by the control plane")]
+pub(crate) fn put_back(events: Vec<Event>) {
+    let mut recorder = recorder();
+    for event in events.into_iter().rev() {
+        recorder.waiting.push_front(event);
+    }
+    recorder.trim();
+}
+
+/// Events that were dropped because too many waited.
+#[allow(dead_code, reason = "used by the control plane")]
+pub(crate) fn dropped() -> u64 {
+    recorder().dropped
+}
+
+/// Stamp for a message to another process.
+#[allow(dead_code, reason = "used by the control plane")]
+pub(crate) fn stamp() -> Stamp {
+    recorder().clock.tick(wall_ms())
+}
+
+/// Takes in the stamp of another process's message; false if it is too far ahead.
+#[allow(dead_code, reason = "used by the control plane")]
+pub(crate) fn observe(stamp: Stamp) -> bool {
+    recorder().clock.observe(wall_ms(), stamp)
+}
+
+impl Recorder {
+    fn record(&mut self, id: Id, about: About, text: &str) -> Event {
+        let event = Event {
+            stamp: self.clock.tick(wall_ms()),
+            process: self.process.clone(),
+            seq: self.next,
+            id: id as u16,
+            name: id.name().to_owned(),
+            service: about.service,
+            flow: about.flow,
+            request: about.request,
+            upstream: about.upstream,
+            text: text.to_owned(),
+        };
+        self.next += 1;
+        self.kept.push_back(event.clone());
+        self.waiting.push_back(event.clone());
+        self.trim();
+        event
+    }
+
+    fn trim(&mut self) {
+        while self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+        while self.waiting.len() > WAITING {
+            self.waiting.pop_front();
+            self.dropped += 1;
+        }
+    }
+}
+
+fn log(level: Level, event: &Event) {
+    let id = event.id;
+    let name = event.name.as_str();
+    let service = event.service.as_deref();
+    let flow = event.flow.as_deref();
+    let request = event.request.as_deref();
+    let upstream = event.upstream.as_deref();
+    let text = event.text.as_str();
+    match level {
+        Level::Info => tracing::info!(id, name, service, flow, request, upstream, "{text}"),
+        Level::Warn => tracing::warn!(id, name, service, flow, request, upstream, "{text}"),
+        Level::Error => tracing::error!(id, name, service, flow, request, upstream, "{text}"),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,41 @@
-//! Placeholder.
+//! The camphorwinch daemon: `balance` on an entry VM, `agent` beside an upstream.
 
-fn main() {}
+mod clock;
+mod cmd;
+mod config;
+mod event;
+mod log;
+mod metrics;
+mod operator;
+mod signal;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::cmd::{Agent, Balance, Run};
+
+/// Layer-4 load balancer for QUIC.
+///
+/// Every flag can also be given as an environment variable: CAMPHORWINCH_ and the flag's name in upper case, with '_'
+/// for '-'. A flag goes before its variable.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    Balance(#[bpaf(external(cmd::balance::balance))] Balance),
+    Agent(#[bpaf(external(cmd::agent::agent))] Agent),
+}
+
+fn main() -> ExitCode {
+    let result = match command().run() {
+        Command::Balance(it) => it.run(),
+        Command::Agent(it) => it.run(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("camphorwinchd: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
