--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod invariant;
 pub mod member;
 pub mod object;
+pub mod report;
 pub mod seal;
 pub mod snapshot;
+pub mod timeline;
