standin: the platform's object API, with faults

An answer is lost by closing the connection after the write took effect. Refused connections are closed without an answer instead of unbinding the port: the faults are set on the same address, and a freed port could be taken.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod answer;
 pub mod cmd;
 pub mod config;
+pub mod platform;
 pub mod server;
 pub mod stop;
--- /dev/null
+++ b/crates/standin/src/platform/api.rs
@@ -0,0 +1,463 @@
+//! The calls of the object API over HTTP.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use camphorwinch_core::object::{Kind, MAX_OBJECT, Object};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::{Body as _, Incoming};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
+};
+
+use super::{
+    counts::Counts,
+    faults::{Faults, Outage},
+    limit::Limit,
+    store::{Refused, Store},
+};
+use crate::server::{self, Answer, Body, Dropped, Refusal, Server};
+
+const MAX_WAIT: u64 = 30;
+/// Room for the version and the writer's mark around a spec.
+const MAX_BODY: usize = MAX_OBJECT + 1024;
+const MAX_WRITER: usize = 64;
+const MAX_NAME: usize = 63;
+const MAX_ADMIN: usize = 64 << 10;
+
+/// A running platform; it ends when this value is dropped.
+#[derive(Debug)]
+pub struct Platform {
+    server: Server,
+}
+
+impl Platform {
+    /// Listens on the address; keeps the newest `history` events for watches.
+    pub async fn start(
+        listen: SocketAddr,
+        history: usize,
+        seed: u64,
+        faults: Faults,
+    ) -> anyhow::Result<Platform> {
+        let shared = Arc::new(Shared::new(history, seed, faults));
+        let handle = move |request| {
+            let shared = shared.clone();
+            async move { shared.answer(request).await }
+        };
+        Ok(Platform { server: Server::start(listen, handle).await? })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+}
+
+/// A call, as read from a request's head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Call {
+    List(Option<String>),
+    Get { kind: String, name: String },
+    Put { kind: String, name: String },
+    Delete { kind: String, name: String, version: u64 },
+    Watch { since: u64, wait: u64, kinds: Vec<String> },
+}
+
+impl Call {
+    fn new(request: &Request<Incoming>) -> Result<Call, Refusal> {
+        let path = request.uri().path();
+        let pairs = server::pairs(request.uri().query());
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match (request.method(), &parts[..]) {
+            (&Method::GET, ["v1", "objects"]) => Ok(Call::List(None)),
+            (&Method::GET, ["v1", "objects", kind]) => Ok(Call::List(Some(checked(kind)?))),
+            (&Method::GET, ["v1", "objects", kind, name]) => {
+                Ok(Call::Get { kind: checked(kind)?, name: checked(name)? })
+            }
+            (&Method::PUT, ["v1", "objects", kind, name]) => {
+                Ok(Call::Put { kind: checked(kind)?, name: checked(name)? })
+            }
+            (&Method::DELETE, ["v1", "objects", kind, name]) => {
+                let version = server::value(&pairs, "version")?
+                    .ok_or_else(|| Refusal::bad("query version is missing"))?;
+                Ok(Call::Delete { kind: checked(kind)?, name: checked(name)?, version })
+            }
+            (&Method::GET, ["v1", "watch"]) => Call::watch(&pairs),
+            _ => Err(Refusal::unknown(path)),
+        }
+    }
+
+    fn watch(pairs: &[(&str, &str)]) -> Result<Call, Refusal> {
+        let since =
+            server::value(pairs, "since")?.ok_or_else(|| Refusal::bad("query since is missing"))?;
+        let wait = server::value(pairs, "wait")?.unwrap_or(0);
+        if wait > MAX_WAIT {
+            return Err(Refusal::bad(format!("query wait={wait}: at most {MAX_WAIT}")));
+        }
+        let kinds = pairs.iter().filter(|(key, _)| *key == "kind");
+        let kinds = kinds.map(|(_, kind)| checked(kind)).collect::<Result<_, _>>()?;
+        Ok(Call::Watch { since, wait, kinds })
+    }
+
+    fn method(&self) -> &'static str {
+        match self {
+            Call::List(_) => "list",
+            Call::Get { .. } => "get",
+            Call::Put { .. } => "put",
+            Call::Delete { .. } => "delete",
+            Call::Watch { .. } => "watch",
+        }
+    }
+
+    fn kind(&self) -> &str {
+        let kind = match self {
+            Call::List(None) => return "all",
+            Call::Watch { kinds, .. } if kinds.len() != 1 => return "all",
+            Call::Watch { kinds, .. } => &kinds[0],
+            Call::List(Some(kind))
+            | Call::Get { kind, .. }
+            | Call::Put { kind, .. }
+            | Call::Delete { kind, .. } => kind,
+        };
+        Kind::parse(kind).map_or("other", Kind::as_str)
+    }
+
+    fn is_write(&self) -> bool {
+        matches!(self, Call::Put { .. } | Call::Delete { .. })
+    }
+}
+
+fn checked(name: &str) -> Result<String, Refusal> {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
+    let ends = name.starts_with(plain) && name.ends_with(plain);
+    let inner = name.chars().all(|c| plain(c) || c == '.' || c == '-');
+    if ends && inner && name.len() <= MAX_NAME {
+        return Ok(name.to_owned());
+    }
+    Err(Refusal::bad(format!("{name:?} is no name: [a-z0-9]([a-z0-9.-]{{0,61}}[a-z0-9])?")))
+}
+
+/// Body of a put.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Write {
+    version: u64,
+    writer: String,
+    spec: Value,
+}
+
+/// State behind all connections. Lock order: `store`, `counts`, `random`; none is held across an await.
+#[derive(Debug)]
+struct Shared {
+    store: Mutex<Store>,
+    counts: Mutex<Counts>,
+    random: Mutex<StdRng>,
+    reads: Mutex<Limit>,
+    writes: Mutex<Limit>,
+    faults: watch::Sender<Faults>,
+    revision: watch::Sender<u64>,
+    started: Instant,
+}
+
+impl Shared {
+    fn new(history: usize, seed: u64, faults: Faults) -> Shared {
+        let started = Instant::now();
+        Shared {
+            store: Mutex::new(Store::new(history)),
+            counts: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+            reads: Mutex::new(Limit::new(started.into_std())),
+            writes: Mutex::new(Limit::new(started.into_std())),
+            faults: watch::Sender::new(faults),
+            revision: watch::Sender::new(0),
+            started,
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        if request.uri().path().starts_with("/admin/") {
+            return Ok(self.admin(request).await.unwrap_or_else(|refusal| refusal.answer()));
+        }
+        let answer = match Call::new(&request) {
+            Ok(call) => self.call(call, request.into_body()).await?,
+            Err(refusal) => refusal.answer(),
+        };
+        self.counts.lock().bytes_out += answer.body().size_hint().lower();
+        Ok(answer)
+    }
+
+    async fn admin(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/admin/counts") => {
+                let mut counts = self.counts.lock().clone();
+                counts.uptime_ms = self.started.elapsed().as_millis() as u64;
+                Ok(server::json(StatusCode::OK, &counts))
+            }
+            (&Method::GET, "/admin/faults") => {
+                Ok(server::json(StatusCode::OK, &*self.faults.borrow()))
+            }
+            (&Method::PUT, "/admin/faults") => {
+                let faults: Faults = server::read_json(request.into_body(), MAX_ADMIN).await?;
+                faults.check().map_err(Refusal::bad)?;
+                self.faults.send_replace(faults.clone());
+                Ok(server::json(StatusCode::OK, &faults))
+            }
+            (_, path) => Err(Refusal::unknown(path)),
+        }
+    }
+
+    async fn call(&self, call: Call, body: Incoming) -> Answer {
+        self.counts.lock().call(call.method(), call.kind());
+        if let Some(answer) = self.outage().await? {
+            return Ok(answer);
+        }
+        if !self.fits_limit(&call) {
+            return Ok(limited());
+        }
+        let body = match &call {
+            Call::Put { .. } => match server::read_json::<Write>(body, MAX_BODY).await {
+                Ok(write) => Some(write),
+                Err(refusal) => return Ok(refusal.answer()),
+            },
+            _ => None,
+        };
+        sleep(self.delay()).await;
+        if let Some(answer) = self.outage().await? {
+            return Ok(answer);
+        }
+        let answer = self.run(call, body).await?;
+        let answer_ms = self.faults.borrow().answer_ms;
+        sleep(Duration::from_millis(answer_ms)).await;
+        Ok(answer)
+    }
+
+    /// The answer of a call during an outage, if there is one.
+    async fn outage(&self) -> Result<Option<Response<Body>>, Dropped> {
+        let outage = self.faults.borrow().outage;
+        let Some(outage) = outage else { return Ok(None) };
+        self.counts.lock().outage += 1;
+        match outage {
+            Outage::Error => {
+                let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "outage");
+                Ok(Some(refusal.answer()))
+            }
+            Outage::Refuse => Err(Dropped),
+            Outage::Hang => {
+                let mut faults = self.faults.subscribe();
+                let _ = faults.wait_for(|it| it.outage != Some(Outage::Hang)).await;
+                Err(Dropped)
+            }
+        }
+    }
+
+    fn fits_limit(&self, call: &Call) -> bool {
+        let now = Instant::now().into_std();
+        let fits = {
+            let faults = self.faults.borrow();
+            match call.is_write() {
+                true => self.writes.lock().take(now, faults.writes_per_s),
+                false => self.reads.lock().take(now, faults.reads_per_s),
+            }
+        };
+        if !fits {
+            self.counts.lock().limited += 1;
+        }
+        fits
+    }
+
+    fn delay(&self) -> Duration {
+        let faults = self.faults.borrow();
+        let jitter = self.random.lock().random_range(0..=faults.jitter_ms);
+        Duration::from_millis(faults.delay_ms + jitter)
+    }
+
+    fn chance(&self, share: f64) -> bool {
+        share > 0.0 && self.random.lock().random_bool(share)
+    }
+
+    async fn run(&self, call: Call, write: Option<Write>) -> Answer {
+        match (call, write) {
+            (Call::List(kind), _) => {
+                Ok(server::json_text(StatusCode::OK, self.store.lock().list(kind.as_deref())))
+            }
+            (Call::Get { kind, name }, _) => {
+                let found = self.store.lock().get(&kind, &name);
+                Ok(self.result(found.map(|text| text.to_string())))
+            }
+            (Call::Put { kind, name }, Some(write)) => self.put(kind, name, write),
+            (Call::Put { .. }, None) => Ok(Refusal::bad("a put needs a body").answer()),
+            (Call::Delete { kind, name, version }, _) => self.delete(&kind, &name, version),
+            (Call::Watch { since, wait, kinds }, _) => self.watch(since, wait, &kinds).await,
+        }
+    }
+
+    fn put(&self, kind: String, name: String, write: Write) -> Answer {
+        if write.writer.is_empty() || write.writer.len() > MAX_WRITER {
+            let text = format!("writer: must have 1 to {MAX_WRITER} characters");
+            return Ok(Refusal::bad(text).answer());
+        }
+        let Write { version, writer, spec } = write;
+        let written = self.store.lock().put(Object { kind, name, version, writer, spec });
+        self.written(written.map(|text| text.to_string()))
+    }
+
+    fn delete(&self, kind: &str, name: &str, version: u64) -> Answer {
+        let deleted = self.store.lock().delete(kind, name, version);
+        self.written(deleted.map(|revision| format!(r#"{{"revision":{revision}}}"#)))
+    }
+
+    /// Wakes the watches after a write; loses the answer if the faults say so.
+    fn written(&self, result: Result<String, Refused>) -> Answer {
+        if result.is_ok() {
+            let revision = self.store.lock().revision();
+            self.revision.send_if_modified(|it| {
+                let newer = revision > *it;
+                *it = revision.max(*it);
+                newer
+            });
+            if self.loses() {
+                self.counts.lock().lost += 1;
+                return Err(Dropped);
+            }
+        }
+        Ok(self.result(result))
+    }
+
+    fn loses(&self) -> bool {
+        let next = self.faults.send_if_modified(|it| {
+            let next = it.lose_next > 0;
+            it.lose_next = it.lose_next.saturating_sub(1);
+            next
+        });
+        let share = self.faults.borrow().lost;
+        next || self.chance(share)
+    }
+
+    fn result(&self, result: Result<String, Refused>) -> Response<Body> {
+        match result {
+            Ok(text) => server::json_text(StatusCode::OK, text),
+            Err(Refused::Missing) => Refusal::new(StatusCode::NOT_FOUND, "no such object").answer(),
+            Err(Refused::Gone) => {
+                self.counts.lock().gone += 1;
+                let text = "the history does not hold this revision: list again";
+                Refusal::new(StatusCode::GONE, text).answer()
+            }
+            Err(Refused::Conflict(current)) => {
+                self.counts.lock().conflicts += 1;
+                let current = current.as_deref().unwrap_or("null");
+                let text = format!(
+                    r#"{{"error":"the version is not the stored one","current":{current}}}"#
+                );
+                server::json_text(StatusCode::CONFLICT, text)
+            }
+        }
+    }
+
+    async fn watch(&self, since: u64, wait: u64, kinds: &[String]) -> Answer {
+        let mut end = Instant::now() + Duration::from_secs(wait);
+        let share = self.faults.borrow().watch_close;
+        let closes = self.chance(share);
+        if closes {
+            end = Instant::now() + self.part_of(wait);
+        }
+        let _waiting = Waiting::new(&self.counts);
+        let mut revision = self.revision.subscribe();
+        let mut faults = self.faults.subscribe();
+        loop {
+            revision.borrow_and_update();
+            let (found, now) = {
+                let store = self.store.lock();
+                (store.since(since, kinds), store.revision())
+            };
+            let events = match found {
+                Ok(events) => events,
+                Err(refused) => return Ok(self.result(Err(refused))),
+            };
+            if !events.is_empty() {
+                return Ok(self.events(now, since, kinds, events));
+            }
+            let event = async {
+                tokio::select! {
+                    _ = revision.changed() => {}
+                    _ = faults.wait_for(|it| it.outage.is_some()) => {}
+                }
+            };
+            let ended = timeout_at(end, event).await.is_err();
+            if let Some(answer) = self.outage().await? {
+                return Ok(answer);
+            }
+            if ended && closes {
+                self.counts.lock().closed += 1;
+                return Err(Dropped);
+            }
+            if ended {
+                let now = self.store.lock().revision();
+                return Ok(self.events(now, since, kinds, Vec::new()));
+            }
+        }
+    }
+
+    fn part_of(&self, wait: u64) -> Duration {
+        let share = self.random.lock().random_range(0.0..1.0);
+        Duration::from_secs_f64(wait as f64 * share)
+    }
+
+    fn events(
+        &self,
+        revision: u64,
+        since: u64,
+        kinds: &[String],
+        events: Vec<Arc<str>>,
+    ) -> Response<Body> {
+        let (skip, repeat) = {
+            let faults = self.faults.borrow();
+            (faults.watch_skip, faults.watch_repeat)
+        };
+        let mut kept = Vec::new();
+        if self.chance(repeat) {
+            let older = self.store.lock().before(since, kinds);
+            self.counts.lock().repeated += u64::from(older.is_some());
+            kept.extend(older);
+        }
+        for event in events {
+            if self.chance(skip) {
+                self.counts.lock().skipped += 1;
+                continue;
+            }
+            kept.push(event);
+        }
+        let text = format!(r#"{{"revision":{revision},"events":[{}]}}"#, kept.join(","));
+        server::json_text(StatusCode::OK, text)
+    }
+}
+
+fn limited() -> Response<Body> {
+    let mut answer = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "too many calls").answer();
+    answer.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+/// Counts a watch as waiting for as long as it lives.
+struct Waiting<'a> {
+    counts: &'a Mutex<Counts>,
+}
+
+impl Waiting<'_> {
+    fn new(counts: &Mutex<Counts>) -> Waiting<'_> {
+        let mut locked = counts.lock();
+        locked.waiting += 1;
+        locked.waiting_peak = locked.waiting_peak.max(locked.waiting);
+        drop(locked);
+        Waiting { counts }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.counts.lock().waiting -= 1;
+    }
+}
