--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -1,6 +1,7 @@
 //! Load: many callers with a mix of habits, at set rates, placed from a seed.
 
 use std::{
+    str::FromStr,
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
 };
@@ -44,6 +45,30 @@
     pub transfer: f64,
 }
 
+impl FromStr for Mix {
+    type Err = String;
+
+    /// Parses `screen=0.5,transfer=0.5`; what is left out is 0.
+    fn from_str(s: &str) -> Result<Mix, String> {
+        let mut mix = Mix::new([0.0; 4]);
+        for part in s.split(',') {
+            let Some((name, share)) = part.split_once('=') else {
+                return Err(format!("{part:?} is not KIND=SHARE"));
+            };
+            let share = share.parse().map_err(|_| format!("{share:?} is no number"))?;
+            match name {
+                "screen" => mix.screen = share,
+                "feed" => mix.feed = share,
+                "upload" => mix.upload = share,
+                "transfer" => mix.transfer = share,
+                _ => return Err(format!("{name:?} is none of screen, feed, upload, transfer")),
+            }
+        }
+        mix.check().map_err(|e| e.to_string())?;
+        Ok(mix)
+    }
+}
+
 impl Mix {
     /// Checks that the shares make sense.
     pub fn check(&self) -> anyhow::Result<()> {
@@ -56,6 +81,12 @@
         Ok(())
     }
 
+    /// The mix with these shares, in the order of the fields.
+    pub fn new(shares: [f64; 4]) -> Mix {
+        let [screen, feed, upload, transfer] = shares;
+        Mix { screen, feed, upload, transfer }
+    }
+
     /// Draws a kind.
     pub fn draw(&self, rng: &mut StdRng) -> Kind {
         let shares = [
--- a/crates/standin/src/caller/mod.rs
+++ b/crates/standin/src/caller/mod.rs
@@ -5,11 +5,12 @@
 pub mod flow;
 pub mod load;
 pub mod outcome;
+pub mod report;
 pub mod session;
 pub mod tally;
 pub mod verify;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, str::FromStr};
 
 /// A service as callers know it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,3 +22,17 @@
     /// Pool of the upstreams that may answer.
     pub pool: String,
 }
+
+impl FromStr for Target {
+    type Err = String;
+
+    /// Parses `NAME=IP:PORT/POOL`.
+    fn from_str(s: &str) -> Result<Target, String> {
+        let parts = s.split_once('=').and_then(|(name, rest)| Some((name, rest.split_once('/')?)));
+        let Some((name, (address, pool))) = parts else {
+            return Err(format!("{s:?} is not NAME=IP:PORT/POOL"));
+        };
+        let address = address.parse().map_err(|_| format!("{address:?} is not IP:PORT"))?;
+        Ok(Target { name: name.to_owned(), address, pool: pool.to_owned() })
+    }
+}
--- a/crates/standin/src/caller/tally.rs
+++ b/crates/standin/src/caller/tally.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -358,3 +359,18 @@
     let ms = |q| histogram.value_at_quantile(q) as f64 / 1_000.0;
     Latency { p50_ms: ms(0.5), p99_ms: ms(0.99) }
 }
+
+impl fmt::Display for Incident {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let unknown = || "?".to_owned();
+        write!(f, "{:.3} s: {} flow {}", self.at.as_secs_f64(), self.service, self.flow)?;
+        write!(f, " at agent {}", self.agent.clone().unwrap_or_else(unknown))?;
+        match &self.what {
+            What::BrokenFlow => write!(f, " broke: {}", self.text),
+            What::Failed(kind, _) => {
+                let upstream = self.upstream.clone().unwrap_or_else(unknown);
+                write!(f, ": {} run by {upstream}: {}", kind.as_str(), self.text)
+            }
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,8 +2,10 @@
 //! callers, and the site that ties them together.
 
 pub mod answer;
+pub mod caller;
 pub mod cmd;
 pub mod config;
 pub mod platform;
 pub mod server;
+pub mod site;
 pub mod stop;
--- a/crates/standin/src/site/launch.rs
+++ b/crates/standin/src/site/launch.rs
@@ -106,8 +106,7 @@
     pub fn routes(&self, balancers: &[IpAddr]) -> Vec<(SocketAddr, Vec<SocketAddr>)> {
         let mut routes = Vec::new();
         for &service in &self.services {
-            let route =
-                balancers.iter().map(|&it| SocketAddr::new(it, service.port())).collect();
+            let route = balancers.iter().map(|&it| SocketAddr::new(it, service.port())).collect();
             routes.push((service, route));
         }
         routes
--- a/crates/standin/src/site/objects.rs
+++ b/crates/standin/src/site/objects.rs
@@ -135,4 +135,3 @@
 pub fn mark() -> String {
     format!("{:032x}", rand::rng().random::<u128>())
 }
-
--- a/crates/standin/src/site/pki.rs
+++ b/crates/standin/src/site/pki.rs
@@ -53,8 +53,7 @@
         params.extended_key_usages =
             vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
         let key = KeyPair::generate().with_context(|| format!("make the key of {name}"))?;
-        let cert =
-            params.signed_by(&key, &self.issuer).with_context(|| format!("sign {name}"))?;
+        let cert = params.signed_by(&key, &self.issuer).with_context(|| format!("sign {name}"))?;
         Ok(Leaf { chain: cert.pem(), key: key.serialize_pem() })
     }
 }
