Command-line tool: apply, get, delete, watch, drain, status, timeline, keys

Every write is conditional and carries a new mark. An upstream's report gets the key epochs of its flows, without which pruning keys can't know what it breaks.

--- /dev/null
+++ b/crates/cli/src/cmd/status.rs
@@ -0,0 +1,56 @@
+//! The `status` subcommand.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use camphorwinch_core::object::Kind;
+
+use super::parse_name;
+use crate::{
+    config::{Flags, Settings},
+    error::Error,
+    output::{Format, print, print_json},
+    platform::Platform,
+    status,
+};
+
+/// Shows what is in force where and since when, and the flows, load and drain progress of the upstreams
+///
+///
+/// The figures come from the reports that each zone puts into the platform every few seconds.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(command)]
+pub struct Status {
+    #[bpaf(external(crate::config::flags))]
+    pub(crate) flags: Flags,
+    /// Only this service and its upstreams
+    #[bpaf(argument::<String>("NAME"), parse(parse_name), optional)]
+    service: Option<String>,
+}
+
+impl Status {
+    pub(crate) async fn run(&self, settings: &Settings) -> Result<(), Error> {
+        let platform = Platform::new(settings);
+        let leases = platform.list(Kind::Lease).await?.items;
+        let mut config = Vec::new();
+        for kind in Kind::CONFIG {
+            config.extend(platform.list(kind).await?.items);
+        }
+        let mut status = status::Status::new(&leases, &config);
+        if let Some(service) = &self.service {
+            if !status.only(service) {
+                let at = format!("{}/{service}", Kind::Service);
+                return Err(Error::NotFound { at, peer: platform.peer() });
+            }
+        }
+        match settings.format {
+            Format::Json => print_json(&status),
+            Format::Table => print(status.tables(now_ms())),
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,17 @@
+//! The parts of the camphorwinch command-line tool.
+
+pub mod app;
+pub mod apply;
+pub mod cmd;
+pub mod config;
+pub mod error;
+pub mod keys;
+pub mod manifest;
+pub mod output;
+pub mod platform;
+pub mod retry;
+pub mod rollout;
+pub mod status;
+pub mod timeline;
+pub mod watch;
+pub mod write;
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,281 @@
+//! Calls to the platform's object API.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use camphorwinch_core::object::{Kind, Object};
+use http::{Method, Request, StatusCode, Uri, header::RETRY_AFTER};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Deserialize, de::DeserializeOwned};
+use tokio::time::timeout;
+
+use crate::{config::Settings, error::Error, retry::Retry};
+
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER: usize = 256 << 20;
+/// How long the platform may hold a watch open, in seconds.
+const WATCH_WAIT_S: u64 = 25;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answer to a list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// The platform's revision at the time of the list.
+    pub revision: u64,
+    /// The objects.
+    pub items: Vec<Object>,
+}
+
+/// What a watch saw happen to an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Seen {
+    /// Created or updated.
+    Put,
+    /// Deleted.
+    Delete,
+}
+
+/// One event of a watch.
+#[derive(Clone, Debug, PartialEq, Deserialize, serde::Serialize)]
+pub struct WatchEvent {
+    /// What happened.
+    #[serde(rename = "type")]
+    pub seen: Seen,
+    /// The object; its version is the revision of the event.
+    pub object: Object,
+}
+
+/// Answer to a watch.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Events {
+    /// Revision to watch from next.
+    pub revision: u64,
+    /// The events since the revision asked for.
+    pub events: Vec<WatchEvent>,
+}
+
+/// An answer of the platform.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// When to try again, if the platform said so.
+    pub after: Option<Duration>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Status and error text, for people.
+    pub fn reason(&self) -> String {
+        #[derive(Deserialize)]
+        struct Refusal {
+            error: String,
+        }
+        match serde_json::from_slice::<Refusal>(&self.body) {
+            Ok(it) => format!("{}: {}", self.status, it.error),
+            Err(_) => self.status.to_string(),
+        }
+    }
+}
+
+/// Why a call got no answer.
+#[derive(Clone, Debug)]
+pub enum Lost {
+    /// No connection: the call was not sent.
+    NotSent(String),
+    /// The connection broke or timed out: the call may have been carried out.
+    MaybeSent(String),
+}
+
+impl Lost {
+    /// The cause, for people.
+    pub fn reason(self) -> String {
+        match self {
+            Lost::NotSent(it) | Lost::MaybeSent(it) => it,
+        }
+    }
+}
+
+/// Client of the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    uri: Uri,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Platform {
+    /// A client with the address and the timeout of the settings.
+    pub fn new(settings: &Settings) -> Platform {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Platform { uri: settings.platform.clone(), timeout: settings.timeout, client }
+    }
+
+    /// Address of the platform, for errors.
+    pub fn peer(&self) -> String {
+        self.uri.authority().map_or_else(String::new, |it| it.to_string())
+    }
+
+    /// Attempts of one operation, ended by the timeout.
+    pub fn retry(&self) -> Retry {
+        Retry::new(self.timeout)
+    }
+
+    /// All objects of a kind.
+    pub async fn list(&self, kind: Kind) -> Result<List, Error> {
+        let path = format!("/v1/objects/{kind}");
+        let step = format!("list {kind}");
+        self.read(&step, &path, &mut self.retry())
+            .await?
+            .ok_or_else(|| Error::NotFound { at: kind.to_string(), peer: self.peer() })
+    }
+
+    /// One object, if it exists.
+    pub async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, Error> {
+        self.get_within(kind, name, &mut self.retry()).await
+    }
+
+    /// One object, if it exists, within attempts that have already begun.
+    pub async fn get_within(
+        &self,
+        kind: Kind,
+        name: &str,
+        retry: &mut Retry,
+    ) -> Result<Option<Object>, Error> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        self.read(&format!("get {kind}/{name}"), &path, retry).await
+    }
+
+    /// One object; an error if it does not exist.
+    pub async fn need(&self, kind: Kind, name: &str) -> Result<Object, Error> {
+        self.get(kind, name)
+            .await?
+            .ok_or_else(|| Error::NotFound { at: format!("{kind}/{name}"), peer: self.peer() })
+    }
+
+    /// Events since a revision, without waiting for any. `None` when the platform no longer has them.
+    pub async fn history(
+        &self,
+        kind: Kind,
+        since: u64,
+        retry: &mut Retry,
+    ) -> Result<Option<Events>, Error> {
+        let path = format!("/v1/watch?since={since}&wait=0&kind={kind}");
+        self.read("read the history", &path, retry).await
+    }
+
+    /// One attempt to wait for events since a revision.
+    pub async fn wait(&self, kinds: &[Kind], since: u64) -> Result<Answer, Lost> {
+        let mut path = format!("/v1/watch?since={since}&wait={WATCH_WAIT_S}");
+        for kind in kinds {
+            path.push_str("&kind=");
+            path.push_str(kind.as_str());
+        }
+        let limit = Duration::from_secs(WATCH_WAIT_S) + self.timeout;
+        self.call(Method::GET, &path, Bytes::new(), limit).await
+    }
+
+    /// One attempt of one call.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer, Lost> {
+        match timeout(limit, self.exchange(method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => Err(Lost::MaybeSent(format!("no answer within {limit:.1?}"))),
+        }
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Lost> {
+        let uri = format!("http://{}{path}", self.peer());
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| Lost::NotSent(e.to_string()))?;
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(e) if e.is_connect() => return Err(Lost::NotSent(chain(&e))),
+            Err(e) => return Err(Lost::MaybeSent(chain(&e))),
+        };
+        let status = response.status();
+        let after = response.headers().get(RETRY_AFTER);
+        let after = after.and_then(|it| it.to_str().ok()?.parse().ok()).map(Duration::from_secs);
+        let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+        let body = body.map_err(|e| Lost::MaybeSent(e.to_string()))?.to_bytes();
+        Ok(Answer { status, after, body })
+    }
+
+    async fn read<T>(&self, step: &str, path: &str, retry: &mut Retry) -> Result<Option<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        loop {
+            let (after, reason) =
+                match self.call(Method::GET, path, Bytes::new(), retry.limit()).await {
+                    Ok(it) if it.status == StatusCode::OK => {
+                        return self.parse(step, &it.body).map(Some);
+                    }
+                    Ok(it) if matches!(it.status, StatusCode::NOT_FOUND | StatusCode::GONE) => {
+                        return Ok(None);
+                    }
+                    Ok(it) if is_passing(it.status) => (it.after, it.reason()),
+                    Ok(it) => return Err(self.refused(step, &it)),
+                    Err(lost) => (None, lost.reason()),
+                };
+            if !retry.pause(after).await {
+                return Err(Error::Unavailable {
+                    step: step.to_owned(),
+                    peer: self.peer(),
+                    reason,
+                });
+            }
+        }
+    }
+
+    /// Parses the body of an answer.
+    pub fn parse<T>(&self, step: &str, body: &[u8]) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(body).map_err(|e| Error::Refused {
+            step: step.to_owned(),
+            peer: self.peer(),
+            reason: format!("an answer that is not readable: {e}"),
+        })
+    }
+
+    /// The error for an answer that trying again won't change.
+    pub fn refused(&self, step: &str, answer: &Answer) -> Error {
+        Error::Refused { step: step.to_owned(), peer: self.peer(), reason: answer.reason() }
+    }
+}
+
+/// Whether trying again may help.
+pub fn is_passing(status: StatusCode) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
+}
+
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(it) = source {
+        text.push_str(": ");
+        text.push_str(&it.to_string());
+        source = it.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/cli/src/write.rs
@@ -0,0 +1,285 @@
+//! Conditional writes whose lost answers are settled by reading back.
+//!
+//! Each write carries a new mark. When an answer is lost, the object and the platform's history are searched for the
+//! mark: found, the write took effect; not found and the object unchanged, the same write is sent again. It can take
+//! effect only once, since both attempts ask for the same version. Anything else is reported as unknown.
+
+use bytes::Bytes;
+use camphorwinch_core::object::{Kind, Object};
+use http::{Method, StatusCode};
+use rand::Rng as _;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{
+    error::Error,
+    output::pretty,
+    platform::{Answer, Lost, Platform, is_passing},
+    retry::Retry,
+};
+
+/// A write of one object.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// Kind.
+    pub kind: Kind,
+    /// Name.
+    pub name: String,
+    /// Version that must be stored; 0 creates.
+    pub version: u64,
+    /// A revision of the platform read before the write, where a search of the history begins.
+    pub since: u64,
+    /// The content.
+    pub spec: Value,
+}
+
+#[derive(Serialize)]
+struct PutBody<'a> {
+    version: u64,
+    writer: &'a str,
+    spec: &'a Value,
+}
+
+#[derive(Deserialize)]
+struct ConflictBody {
+    current: Option<Object>,
+}
+
+#[derive(Deserialize)]
+struct DeleteBody {
+    revision: u64,
+}
+
+/// What a search for a write found.
+enum Found {
+    /// The write took effect.
+    Written(Object),
+    /// The object is as it was before the write.
+    Unchanged,
+    /// Another writer's value is stored, or nothing.
+    Replaced(Option<Object>),
+}
+
+/// What one attempt came to.
+enum Attempt<T> {
+    Done(T),
+    Conflict(Option<Object>),
+    NotRun(Option<std::time::Duration>, String),
+    Unclear(Option<std::time::Duration>, String),
+    Refused(Answer),
+}
+
+impl Write {
+    fn at(&self) -> String {
+        format!("{}/{}", self.kind, self.name)
+    }
+
+    fn path(&self) -> String {
+        format!("/v1/objects/{}/{}", self.kind, self.name)
+    }
+
+    fn ours(&self, writer: &str) -> Object {
+        Object {
+            kind: self.kind.to_string(),
+            name: self.name.clone(),
+            version: self.version,
+            writer: writer.to_owned(),
+            spec: self.spec.clone(),
+        }
+    }
+
+    /// Writes the object and returns it as stored.
+    pub async fn put(&self, platform: &Platform) -> Result<Object, Error> {
+        let writer = mark();
+        let body = PutBody { version: self.version, writer: &writer, spec: &self.spec };
+        let body = serde_json::to_vec(&body)
+            .map_err(|e| Error::usage(format!("encode {}", self.at()), e.to_string()))?;
+        let body = Bytes::from(body);
+        let mut retry = platform.retry();
+        let mut lost = false;
+        loop {
+            let answer =
+                platform.call(Method::PUT, &self.path(), body.clone(), retry.limit()).await;
+            let (after, reason) = match attempt(answer) {
+                Attempt::Done(object) => return Ok(object),
+                Attempt::Conflict(Some(current)) if current.writer == writer => return Ok(current),
+                Attempt::Conflict(current) if !lost => return Err(self.conflict(&writer, current)),
+                Attempt::Conflict(_) => (None, "the object changed".to_owned()),
+                Attempt::Refused(it) => {
+                    return Err(platform.refused(&format!("put {}", self.at()), &it));
+                }
+                Attempt::NotRun(after, reason) => (after, reason),
+                Attempt::Unclear(after, reason) => {
+                    lost = true;
+                    (after, reason)
+                }
+            };
+            if !retry.pause(after).await {
+                return Err(self.given_up(platform, "put", &writer, lost, reason));
+            }
+            if !lost {
+                continue;
+            }
+            match self.find(platform, &writer, &mut retry).await {
+                Ok(Found::Written(object)) => return Ok(object),
+                Ok(Found::Unchanged) => {}
+                Ok(Found::Replaced(current)) => {
+                    let reason =
+                        "the answer was lost, and another writer has changed the object since";
+                    return Err(self.unknown(platform, "put", &writer, reason, stored(&current)));
+                }
+                Err(e) => {
+                    let reason = format!("the answer was lost: {e}");
+                    return Err(self.unknown(platform, "put", &writer, &reason, not_read()));
+                }
+            }
+        }
+    }
+
+    /// Deletes the object at its version and returns the revision of the deletion, if the answer came through.
+    pub async fn delete(&self, platform: &Platform) -> Result<Option<u64>, Error> {
+        let path = format!("{}?version={}", self.path(), self.version);
+        let mut retry = platform.retry();
+        let mut lost = false;
+        loop {
+            let answer = platform.call(Method::DELETE, &path, Bytes::new(), retry.limit()).await;
+            let (after, reason) = match attempt::<DeleteBody>(answer) {
+                Attempt::Done(it) => return Ok(Some(it.revision)),
+                Attempt::Refused(it) if it.status == StatusCode::NOT_FOUND && lost => {
+                    return Ok(None);
+                }
+                Attempt::Refused(it) if it.status == StatusCode::NOT_FOUND => {
+                    return Err(Error::NotFound { at: self.at(), peer: platform.peer() });
+                }
+                Attempt::Conflict(current) if lost => {
+                    let reason = "the answer was lost, and the object has changed since";
+                    return Err(self.unknown(platform, "delete", "", reason, stored(&current)));
+                }
+                Attempt::Conflict(current) => return Err(self.conflict("", current)),
+                Attempt::Refused(it) => {
+                    return Err(platform.refused(&format!("delete {}", self.at()), &it));
+                }
+                Attempt::NotRun(after, reason) => (after, reason),
+                Attempt::Unclear(after, reason) => {
+                    lost = true;
+                    (after, reason)
+                }
+            };
+            if !retry.pause(after).await {
+                return Err(self.given_up(platform, "delete", "", lost, reason));
+            }
+        }
+    }
+
+    async fn find(
+        &self,
+        platform: &Platform,
+        writer: &str,
+        retry: &mut Retry,
+    ) -> Result<Found, Error> {
+        let current = platform.get_within(self.kind, &self.name, retry).await?;
+        if let Some(object) = &current {
+            if object.writer == writer {
+                return Ok(Found::Written(object.clone()));
+            }
+        }
+        if let Some(history) = platform.history(self.kind, self.since, retry).await? {
+            for event in history.events {
+                if event.object.name == self.name && event.object.writer == writer {
+                    return Ok(Found::Written(event.object));
+                }
+            }
+        }
+        let version = current.as_ref().map_or(0, |it| it.version);
+        Ok(if version == self.version { Found::Unchanged } else { Found::Replaced(current) })
+    }
+
+    fn conflict(&self, writer: &str, current: Option<Object>) -> Error {
+        let reason = match (&current, self.version) {
+            (Some(it), 0) => format!("it already exists with version {}", it.version),
+            (Some(it), version) => {
+                format!("version {version} is not stored; version {} is", it.version)
+            }
+            (None, version) => format!("version {version} is not stored; nothing is"),
+        };
+        Error::Conflict {
+            at: self.at(),
+            reason,
+            ours: pretty(&self.ours(writer)),
+            stored: stored(&current),
+        }
+    }
+
+    fn unknown(
+        &self,
+        platform: &Platform,
+        step: &str,
+        writer: &str,
+        reason: &str,
+        stored: String,
+    ) -> Error {
+        Error::Unknown {
+            step: format!("{step} {}", self.at()),
+            peer: platform.peer(),
+            reason: reason.to_owned(),
+            ours: pretty(&self.ours(writer)),
+            stored,
+        }
+    }
+
+    fn given_up(
+        &self,
+        platform: &Platform,
+        step: &str,
+        writer: &str,
+        lost: bool,
+        reason: String,
+    ) -> Error {
+        if lost {
+            let reason = format!("the answer was lost: {reason}");
+            return self.unknown(platform, step, writer, &reason, not_read());
+        }
+        Error::Unavailable {
+            step: format!("{step} {}", self.at()),
+            peer: platform.peer(),
+            reason: format!("{reason}; nothing was written"),
+        }
+    }
+}
+
+fn attempt<T>(answer: Result<Answer, Lost>) -> Attempt<T>
+where
+    T: for<'a> Deserialize<'a>,
+{
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(Lost::NotSent(reason)) => return Attempt::NotRun(None, reason),
+        Err(Lost::MaybeSent(reason)) => return Attempt::Unclear(None, reason),
+    };
+    match answer.status {
+        StatusCode::OK => match serde_json::from_slice(&answer.body) {
+            Ok(it) => Attempt::Done(it),
+            Err(e) => Attempt::Unclear(None, format!("an answer that is not readable: {e}")),
+        },
+        StatusCode::CONFLICT => match serde_json::from_slice::<ConflictBody>(&answer.body) {
+            Ok(it) => Attempt::Conflict(it.current),
+            Err(e) => Attempt::Unclear(None, format!("an answer that is not readable: {e}")),
+        },
+        StatusCode::TOO_MANY_REQUESTS => Attempt::NotRun(answer.after, answer.reason()),
+        status if is_passing(status) => Attempt::Unclear(answer.after, answer.reason()),
+        _ => Attempt::Refused(answer),
+    }
+}
+
+fn stored(current: &Option<Object>) -> String {
+    current.as_ref().map_or_else(|| "(nothing)".to_owned(), pretty)
+}
+
+fn not_read() -> String {
+    "(could not be read)".to_owned()
+}
+
+/// A new writer's mark: 32 hexadecimal digits.
+pub fn mark() -> String {
+    format!("{:032x}", rand::rng().random::<u128>())
+}
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -132,6 +132,9 @@
     pub slots: u32,
     /// Since when it is in this state, in milliseconds since 1970.
     pub since_ms: u64,
+    /// Key epochs that seal the connection IDs of its flows; empty when it has none or does not know.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub epochs: Vec<u8>,
 }
 
 /// State of one balancer.
