--- a/crates/standin/src/cmd/platform.rs
+++ b/crates/standin/src/cmd/platform.rs
@@ -14,6 +14,7 @@
 
 /// Serve the platform's object API from memory, with faults
 ///
+///
 /// Faults can be changed while it runs: PUT /admin/faults takes a JSON object with the names of the flags below (with
 /// "_" for "-"); {} clears them all. GET /admin/counts tells the calls by method and kind. Calls to /admin are never
 /// delayed, refused or counted.
--- /dev/null
+++ b/crates/standin/src/fabric/admin.rs
@@ -0,0 +1,127 @@
+//! The fabric as a whole and its admin calls.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::{
+    counts::Counts,
+    faults::Faults,
+    service::{Common, Service},
+};
+use crate::server::{self, Body, Refusal, Server};
+
+const MAX_BODY: usize = 1 << 20;
+
+/// Balancers by service address.
+pub type Routes = BTreeMap<SocketAddr, Vec<SocketAddr>>;
+
+/// A running fabric; it ends when this value is dropped.
+#[derive(Debug)]
+pub struct Fabric {
+    server: Server,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    services: Mutex<BTreeMap<SocketAddr, Service>>,
+    faults: watch::Sender<Arc<Faults>>,
+    common: Common,
+}
+
+impl Fabric {
+    /// Serves the routes; callers' sockets are bound on `ip` and forgotten after `idle`.
+    pub async fn start(
+        admin: SocketAddr,
+        routes: &Routes,
+        ip: IpAddr,
+        idle: Duration,
+        seed: u64,
+        faults: Faults,
+    ) -> anyhow::Result<Fabric> {
+        let faults = watch::Sender::new(Arc::new(faults));
+        let common = Common { ip, idle, seed, faults: faults.subscribe() };
+        let state = Arc::new(State { services: Mutex::default(), faults, common });
+        state.set_routes(routes)?;
+        let handle = {
+            let state = state.clone();
+            move |request| {
+                let state = state.clone();
+                async move { Ok(state.answer(request).await.unwrap_or_else(|it| it.answer())) }
+            }
+        };
+        Ok(Fabric { server: Server::start(admin, handle).await?, state })
+    }
+
+    /// Address of the admin calls.
+    pub fn admin(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the routes: new services are added, missing ones removed.
+    pub fn set_routes(&self, routes: &Routes) -> anyhow::Result<()> {
+        self.state.set_routes(routes)
+    }
+
+    /// Counts by service.
+    pub fn counts(&self) -> Counts {
+        self.state.counts()
+    }
+}
+
+impl State {
+    fn set_routes(&self, routes: &Routes) -> anyhow::Result<()> {
+        let mut services = self.services.lock();
+        let mut added = BTreeMap::new();
+        for (&addr, balancers) in routes {
+            if !services.contains_key(&addr) {
+                added.insert(addr, Service::start(addr, balancers, &self.common)?);
+            }
+        }
+        services.retain(|addr, _| routes.contains_key(addr));
+        for (addr, service) in services.iter() {
+            service.set_balancers(&routes[addr]);
+        }
+        services.extend(added);
+        Ok(())
+    }
+
+    fn routes(&self) -> Routes {
+        self.services.lock().iter().map(|(addr, it)| (*addr, it.balancers())).collect()
+    }
+
+    fn counts(&self) -> Counts {
+        let services = self.services.lock();
+        Counts { services: services.iter().map(|(addr, it)| (*addr, it.counts())).collect() }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/counts") => Ok(server::json(StatusCode::OK, &self.counts())),
+            (&Method::GET, "/routes") => Ok(server::json(StatusCode::OK, &self.routes())),
+            (&Method::GET, "/faults") => Ok(server::json(StatusCode::OK, &**self.faults.borrow())),
+            (&Method::PUT, "/routes") => {
+                let routes: Routes = server::read_json(request.into_body(), MAX_BODY).await?;
+                let failed = |error| Refusal::new(StatusCode::CONFLICT, format!("{error:#}"));
+                self.set_routes(&routes).map_err(failed)?;
+                Ok(server::json(StatusCode::OK, &routes))
+            }
+            (&Method::PUT, "/faults") => {
+                let faults: Faults = server::read_json(request.into_body(), MAX_BODY).await?;
+                faults.check().map_err(Refusal::bad)?;
+                self.faults.send_replace(Arc::new(faults.clone()));
+                Ok(server::json(StatusCode::OK, &faults))
+            }
+            (_, path) => Err(Refusal::unknown(path)),
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod cmd;
 pub mod config;
+pub mod fabric;
 pub mod platform;
 pub mod server;
 pub mod stop;
