Records, view and the control API of the daemon

A view merges configuration objects and members by version. A watch may skip an event, so absence means deletion only up to the revision that a whole list has confirmed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,12 @@
 //! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
 //! the time come in as arguments, effects go out as return values.
 
+pub mod assemble;
 pub mod invariant;
 pub mod member;
 pub mod object;
+pub mod record;
 pub mod report;
 pub mod snapshot;
 pub mod timeline;
+pub mod view;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,11 +3,14 @@
 mod clock;
 mod cmd;
 mod config;
+#[allow(dead_code, reason = "the data paths are being built on it")]
+mod control;
 mod event;
 mod log;
 mod metrics;
 mod operator;
 mod signal;
+mod tls;
 
 use std::process::ExitCode;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Messages and framing between camphorwinch processes.
+
+pub mod frame;
