Decisions on flows, requests and idempotency keys

Admission, back-off, retry budget, choice of peers, the course of one request and the owners' claims, without I/O.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,10 +3,16 @@
 //! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
 //! the time come in as arguments, effects go out as return values.
 
+pub mod admit;
+pub mod budget;
 pub mod candidates;
+pub mod claims;
+pub mod dispatch;
+pub mod gate;
 pub mod invariant;
 pub mod member;
 pub mod object;
+pub mod peers;
 pub mod report;
 pub mod seal;
 pub mod snapshot;
