--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,3 +1,4 @@
 //! Messages and framing between camphorwinch processes.
 
 pub mod encap;
+pub mod frame;
