--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Messages and framing between camphorwinch processes.
+
+pub mod encap;
+pub mod frame;
