--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod cmd;
 pub mod config;
+pub mod fabric;
 pub mod platform;
 pub mod server;
 pub mod site;
