--- a/crates/standin/src/caller/ask.rs
+++ b/crates/standin/src/caller/ask.rs
@@ -63,6 +63,8 @@
     pub kind: Kind,
     /// Token that the answer must echo; new for each attempt.
     pub token: String,
+    /// Tokens of earlier attempts under the same key: the answer may be that of one of them.
+    pub earlier: Vec<String>,
     /// Idempotency key; the same for each attempt.
     pub key: Option<String>,
     /// Query beyond the token.
@@ -116,6 +118,7 @@
         Ask {
             kind,
             token: token(rng),
+            earlier: Vec::new(),
             key: None,
             query: String::new(),
             chunks: Vec::new(),
@@ -126,7 +129,11 @@
 
     /// The same request for a further attempt, under a new token.
     pub fn again(&self, rng: &mut StdRng) -> Ask {
-        Ask { token: token(rng), ..self.clone() }
+        let mut ask = Ask { token: token(rng), ..self.clone() };
+        if self.key.is_some() {
+            ask.earlier.push(self.token.clone());
+        }
+        ask
     }
 
     /// The request's head, as sent to the service with this name.
--- a/crates/standin/src/site/launch.rs
+++ b/crates/standin/src/site/launch.rs
@@ -91,6 +91,8 @@
             "fabric".to_owned(),
             "--admin".to_owned(),
             self.fabric.to_string(),
+            "--ip".to_owned(),
+            self.fabric.ip().to_string(),
             "--seed".to_owned(),
             self.seed.to_string(),
         ];
@@ -182,6 +184,7 @@
             ("--admin", self.at(host, ADMIN_PORT)),
             ("--slots", self.deployment.slots.to_string()),
             ("--connections", self.deployment.connections.to_string()),
+            ("--service", service.name.to_owned()),
             ("--journal", journal.display().to_string()),
         ];
         push(&mut args, more);
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,11 +1,13 @@
 //! A whole deployment as separate processes, with load from callers and a check of every promise from outside.
 
+pub mod balance;
 pub mod block;
 pub mod deployment;
 pub mod fleet;
 pub mod http;
 pub mod journal;
 pub mod launch;
+pub mod metrics;
 pub mod objects;
 pub mod outcome;
 pub mod pki;
