--- a/crates/standin/src/cmd/site.rs
+++ b/crates/standin/src/cmd/site.rs
@@ -9,6 +9,7 @@
 use crate::{
     site::{
         deployment::{Deployment, Name},
+        faults::Kinds,
         run::{self, Settings},
     },
     stop::Stop,
@@ -42,6 +43,12 @@
     /// Requests per second on the held flows
     #[bpaf(argument("N"), fallback(80.0))]
     requests: f64,
+    /// Faults to place: all, or some of kill,freeze,cut,outage,lost-answer,race,drain,replace,config,lie
+    #[bpaf(argument("KINDS"), optional)]
+    faults: Option<Kinds>,
+    /// Mean seconds between two faults
+    #[bpaf(argument("SECONDS"), fallback(2.0))]
+    fault_every: f64,
     /// Folder with the programs; that of this program if not given
     #[bpaf(argument("DIR"), optional)]
     bin_dir: Option<PathBuf>,
@@ -52,6 +59,7 @@
     pub async fn run(self) -> anyhow::Result<ExitCode> {
         ensure!(self.balancers > 0, "--balancers: must be above 0");
         ensure!(self.seconds > 0, "--seconds: must be above 0");
+        ensure!(self.fault_every > 0.0, "--fault-every: must be above 0");
         let settings = Settings {
             deployment: Deployment::new(self.site),
             span: Duration::from_secs(self.seconds),
@@ -61,25 +69,27 @@
             opens: self.opens,
             requests: self.requests,
             bin_dir: self.bin_dir()?,
+            faults: self.faults.clone(),
+            every: Duration::try_from_secs_f64(self.fault_every).context("--fault-every")?,
         };
         let mut signals = Stop::new()?;
         let stop = CancellationToken::new();
         let run = run::run(settings, stop.clone());
         tokio::pin!(run);
-        let result = tokio::select! {
-            result = &mut run => result?,
+        let findings = tokio::select! {
+            findings = &mut run => findings?,
             () = signals.wait() => {
                 println!("stopping");
                 stop.cancel();
                 tokio::select! {
-                    result = &mut run => result?,
+                    findings = &mut run => findings?,
                     () = signals.wait() => bail!("stopped at once by a second signal"),
                 }
             }
         };
-        let line = serde_json::to_string(&result.summary).context("write the summary")?;
+        let line = serde_json::to_string(&findings.summary).context("write the summary")?;
         println!("{line}");
-        Ok(if result.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        Ok(if findings.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 
     fn bin_dir(&self) -> anyhow::Result<PathBuf> {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 pub mod balance;
 pub mod block;
 pub mod deployment;
+pub mod faults;
 pub mod fleet;
 pub mod http;
 pub mod journal;
@@ -11,5 +12,7 @@
 pub mod objects;
 pub mod outcome;
 pub mod pki;
+pub mod print;
 pub mod process;
 pub mod run;
+pub mod shared;
