standin: the upstream

A request starts when it holds a slot, an upload when its body is read; what is refused has not started. The body of a refused upload is read on for some seconds: a reset could overtake the refusal.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -122,7 +122,12 @@
 
 /// Last line of an answer, over all bytes before it.
 pub fn sum_line(bytes: &[u8]) -> String {
-    format!("{SUM}{}\n", hex_digest(bytes))
+    sum_text(&hex_digest(bytes))
+}
+
+/// Last line of an answer, for a digest in hex.
+pub fn sum_text(digest: &str) -> String {
+    format!("{SUM}{digest}\n")
 }
 
 /// Line `count` of a feed.
@@ -191,8 +196,7 @@
             return Ok(());
         };
         if text.starts_with(SUM) {
-            let sum = format!("{SUM}{}\n", to_hex(&self.digest.clone().finalize()));
-            if text != sum {
+            if text != sum_text(&to_hex(&self.digest.clone().finalize())) {
                 return Err(AnswerError::Digest);
             }
             self.ended = true;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod platform;
 pub mod server;
 pub mod stop;
+pub mod upstream;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,6 @@
 //! A small HTTP/1.1 server over `hyper`: JSON answers, and connections that are dropped on purpose.
 
-use std::{future::Future, net::SocketAddr, str::FromStr};
+use std::{future::Future, net::SocketAddr, pin::pin, str::FromStr, time::Duration};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -12,10 +12,13 @@
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::oneshot,
+    sync::{oneshot, watch},
     task::JoinSet,
+    time::timeout,
 };
 
+const DISCARD: Duration = Duration::from_secs(10);
+
 /// Body of an answer.
 pub type Body = BoxBody<Bytes, Dropped>;
 /// Outcome of a handler: an answer, or a connection closed without one.
@@ -112,18 +115,46 @@
 
 /// Answers the requests of one connection until it closes.
 pub async fn serve<H, F>(stream: TcpStream, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Answer>,
+{
+    let (_open, never) = watch::channel(false);
+    serve_until(stream, handle, never).await;
+}
+
+/// Answers the requests of one connection until it closes; once `closing` is true, the one in progress is the last.
+pub async fn serve_until<H, F>(stream: TcpStream, handle: H, mut closing: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Answer>,
 {
     let _ = stream.set_nodelay(true);
-    let served =
-        http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handle)).await;
+    let connection =
+        http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handle));
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = &mut connection => served,
+        () = turned_on(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         tracing::debug!(%error, "connection ended");
     }
 }
 
+/// Waits for a switch to be on, or for its sender to be gone.
+pub async fn turned_on(switch: &mut watch::Receiver<bool>) {
+    let _ = switch.wait_for(|on| *on).await;
+}
+
+/// Reads a body that nobody wants, for some seconds, so that an early answer is not lost to a reset.
+pub fn discard(mut body: Incoming) {
+    tokio::spawn(timeout(DISCARD, async move { while let Some(Ok(_)) = body.frame().await {} }));
+}
+
 /// A body that is known as a whole.
 pub fn full<B>(bytes: B) -> Body
 where
--- /dev/null
+++ b/crates/standin/src/upstream/admin.rs
@@ -0,0 +1,164 @@
+//! The upstream's connections and its admin calls.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time::{Instant, sleep, timeout_at},
+};
+
+use super::{
+    faults::Faults,
+    gate::{Count, Counted},
+    record::Record,
+    settings::Settings,
+    state::State,
+};
+use crate::server::{self, Body, Refusal, Server};
+
+const MAX_BODY: usize = 1 << 20;
+const POLL: Duration = Duration::from_millis(5);
+/// Time after the last request in which requests on open connections are still refused in words.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// A running upstream; it ends at once when this value is dropped.
+#[derive(Debug)]
+pub struct Upstream {
+    addr: SocketAddr,
+    admin: Server,
+    state: Arc<State>,
+    closing: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+/// Body of `PUT /drain`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Drain {
+    on: bool,
+}
+
+impl Upstream {
+    /// Listens with these settings.
+    pub async fn start(settings: Settings, faults: Faults) -> anyhow::Result<Upstream> {
+        settings.check()?;
+        let (listen, admin) = (settings.listen, settings.admin);
+        let state = Arc::new(State::new(settings, faults)?);
+        let step = || format!("listen on {listen}");
+        let listener = TcpListener::bind(listen).await.with_context(step)?;
+        let addr = listener.local_addr().with_context(step)?;
+        let handle = {
+            let state = state.clone();
+            move |request| {
+                let state = state.clone();
+                async move { Ok(admin_call(&state, request).await.unwrap_or_else(|it| it.answer())) }
+            }
+        };
+        let admin = Server::start(admin, handle).await?;
+        let (closing, closed) = watch::channel(false);
+        let task = tokio::spawn(accept(listener, state.clone(), closed));
+        Ok(Upstream { addr, admin, state, closing, task })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Address of the admin calls.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.addr()
+    }
+
+    /// What it got and ran.
+    pub fn record(&self) -> Record {
+        self.state.record()
+    }
+
+    /// Refuses new requests, ends feeds with their last line, lets the others finish and closes; whether all did.
+    pub async fn stop(mut self) -> bool {
+        let end = Instant::now() + Duration::from_millis(self.state.settings.stop_ms);
+        self.state.drain.send_replace(true);
+        self.state.stop.send_replace(true);
+        let idle = async {
+            while !self.is_idle() {
+                sleep(POLL).await;
+            }
+        };
+        if timeout_at(end, idle).await.is_err() {
+            return false;
+        }
+        sleep(LINGER).await;
+        self.closing.send_replace(true);
+        timeout_at(end, &mut self.task).await.is_ok()
+    }
+
+    fn is_idle(&self) -> bool {
+        let record = self.state.record.lock();
+        record.started == record.finished + record.cancelled + record.expired
+            && record.waiting.now == 0
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<State>, mut closing: watch::Receiver<bool>) {
+    let mut connections = JoinSet::new();
+    let closed = closing.clone();
+    loop {
+        tokio::select! {
+            () = server::turned_on(&mut closing) => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let counted = Counted::new(&state, Count::Connections);
+                let over = state.record.lock().connections.now > state.settings.connections as u64;
+                let (state, closed) = (state.clone(), closed.clone());
+                connections.spawn(async move {
+                    let _counted = counted;
+                    let handle = |request| {
+                        let state = state.clone();
+                        async move { state.answer(request, over).await }
+                    };
+                    server::serve_until(stream, handle, closed).await;
+                });
+            }
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn admin_call(state: &State, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/record") => Ok(server::json(StatusCode::OK, &state.record())),
+        (&Method::GET, "/faults") => Ok(server::json(StatusCode::OK, &*state.faults.borrow())),
+        (&Method::PUT, "/faults") => {
+            let faults: Faults = server::read_json(request.into_body(), MAX_BODY).await?;
+            faults.check().map_err(Refusal::bad)?;
+            state.faults.send_replace(faults.clone());
+            Ok(server::json(StatusCode::OK, &faults))
+        }
+        (&Method::PUT, "/services") => {
+            let services: Vec<String> = server::read_json(request.into_body(), MAX_BODY).await?;
+            *state.services.lock() = services.clone();
+            Ok(server::json(StatusCode::OK, &services))
+        }
+        (&Method::PUT, "/drain") => {
+            let drain: Drain = server::read_json(request.into_body(), MAX_BODY).await?;
+            state.drain.send_replace(drain.on);
+            Ok(server::json(StatusCode::OK, &serde_json::json!({ "on": drain.on })))
+        }
+        (_, path) => Err(Refusal::unknown(path)),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream/run.rs
@@ -0,0 +1,91 @@
+//! One run of a request: recorded when it starts, and when it ends in whatever way.
+
+use std::sync::Arc;
+
+use super::{
+    journal::{Entry, Event, now_ms},
+    request::Task,
+    state::State,
+};
+
+/// A started run. Dropped before its end, it counts as cancelled.
+#[derive(Debug)]
+pub(super) struct Run {
+    state: Arc<State>,
+    entry: Entry,
+    once: bool,
+    ended: bool,
+}
+
+impl Run {
+    /// Records the start; the journal's line stands before anything runs.
+    pub(super) fn new(state: &Arc<State>, task: &Task) -> anyhow::Result<Run> {
+        let head = &task.head;
+        let entry = Entry {
+            at_ms: now_ms(),
+            event: Event::Start,
+            upstream: head.upstream.clone(),
+            service: head.service.clone(),
+            request: head.request.clone(),
+            key: head.key.clone(),
+            echo: head.echo.clone(),
+            method: head.method.clone(),
+            path: head.path.clone(),
+        };
+        if let Some(journal) = &state.journal {
+            journal.append(&entry)?;
+        }
+        let run = Run { state: state.clone(), entry, once: task.runs_once(), ended: false };
+        run.count();
+        Ok(run)
+    }
+
+    /// Records the end.
+    pub(super) fn end(mut self, event: Event) {
+        self.record_end(event);
+    }
+
+    fn record_end(&mut self, event: Event) {
+        self.ended = true;
+        self.entry.at_ms = now_ms();
+        self.entry.event = event;
+        if let Some(journal) = &self.state.journal {
+            if let Err(error) = journal.append(&self.entry) {
+                tracing::error!("{error:#}");
+            }
+        }
+        self.count();
+    }
+
+    fn count(&self) {
+        let mut record = self.state.record.lock();
+        match self.entry.event {
+            Event::Start => record.started += 1,
+            Event::Finish => record.finished += 1,
+            Event::Cancel => record.cancelled += 1,
+            Event::Expire => record.expired += 1,
+        }
+        if !self.once {
+            return;
+        }
+        let started = u64::from(self.entry.event == Event::Start);
+        let finished = u64::from(self.entry.event == Event::Finish);
+        for (name, by_key) in [(&self.entry.key, true), (&self.entry.request, false)] {
+            if name.is_empty() {
+                continue;
+            }
+            let runs = if by_key { &mut record.keys } else { &mut record.requests };
+            let runs = runs.entry(name.clone()).or_default();
+            runs.started += started;
+            runs.finished += finished;
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.record_end(Event::Cancel);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/upstream.rs
@@ -0,0 +1,283 @@
+//! The upstream stand-in: whole answers, slots, refusals, deadlines, cancellation, feeds, faults and the record.
+
+mod client;
+
+use std::{env, fs, process, time::Duration};
+
+use camphorwinch_standin::{
+    answer::{self, FeedReader},
+    upstream::{Entry, Event, Faults, Record, Runs, Settings, Upstream, read_journal},
+};
+use client::{Answer, Client};
+use futures::future::join_all;
+use http::Method;
+use http_body_util::BodyExt;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn settings() -> Settings {
+    let any = "127.0.0.1:0".parse().unwrap();
+    Settings::new(any, any, "ledger-1", "ledger")
+}
+
+async fn start(settings: Settings) -> (Upstream, Client, Client) {
+    let upstream = Upstream::start(settings, Faults::default()).await.unwrap();
+    let (client, admin) = (Client::new(upstream.addr()), Client::new(upstream.admin()));
+    (upstream, client, admin)
+}
+
+async fn transfer(client: &Client, key: &str, query: &str) -> anyhow::Result<Answer> {
+    let request = format!("request-of-{key}");
+    let headers =
+        [(answer::SERVICE, "ledger"), (answer::KEY, key), (answer::REQUEST, request.as_str())];
+    client.call(Method::POST, &format!("/transfer?{query}"), &headers, Vec::new()).await
+}
+
+async fn wait_for<F>(upstream: &Upstream, done: F) -> Record
+where
+    F: Fn(&Record) -> bool,
+{
+    let wait = async {
+        while !done(&upstream.record()) {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    assert!(timeout(LONG, wait).await.is_ok(), "{:?}", upstream.record());
+    upstream.record()
+}
+
+fn assert_not_run(answer: &Answer) {
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header(answer::NOT_RUN), Some("true"));
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[tokio::test]
+async fn answers_are_whole_and_say_whose_they_are() {
+    let (_upstream, client, _) = start(settings()).await;
+    let page = client.get("/screen?echo=t1&size=1000").await.unwrap();
+    let head = answer::read(&page.body).unwrap();
+    assert_eq!((head.upstream.as_str(), head.pool.as_str()), ("ledger-1", "ledger"));
+    assert_eq!((head.path.as_str(), head.echo.as_str()), ("/screen", "t1"));
+    assert!(page.body.len() > 1000);
+
+    let done = transfer(&client, "k1", "echo=t2").await.unwrap();
+    let head = answer::read(&done.body).unwrap();
+    assert_eq!((head.key.as_str(), head.service.as_str()), ("k1", "ledger"));
+    assert_eq!(head.request, "request-of-k1");
+    assert_eq!(done.header(answer::REQUEST), Some("request-of-k1"));
+
+    let sent = vec![7; 300_000];
+    let digest = answer::hex_digest(&sent);
+    let stored = client.call(Method::PUT, "/upload?echo=t3", &[], sent).await.unwrap();
+    let head = answer::read(&stored.body).unwrap();
+    assert_eq!((head.size, head.digest), (300_000, digest));
+}
+
+#[test]
+fn every_cut_or_changed_answer_shows() {
+    let head = answer::Head { echo: "t".to_owned(), ..answer::Head::default() };
+    let text = answer::write(&head, 20).into_bytes();
+    assert_eq!(answer::read(&text), Ok(head));
+    for end in 0..text.len() {
+        assert!(answer::read(&text[..end]).is_err(), "cut at {end}");
+    }
+    for at in 0..text.len() {
+        let mut changed = text.clone();
+        changed[at] ^= 1;
+        assert!(answer::read(&changed).is_err(), "changed at {at}");
+    }
+}
+
+#[tokio::test]
+async fn a_feed_ticks_and_ends_whole() {
+    let (upstream, client, _) = start(settings()).await;
+    let feed = client.get("/feed?ms=200&every=20&echo=f").await.unwrap();
+    let mut reader = FeedReader::new();
+    for byte in feed.body.chunks(1) {
+        reader.push(byte).unwrap();
+    }
+    assert_eq!(reader.finish().unwrap().echo, "f");
+    assert!(reader.count() > 0);
+    let mut cut = FeedReader::new();
+    cut.push(&feed.body[..feed.body.len() - 1]).unwrap();
+    assert!(cut.finish().is_err());
+    let text = String::from_utf8(feed.body.to_vec()).unwrap();
+    let skipped = text.replacen("tick 1 f\n", "", 1);
+    assert!(FeedReader::new().push(skipped.as_bytes()).is_err());
+    let crossed = text.replacen("tick 1 f\n", "tick 1 g\n", 1);
+    assert!(FeedReader::new().push(crossed.as_bytes()).is_err());
+    assert_eq!(upstream.record().finished, 1);
+}
+
+#[tokio::test]
+async fn what_exceeds_slots_and_queue_is_refused_and_not_run() {
+    let (upstream, client, _) = start(Settings { slots: 2, queue: 1, ..settings() }).await;
+    let held: Vec<_> = (0..3)
+        .map(|i| {
+            let client = client.clone();
+            tokio::spawn(
+                async move { transfer(&client, &format!("held{i}"), "work_ms=3000").await },
+            )
+        })
+        .collect();
+    wait_for(&upstream, |it| it.busy.now == 2 && it.waiting.now == 1).await;
+    let load = client.get("/load").await.unwrap().json();
+    assert_eq!((&load["busy"], &load["state"]), (&json!(2), &json!("shedding")));
+    let refused = join_all((0..4).map(|i| {
+        let client = client.clone();
+        async move { transfer(&client, &format!("over{i}"), "work_ms=1").await.unwrap() }
+    }));
+    for answer in refused.await {
+        assert_not_run(&answer);
+    }
+    for answer in join_all(held).await {
+        assert_eq!(answer.unwrap().unwrap().status, 200);
+    }
+    let record = upstream.record();
+    let once = Runs { started: 1, finished: 1 };
+    assert_eq!(record.keys.keys().collect::<Vec<_>>(), ["held0", "held1", "held2"]);
+    assert!(record.keys.values().chain(record.requests.values()).all(|it| *it == once));
+    assert_eq!((record.refused["full"], record.services["ledger"]), (4, 7));
+    assert_eq!(record.busy.peak, 2);
+    assert!(record.busy.sum_ms >= 9000.0, "{}", record.busy.sum_ms);
+}
+
+#[tokio::test]
+async fn starting_draining_and_shedding_refuse() {
+    let (upstream, client, admin) = start(Settings { starting_ms: 3_600_000, ..settings() }).await;
+    assert_not_run(&transfer(&client, "a", "").await.unwrap());
+    assert_eq!(client.get("/load").await.unwrap().json()["state"], "starting");
+    admin.put("/drain", &json!({ "on": true })).await.unwrap();
+    assert_not_run(&transfer(&client, "b", "").await.unwrap());
+    assert_eq!(client.get("/load").await.unwrap().json()["state"], "draining");
+    assert_eq!(upstream.record().started, 0);
+
+    let (upstream, client, admin) = start(Settings { connections: 1, ..settings() }).await;
+    admin.put("/faults", &json!({ "shed": 1.0 })).await.unwrap();
+    assert_not_run(&transfer(&client, "c", "").await.unwrap());
+    admin.put("/faults", &json!({})).await.unwrap();
+    let held = client.open(Method::GET, "/feed?every=1000", &[], Vec::new()).await.unwrap();
+    assert_not_run(&transfer(&client, "d", "").await.unwrap());
+    assert_eq!(upstream.record().refused["connections"], 1);
+    drop(held);
+    wait_for(&upstream, |it| it.cancelled == 1).await;
+}
+
+#[tokio::test]
+async fn a_deadline_stops_work_and_a_closed_connection_cancels_it() {
+    let (upstream, client, _) = start(Settings { slots: 1, ..settings() }).await;
+    let headers = [(answer::DEADLINE, "60"), (answer::KEY, "late")];
+    let path = "/transfer?work_ms=60000";
+    let late = client.call(Method::POST, path, &headers, Vec::new()).await.unwrap();
+    assert_eq!(late.status, 504);
+    assert_eq!(late.header(answer::NOT_RUN), None);
+
+    let held = tokio::spawn({
+        let client = client.clone();
+        async move { transfer(&client, "held", "work_ms=60000").await }
+    });
+    wait_for(&upstream, |it| it.busy.now == 1).await;
+    let queued = client.call(Method::POST, path, &headers, Vec::new()).await.unwrap();
+    assert_not_run(&queued);
+    held.abort();
+    let record = wait_for(&upstream, |it| it.cancelled == 1 && it.busy.now == 0).await;
+    assert_eq!(record.keys["late"], Runs { started: 1, finished: 0 });
+    assert_eq!(record.keys["held"], Runs { started: 1, finished: 0 });
+    assert_eq!((record.expired, record.refused["deadline"]), (1, 1));
+    let odd = [(answer::DEADLINE, "soon")];
+    let odd = client.call(Method::POST, path, &odd, Vec::new()).await.unwrap();
+    assert_eq!(odd.status, 400);
+}
+
+#[tokio::test]
+async fn lost_and_cut_answers_have_run() {
+    let (upstream, client, admin) = start(settings()).await;
+    admin.put("/faults", &json!({ "lost": 1.0 })).await.unwrap();
+    assert!(transfer(&client, "lost", "").await.is_err());
+    admin.put("/faults", &json!({ "cut": 1.0 })).await.unwrap();
+    assert!(transfer(&client, "cut", "").await.is_err());
+    assert!(client.get("/feed?every=1").await.is_err());
+    admin.put("/faults", &json!({ "late": 1.0, "late_ms": 30, "slow": 2.0 })).await.unwrap();
+    assert_eq!(transfer(&client, "late", "").await.unwrap().status, 200);
+    let record = upstream.record();
+    for key in ["lost", "cut", "late"] {
+        assert_eq!(record.keys[key], Runs { started: 1, finished: 1 }, "{key}");
+    }
+    assert_eq!((record.lost, record.cut, record.late, record.cancelled), (1, 2, 1, 1));
+    assert_eq!(admin.put("/faults", &json!({ "slow": 0.0 })).await.unwrap().status, 400);
+}
+
+#[tokio::test]
+async fn load_lags_and_lies() {
+    let (upstream, client, admin) = start(Settings { lag_ms: 3_600_000, ..settings() }).await;
+    let busy = async || client.get("/load").await.unwrap().json()["busy"].clone();
+    assert_eq!(busy().await, 0);
+    let held = tokio::spawn({
+        let client = client.clone();
+        async move { transfer(&client, "held", "work_ms=60000").await }
+    });
+    wait_for(&upstream, |it| it.busy.now == 1).await;
+    assert_eq!(busy().await, 0);
+    admin.put("/faults", &json!({ "lag_ms": 0 })).await.unwrap();
+    assert_eq!(busy().await, 1);
+    admin.put("/faults", &json!({ "lag_ms": 0, "lie": "full" })).await.unwrap();
+    assert_eq!(busy().await, 7);
+    admin.put("/faults", &json!({ "lag_ms": 0, "lie": "idle" })).await.unwrap();
+    assert_eq!(busy().await, 0);
+    held.abort();
+}
+
+#[tokio::test]
+async fn requests_of_other_services_are_counted() {
+    let settings = Settings { service: vec!["ledger".to_owned()], ..settings() };
+    let (upstream, client, admin) = start(settings).await;
+    transfer(&client, "a", "").await.unwrap();
+    assert_eq!(upstream.record().foreign, 0);
+    admin.put("/services", &json!(["intake"])).await.unwrap();
+    transfer(&client, "b", "").await.unwrap();
+    let record = admin.get("/record").await.unwrap().json();
+    assert_eq!((&record["foreign"], &record["services"]["ledger"]), (&json!(1), &json!(2)));
+}
+
+#[tokio::test]
+async fn a_stop_cuts_nothing() {
+    let (upstream, client, _) = start(settings()).await;
+    let long = tokio::spawn({
+        let client = client.clone();
+        async move { transfer(&client, "long", "work_ms=400").await }
+    });
+    let feed = client.open(Method::GET, "/feed?every=10&echo=f", &[], Vec::new()).await.unwrap();
+    let feed = tokio::spawn(feed.into_body().collect());
+    wait_for(&upstream, |it| it.busy.now == 1 && it.feeds.now == 1).await;
+    assert!(upstream.stop().await);
+    assert_eq!(long.await.unwrap().unwrap().status, 200);
+    let mut reader = FeedReader::new();
+    reader.push(&feed.await.unwrap().unwrap().to_bytes()).unwrap();
+    assert_eq!(reader.finish().unwrap().echo, "f");
+}
+
+#[tokio::test]
+async fn the_journal_tells_starts_and_ends() {
+    let path = env::temp_dir().join(format!("camphorwinch-journal-{}", process::id()));
+    let (upstream, client, _) = start(Settings { journal: Some(path.clone()), ..settings() }).await;
+    transfer(&client, "k", "echo=t").await.unwrap();
+    let held = tokio::spawn({
+        let client = client.clone();
+        async move { transfer(&client, "held", "work_ms=60000").await }
+    });
+    wait_for(&upstream, |it| it.busy.now == 1).await;
+    let whole = fs::read_to_string(&path).unwrap();
+    fs::write(&path, format!("{whole}{{\"at_ms\":1")).unwrap();
+    let entries = read_journal(&path).unwrap();
+    fs::remove_file(&path).unwrap();
+    held.abort();
+    let told = |it: &Entry| (it.event, it.key.clone(), it.request.clone());
+    let told: Vec<_> = entries.iter().map(told).collect();
+    let line = |event, key: &str| (event, key.to_owned(), format!("request-of-{key}"));
+    let expected = [line(Event::Start, "k"), line(Event::Finish, "k"), line(Event::Start, "held")];
+    assert_eq!(told, expected);
+    assert_eq!((entries[0].echo.as_str(), entries[0].service.as_str()), ("t", "ledger"));
+}
