--- a/crates/core/src/seal.rs
+++ b/crates/core/src/seal.rs
@@ -24,6 +24,7 @@
 const BLOCK_AT: usize = NONCE_AT + NONCE_LEN;
 const LABEL_CID: &[u8] = b"camphorwinch cid";
 const LABEL_PACKET: &[u8] = b"camphorwinch packet";
+const LABEL_PLACE: &[u8] = b"camphorwinch place";
 const LABEL_RESET: &[u8] = b"camphorwinch reset";
 const LABEL_TOKEN: &[u8] = b"camphorwinch token";
 
@@ -61,6 +62,7 @@
     // Index into `keys` by epoch, so that opening costs the same however many keys are listed.
     index: [u8; 256],
     sealing: usize,
+    place: [u8; 16],
     reset: [u8; 32],
     token: [u8; 32],
 }
@@ -79,6 +81,7 @@
             keys: Vec::new(),
             index: [NO_KEY; 256],
             sealing: 0,
+            place: derive(&keys.reset, LABEL_PLACE),
             reset: derive(&keys.reset, LABEL_RESET),
             token: derive(&keys.reset, LABEL_TOKEN),
         };
@@ -142,6 +145,12 @@
         self.key(epoch).map(|it| &it.packet)
     }
 
+    /// Key of the hash that places new flows: the same for the life of the fleet, unknown to callers.
+    #[inline]
+    pub fn place_key(&self) -> &[u8; 16] {
+        &self.place
+    }
+
     /// Secret behind the stateless reset tokens of all agents.
     pub fn reset_key(&self) -> &[u8; 32] {
         &self.reset
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,9 @@
+//! Packet path of a balancer.
+//!
+//! Datagrams are received in batches on a service's address, placed by `camphorwinch_core::place`, encapsulated and
+//! sent to agents in batches. Workers share nothing but the placer, which is replaced as a whole, and counters.
+
+pub mod batch;
+pub mod outcome;
+pub mod socket;
+pub mod worker;
