--- a/crates/daemon/src/relay/sockets.rs
+++ b/crates/daemon/src/relay/sockets.rs
@@ -19,6 +19,7 @@
     mode: AddressMode,
     data: SocketAddr,
     open: BTreeMap<SocketAddr, Open>,
+    // What was reported, by the address of the service.
     failed: BTreeMap<SocketAddr, String>,
 }
 
@@ -50,24 +51,42 @@
         snapshot: &Snapshot,
         workers: &[Worker],
     ) -> bool {
-        let (wanted, mut complete) = self.wanted(placer, snapshot);
+        let (wanted, refused) = self.wanted(placer, snapshot);
         self.close(&wanted);
-        self.failed.retain(|bind, _| wanted.contains_key(bind));
+        let mut failed = BTreeMap::new();
+        for it in refused {
+            let why = format!(
+                "{} is taken by another service or by --data",
+                self.bind_address(it.address)
+            );
+            failed.insert(it.address, self.report_failed(&it, why));
+        }
         for (bind, it) in wanted {
             if let Some(open) = self.open.get_mut(&bind) {
                 open.follow(it);
                 continue;
             }
-            complete &= self.try_open(bind, it, workers);
+            match open_all(bind, it.address, workers) {
+                Ok(closers) => self.add(bind, it, closers),
+                Err(e) => {
+                    let why = self.report_failed(&it, format!("listen on {bind}: {e}"));
+                    failed.insert(it.address, why);
+                }
+            }
         }
-        complete
+        self.failed = failed;
+        self.failed.is_empty()
     }
 
-    /// Addresses to serve by the address to bind. Two services may want one in mode `own`; a packet could then reach the
-    /// wrong one, so the second is refused.
-    fn wanted(&self, placer: &Placer, snapshot: &Snapshot) -> (BTreeMap<SocketAddr, Wanted>, bool) {
-        let mut wanted: BTreeMap<SocketAddr, Wanted> = BTreeMap::new();
-        let mut complete = true;
+    /// Addresses to serve by the address to bind, and those that can't be served: two services may want one address in
+    /// mode `own`, where a packet could then reach the wrong one.
+    fn wanted(
+        &self,
+        placer: &Placer,
+        snapshot: &Snapshot,
+    ) -> (BTreeMap<SocketAddr, Wanted>, Vec<Wanted>) {
+        let mut wanted = BTreeMap::new();
+        let mut refused = Vec::new();
         let listeners = placer.listeners().iter();
         let (current, former): (Vec<_>, Vec<_>) =
             listeners.partition(|(_, it)| it.service().is_some());
@@ -75,17 +94,15 @@
             let service = listener.service();
             let entry = service.and_then(|it| snapshot.services.get(&it));
             let name = entry.map(|it| it.name.clone()).unwrap_or_default();
+            let it = Wanted { address, service, name };
             let bind = self.bind_address(address);
-            if wanted.contains_key(&bind) || bind == self.data {
-                if service.is_some() {
-                    complete = false;
-                    report_taken(&name, address, bind);
-                }
-                continue;
+            if !wanted.contains_key(&bind) && bind != self.data {
+                wanted.insert(bind, it);
+            } else if service.is_some() {
+                refused.push(it);
             }
-            wanted.insert(bind, Wanted { address, service, name });
         }
-        (wanted, complete)
+        (wanted, refused)
     }
 
     fn bind_address(&self, address: SocketAddr) -> SocketAddr {
@@ -105,26 +122,20 @@
         });
     }
 
-    fn try_open(&mut self, bind: SocketAddr, wanted: Wanted, workers: &[Worker]) -> bool {
-        match open_all(bind, wanted.address, workers) {
-            Ok(closers) => {
-                self.failed.remove(&bind);
-                let Wanted { address, service, name } = wanted;
-                let open = Open { address, service, name, _closers: closers };
-                open.report_opened();
-                self.open.insert(bind, open);
-                true
-            }
-            Err(e) => {
-                let why = format!("listen on {bind}: {e}");
-                // Said once, not at each retry.
-                if self.failed.insert(bind, why.clone()).as_ref() != Some(&why) {
-                    let about = About::new().with_service(&wanted.name);
-                    event::emit(Id::ServiceBindFailed, about, &why);
-                }
-                false
-            }
+    fn add(&mut self, bind: SocketAddr, wanted: Wanted, closers: Vec<oneshot::Sender<()>>) {
+        let Wanted { address, service, name } = wanted;
+        let open = Open { address, service, name, _closers: closers };
+        open.report_opened();
+        self.open.insert(bind, open);
+    }
+
+    /// Reports a failure once, not at each retry.
+    fn report_failed(&self, wanted: &Wanted, why: String) -> String {
+        if self.failed.get(&wanted.address) != Some(&why) {
+            let text = format!("{} is not served: {why}", wanted.address);
+            event::emit(Id::ServiceBindFailed, About::new().with_service(&wanted.name), &text);
         }
+        why
     }
 }
 
@@ -171,8 +182,3 @@
     }
     Ok(closers)
 }
-
-fn report_taken(name: &str, address: SocketAddr, bind: SocketAddr) {
-    let text = format!("{address} can't be served: {bind} is taken by another service or by --data");
-    event::emit(Id::ServiceBindFailed, About::new().with_service(name), &text);
-}
