--- a/crates/daemon/src/cmd/balance.rs
+++ b/crates/daemon/src/cmd/balance.rs
@@ -1,13 +1,22 @@
 //! `camphorwinchd balance`.
 
+use std::sync::Arc;
+
 use bpaf::Bpaf;
+use camphorwinch_relay::worker::Shared;
+use serde_json::{Value, json};
 use tokio::runtime::Builder;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     cmd::Run,
     config::{BalanceConfig, BalanceFlags, balance_flags},
+    control::{Control, Role},
     event::{self, About, Id},
-    log, signal,
+    log,
+    operator::{self, Inspect},
+    relay::{self, Relay},
+    signal,
 };
 
 /// Place callers' packets: run this on an entry VM.
@@ -31,8 +40,46 @@
 
 async fn serve(config: BalanceConfig) -> anyhow::Result<()> {
     let stop = signal::stop_token()?;
+    let control = Control::start(&config.common, Role::Balancer).await?;
+    let mut relay = Relay::new(&config)?;
+    let shared = relay.shared();
+    let inspect = Balancer { control: control.clone(), shared, stop: stop.clone() };
+    operator::serve(config.common.operator, Arc::new(inspect)).await?;
     event::emit(Id::ProcessStarted, About::new(), &format!("balancer {}", config.common.name));
-    stop.cancelled().await;
+
+    let mut fenced = control.fenced();
+    tokio::select! {
+        () = relay.follow(&control) => {}
+        () = stop.cancelled() => {}
+        _ = fenced.wait_for(|it| *it) => {}
+    }
+    // Cancelled in each case, so that the fabric's health checks fail.
+    stop.cancel();
+    event::emit(Id::ProcessStopping, About::new(), "relaying until no more datagrams arrive");
+    control.leave().await;
+    relay.finish().await;
     event::emit(Id::ProcessStopped, About::new(), "stopped");
     Ok(())
 }
+
+struct Balancer {
+    control: Control,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+}
+
+impl Inspect for Balancer {
+    fn health(&self) -> Result<(), String> {
+        if self.stop.is_cancelled() {
+            return Err("leaving".to_owned());
+        }
+        if !self.control.synced() {
+            return Err("the configuration is not known yet".to_owned());
+        }
+        Ok(())
+    }
+
+    fn status(&self) -> Value {
+        json!({ "control": self.control.status(), "relay": relay::status(&self.shared) })
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod log;
 mod metrics;
 mod operator;
+mod relay;
 mod signal;
 mod tls;
 
