standin: transfers submitted twice at once, repeats on another flow

The answer to a repeat may be the stored answer of an earlier attempt under the same key, and only of one of those. Metrics of processes that end during the run are kept, so that their invariants count.

--- a/crates/standin/src/caller/ask.rs
+++ b/crates/standin/src/caller/ask.rs
@@ -100,7 +100,7 @@
             ask.chunks.push(Bytes::from(chunk));
         }
         ask.pause = Duration::from_millis(rng.random_range(1..40));
-        ask.span = ask.pause * ask.chunks.len() as u32;
+        ask.span = ask.pause * (ask.chunks.len() as u32 - 1);
         ask
     }
 
@@ -136,6 +136,15 @@
         ask
     }
 
+    /// Two requests under one key, as when a caller submits twice: the answer to either may be that of the other.
+    pub fn twins(&self, rng: &mut StdRng) -> [Ask; 2] {
+        let mut first = self.clone();
+        let mut second = Ask { token: token(rng), ..self.clone() };
+        first.earlier.push(second.token.clone());
+        second.earlier.push(first.token.clone());
+        [first, second]
+    }
+
     /// The request's head, as sent to the service with this name.
     pub fn head(&self, service: &str) -> http::Result<Request<()>> {
         let uri =
--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -29,6 +29,8 @@
 const THINK_MS: std::ops::Range<u64> = 20..400;
 const REOPEN_JITTER_MS: u64 = 500;
 const BURST_CHANCE: f64 = 0.1;
+/// Chance that a caller submits a transfer twice at once, on two flows under one key.
+const TWIN_CHANCE: f64 = 0.03;
 const BURST: std::ops::Range<usize> = 2..5;
 const SHORT_REQUESTS: std::ops::Range<u32> = 1..4;
 
@@ -267,11 +269,22 @@
             }
             Kind::Transfer => {
                 let ask = transfer(session.rng());
-                session.ask(ask).await;
+                match session.rng().random_bool(TWIN_CHANCE) {
+                    true => self.twins(session, &ask).await,
+                    false => drop(session.ask(ask).await),
+                }
             }
         }
     }
 
+    /// One transfer submitted twice at once, on two flows.
+    async fn twins(&self, session: &mut Session, ask: &Ask) {
+        let [first, second] = ask.twins(session.rng());
+        let mut other = self.session(session.rng());
+        tokio::join!(session.ask(first), other.ask(second));
+        other.close();
+    }
+
     /// Requests of several kinds at once on one flow.
     async fn burst(&self, session: &mut Session) {
         let mut asks = Vec::new();
--- a/crates/standin/src/caller/session.rs
+++ b/crates/standin/src/caller/session.rs
@@ -24,6 +24,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 const MAX_WAIT: Duration = Duration::from_secs(5);
 const MAX_ATTEMPTS: u32 = 5;
+/// Chance that a request of unknown outcome is repeated on a new flow.
+const OTHER_FLOW_CHANCE: f64 = 0.5;
 
 /// What all sessions of a run share.
 #[derive(Debug)]
@@ -106,6 +108,9 @@
                 return Some(reply);
             }
             self.pause(&reply).await;
+            if reply.outcome != Outcome::NotRun && self.rng.random_bool(OTHER_FLOW_CHANCE) {
+                self.close();
+            }
             ask = ask.again(&mut self.rng);
         }
     }
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -136,6 +136,7 @@
             launcher: Mutex::new(launcher),
             unrouted: SyncMutex::default(),
             retired: SyncMutex::default(),
+            ended: SyncMutex::default(),
             http,
             authority: Authority::new("callers")?,
             tally: Arc::new(Tally::new()),
@@ -309,7 +310,7 @@
             false_not_run: verdict.untrue.len() as u64,
             wrong_service: total.strays + self.foreign(after),
             crossed_answers: total.crossed,
-            invariant_failures: violations(after),
+            invariant_failures: violations(&after.samples) + violations(&self.shared.ended.lock()),
             imbalance: round(balance::imbalance(&loads, &after.records)),
             new_flows_per_s: round(flows.flows as f64 / span),
             p50_ms: latency.p50_ms,
@@ -328,9 +329,9 @@
     }
 }
 
-fn violations(reading: &Reading) -> u64 {
+fn violations(samples: &[Sample]) -> u64 {
     let mut sum = 0.0;
-    for sample in &reading.samples {
+    for sample in samples {
         sum += metrics::sum(&sample.text, metrics::INVARIANTS).unwrap_or(0.0);
     }
     sum as u64
--- a/crates/standin/src/site/shared.rs
+++ b/crates/standin/src/site/shared.rs
@@ -18,6 +18,7 @@
     fleet::{Fleet, Role},
     http::Http,
     launch::Launcher,
+    metrics::Sample,
     objects::Objects,
     pki::Authority,
 };
@@ -38,6 +39,8 @@
     pub unrouted: SyncMutex<BTreeSet<String>>,
     /// Last records of upstreams that were replaced.
     pub retired: SyncMutex<Vec<Record>>,
+    /// Last metrics of processes that were stopped or killed during the run.
+    pub ended: SyncMutex<Vec<Sample>>,
     /// Client for admin and operator addresses.
     pub http: Http,
     /// Objects of the platform.
@@ -84,6 +87,7 @@
 
     /// Stops a process gracefully.
     pub async fn stop(&self, name: &str) -> anyhow::Result<()> {
+        self.keep_metrics(name).await;
         let process = self.fleet.lock().await.take(name)?;
         process.stop().await?;
         Ok(())
@@ -91,6 +95,7 @@
 
     /// Kills a process without notice.
     pub async fn kill(&self, name: &str) -> anyhow::Result<()> {
+        self.keep_metrics(name).await;
         let process = self.fleet.lock().await.take(name)?;
         process.kill().await
     }
@@ -118,6 +123,17 @@
         Ok(self.fleet.lock().await.get(name)?.admin)
     }
 
+    /// Keeps the last metrics of a process that is about to end.
+    async fn keep_metrics(&self, name: &str) {
+        let address = match self.fleet.lock().await.get(name) {
+            Ok(member) if member.daemon() => member.admin,
+            _ => return,
+        };
+        if let Ok(text) = self.http.text(address, "/metrics").await {
+            self.ended.lock().push(Sample { name: name.to_owned(), text });
+        }
+    }
+
     async fn balancers(&self) -> anyhow::Result<Vec<IpAddr>> {
         let fleet = self.fleet.lock().await;
         let unrouted = self.unrouted.lock();
--- a/crates/standin/tests/caller.rs
+++ b/crates/standin/tests/caller.rs
@@ -8,13 +8,19 @@
     time::Duration,
 };
 
-use camphorwinch_standin::caller::{
-    ask::Ask,
-    flow::{End, Flow, Reply, State},
-    load::{Load, Mix, Share},
-    outcome::{Doubt, Flaw, Outcome},
-    tally::Tally,
+use camphorwinch_standin::{
+    answer::{self, Head},
+    caller::{
+        Target,
+        ask::Ask,
+        flow::{End, Flow, Reply, State},
+        load::{Load, Mix, Share},
+        outcome::{Doubt, Flaw, Outcome},
+        tally::Tally,
+        verify,
+    },
 };
+use http::HeaderMap;
 use rand::{SeedableRng, rngs::StdRng};
 use server::{Behaviour, Server};
 use tokio_util::sync::CancellationToken;
@@ -172,3 +178,33 @@
     assert!(tally.flows().broken > 0);
     assert!(!tally.incidents().is_empty());
 }
+
+#[test]
+fn a_repeat_may_get_the_answer_of_an_earlier_attempt_under_its_key() {
+    let rng = &mut StdRng::seed_from_u64(9);
+    let target = Target {
+        name: "ledger".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        pool: "ledger".into(),
+    };
+    let first = Ask::transfer(rng, Duration::ZERO);
+    let head = Head {
+        pool: "ledger".into(),
+        service: "ledger".into(),
+        echo: first.token.clone(),
+        key: first.key.clone().unwrap(),
+        size: first.size() as u64,
+        digest: answer::to_hex(&first.digest()),
+        ..Head::default()
+    };
+    let body = answer::write(&head, 0);
+    let headers = HeaderMap::new();
+    let check = |ask: &Ask| verify::check(ask, &target, &headers, body.as_bytes());
+    assert_eq!(check(&first), Ok(()));
+    assert_eq!(check(&first.again(rng)), Ok(()));
+    assert_eq!(check(&first.twins(rng)[1]), Ok(()));
+    let stranger = Ask { token: "t".into(), ..first.clone() };
+    assert!(matches!(check(&stranger), Err(Flaw::Crossed(_))));
+    let keyless = Ask { key: None, ..first }.again(rng);
+    assert!(matches!(check(&keyless), Err(Flaw::Crossed(_))));
+}
