Control plane: links, mesh, leases, reports and the platform's client

Balancers form a ring with some links across; agents announce themselves to two balancers. Records travel by flooding, differences are found by comparing hashes of 64 buckets. A revision is taken over from a peer only if the sum over all objects is the same, so that a lost or late record can't go unnoticed.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -30,7 +30,7 @@
 
     /// The next announcement of the same incarnation.
     pub fn next(self) -> Version {
-        Version { major: self.major, minor: self.minor + 1 }
+        Version { major: self.major, minor: self.minor.saturating_add(1) }
     }
 }
 
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Availability zone in which it runs.
+    pub fn zone(&self) -> &str {
+        match &self.role {
+            Role::Agent { agent, .. } => &agent.place.zone,
+            Role::Balancer { balancer, .. } => &balancer.place.zone,
+        }
+    }
+
     /// Whether the member was found dead.
     pub fn is_down(&self) -> bool {
         match &self.role {
--- /dev/null
+++ b/crates/core/src/suspect.rs
@@ -0,0 +1,89 @@
+//! Members whose link was lost: when one counts as dead.
+//!
+//! A member that lives announces itself again within the grace period, through another link or the same one once it is
+//! back; its version then differs from the one at the loss. One that does not is dead.
+
+use std::collections::BTreeMap;
+
+use crate::record::Version;
+
+/// For how long an agent may be without a link before it counts as dead, in milliseconds.
+pub const AGENT_GRACE_MS: u64 = 2_000;
+/// The same for a balancer.
+pub const BALANCER_GRACE_MS: u64 = 4_000;
+/// The same for an agent all of whose balancers are dead.
+pub const ORPHAN_GRACE_MS: u64 = 8_000;
+/// A gap between two ticks that shows that the process itself was paused, in milliseconds.
+pub const PAUSE_MS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    version: Version,
+    due_ms: u64,
+}
+
+/// Members under suspicion.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    entries: BTreeMap<String, Suspect>,
+    ticked: Option<u64>,
+}
+
+impl Suspects {
+    /// No suspicion.
+    pub fn new() -> Suspects {
+        Suspects::default()
+    }
+
+    /// Suspects a member that was last heard of with `version`. An earlier suspicion of the same version stays.
+    pub fn suspect(&mut self, name: &str, version: Version, due_ms: u64) {
+        let known = self.entries.get(name).is_some_and(|it| it.version == version);
+        if !known {
+            self.entries.insert(name.to_owned(), Suspect { version, due_ms });
+        }
+    }
+
+    /// Drops the suspicion: a link to the member is up.
+    pub fn clear(&mut self, name: &str) {
+        self.entries.remove(name);
+    }
+
+    /// Whether this member is under suspicion.
+    pub fn contains(&self, name: &str) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Number of members under suspicion.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no member is under suspicion.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Members that count as dead now. `version` gives the version at which a member is known at present.
+    ///
+    /// After a pause of this process every suspicion starts anew: it was this process that did not listen. `connected`
+    /// says whether this process hears of the others at all; while it does not, nobody counts as dead.
+    pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<String>
+    where
+        F: Fn(&str) -> Option<Version>,
+    {
+        let paused = self.ticked.is_some_and(|it| now_ms.saturating_sub(it) > PAUSE_MS);
+        self.ticked = Some(now_ms);
+        self.entries.retain(|name, it| version(name) == Some(it.version));
+        if paused || !connected {
+            for entry in self.entries.values_mut() {
+                entry.due_ms = entry.due_ms.max(now_ms + BALANCER_GRACE_MS);
+            }
+            return Vec::new();
+        }
+        let due = |it: &Suspect| it.due_ms <= now_ms;
+        let dead: Vec<String> =
+            self.entries.iter().filter(|(_, it)| due(it)).map(|(name, _)| name.clone()).collect();
+        self.entries.retain(|_, it| !due(it));
+        dead
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/receive.rs
@@ -0,0 +1,153 @@
+//! What a process does with a message from a peer.
+
+use std::collections::BTreeSet;
+
+use camphorwinch_core::{
+    record::Record,
+    timeline,
+    view::{self, Scope},
+};
+use camphorwinch_wire::message::{
+    Beat, Body, Interest, MessageError, Report, Stamp, Summary, Update,
+};
+
+use crate::{
+    clock::now_ms,
+    control::{
+        Inner, Load,
+        state::{Homed, LinkId, LinkKind},
+    },
+    event,
+};
+
+impl Inner {
+    /// Takes in a message that arrived on a link.
+    pub(crate) fn receive(&self, id: LinkId, body: Body) -> Result<(), MessageError> {
+        if let Some(link) = self.state.lock().links.get_mut(&id) {
+            link.heard_ms = now_ms();
+        }
+        match body {
+            Body::Hello(_) => {}
+            Body::Beat(it) => self.receive_beat(id, it),
+            Body::Digest(it) => {
+                let theirs = it.to_buckets()?;
+                let state = self.state.lock();
+                if let Some(link) = state.links.get(&id) {
+                    let summary = state.view.summary(&link.scope, &theirs);
+                    link.send(Body::Summary(Summary::from(&summary)));
+                }
+            }
+            Body::Summary(it) => self.receive_summary(id, &it)?,
+            Body::Update(it) => self.receive_update(id, &it)?,
+            Body::Interest(it) => self.receive_interest(id, it),
+            Body::Report(it) => self.receive_report(id, it),
+            Body::Bye(_) => {
+                if let Some(link) = self.state.lock().links.get_mut(&id) {
+                    link.ended = true;
+                    link.stop.cancel();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn receive_beat(&self, id: LinkId, beat: Beat) {
+        observe(beat.stamp);
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let Some(link) = state.links.get(&id) else {
+            return;
+        };
+        if link.kind != LinkKind::Agent {
+            return;
+        }
+        let load = Load { flows: beat.flows, busy: beat.busy };
+        let homed = Homed { applied: beat.applied, load, primary: beat.primary };
+        let before = state.homed.insert(link.peer.clone(), homed);
+        state.queue_events(parse_events(&beat.events));
+        if before.is_none_or(|it| it.applied != beat.applied) {
+            self.report.notify_one();
+        }
+    }
+
+    fn receive_summary(&self, id: LinkId, summary: &Summary) -> Result<(), MessageError> {
+        let theirs = view::Summary::try_from(summary)?;
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let Some(link) = state.links.get(&id) else {
+            return Ok(());
+        };
+        let agent = state.is_agent();
+        let scope = link.scope.clone();
+        let outcome = state.view.compare(&scope, &theirs);
+        let own = state.own.name();
+        let given = |it: &&Record| match it {
+            Record::Member(member) => !agent || member.name() == own,
+            Record::Object { .. } | Record::Deleted { .. } => true,
+        };
+        let lacking: Vec<&Record> = outcome.lacking.iter().filter(given).collect();
+        if let Some(link) = state.links.get(&id) {
+            state.send_records(link, &lacking);
+        }
+        if !outcome.deleted.is_empty() {
+            state.flood(&outcome.deleted, Some(id));
+            drop(guard);
+            self.changed();
+        }
+        Ok(())
+    }
+
+    fn receive_update(&self, id: LinkId, update: &Update) -> Result<(), MessageError> {
+        observe(update.stamp);
+        let mut records = Vec::new();
+        for part in &update.records {
+            records.push(Record::try_from(part)?);
+        }
+        let mark = update.mark.map(Into::into);
+        let news = self.state.lock().take(&records, mark, Some(id));
+        if news {
+            self.changed();
+        }
+        Ok(())
+    }
+
+    fn receive_interest(&self, id: LinkId, interest: Interest) {
+        let mut state = self.state.lock();
+        let Some(link) = state.links.get_mut(&id) else {
+            return;
+        };
+        let pools: BTreeSet<String> = interest.pools.into_iter().collect();
+        link.scope = Scope::Pools(pools);
+        state.send_digest(id);
+    }
+
+    fn receive_report(&self, id: LinkId, report: Report) {
+        let peer = self.state.lock().links.get(&id).map(|it| it.peer.clone());
+        let Some(peer) = peer else {
+            return;
+        };
+        let events = parse_events(&report.events);
+        self.reports.lock().take(&peer, &report, now_ms());
+        self.state.lock().queue_events(events);
+    }
+}
+
+fn observe(stamp: Option<Stamp>) {
+    let Some(it) = stamp else {
+        return;
+    };
+    if !event::observe(timeline::Stamp { ms: it.ms, counter: it.counter }) {
+        tracing::debug!("a peer's clock is too far ahead: {}", it.ms);
+    }
+}
+
+fn parse_events(texts: &[String]) -> Vec<timeline::Event> {
+    let mut events = Vec::new();
+    for text in texts {
+        match serde_json::from_str(text) {
+            Ok(it) => events.push(it),
+            Err(e) => tracing::debug!("an event of a peer is malformed: {e}"),
+        }
+    }
+    events
+}
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,30 +1,123 @@
 //! What the tasks of the control plane share.
 
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
 use camphorwinch_core::{
     assemble::Assembler,
     member::{AgentState, Balancer, BalancerState},
+    mesh::Peer,
     object::SpecError,
-    record::{Member, Record, Role as MemberRole, Version},
+    record::{Mark, Member, Record, Role as MemberRole, Version},
     snapshot::Snapshot,
-    view::View,
+    suspect::Suspects,
+    timeline::Event,
+    view::{Adoption, Scope, View},
 };
+use camphorwinch_wire::message::{Body, Digest, Frame, RecordPart, Stamp, Update};
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::wall_ms,
+    clock::{now_ms, wall_ms},
     config::Common,
     control::{Load, Role},
+    event::{self, About, Id},
 };
 
-/// The shared state. It is locked for short computations only, never across an await.
+/// Size from which an update is split.
+const SPLIT: usize = 512 << 10;
+/// Least time between two digests that were asked for by a difference, in milliseconds.
+const DIGEST_GAP_MS: u64 = 500;
+/// For how long a starting process may take over a name with a higher incarnation, in milliseconds: the wall clock of the
+/// VM that it replaces may have run ahead.
+const NAME_GRACE_MS: u64 = 10_000;
+/// Events of other processes that may wait to be passed on.
+pub(crate) const WAITING_EVENTS: usize = 2_000;
+
+/// Number of a link within the process.
+pub(crate) type LinkId = u64;
+
+/// What a link is to this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkKind {
+    /// Between two balancers.
+    Mesh,
+    /// From this agent to a balancer.
+    Home,
+    /// From an agent to this balancer.
+    Agent,
+}
+
+/// A link that is up.
+pub(crate) struct Link {
+    /// Name of the peer.
+    pub(crate) peer: String,
+    /// What it is for.
+    pub(crate) kind: LinkKind,
+    /// Whether this process opened it.
+    pub(crate) opened: bool,
+    /// What the peer is given.
+    pub(crate) scope: Scope,
+    /// Whether either side ends it because it is no longer needed.
+    pub(crate) ended: bool,
+    /// When something last arrived.
+    pub(crate) heard_ms: u64,
+    /// When a digest was last sent because of a difference.
+    pub(crate) digest_ms: u64,
+    /// Frames to be written.
+    pub(crate) outbox: mpsc::Sender<Bytes>,
+    /// Ends the link's tasks.
+    pub(crate) stop: CancellationToken,
+}
+
+impl Link {
+    /// Queues a message. A peer that does not read for so long that the queue is full loses the link.
+    pub(crate) fn send(&self, body: Body) {
+        let frame = Bytes::from(Frame::new(body).encode_to_vec());
+        if self.outbox.try_send(frame).is_err() {
+            self.stop.cancel();
+        }
+    }
+}
+
+/// What a balancer knows of an agent that is linked to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Homed {
+    /// Revision in force there.
+    pub(crate) applied: u64,
+    /// Its load.
+    pub(crate) load: Load,
+    /// Whether this balancer is the one to report about it.
+    pub(crate) primary: bool,
+}
+
+/// The shared state. It is locked for short computations only, never across an await, and no other lock of the control
+/// plane is taken while it is held.
 pub(crate) struct State {
     /// What is known of the fleet.
     pub(crate) view: View,
     /// The process's own announcement.
     pub(crate) own: Member,
+    /// Whether a newer process has taken the name.
+    pub(crate) fenced: bool,
     /// Revision that the data path has put in force.
     pub(crate) applied: u64,
     /// Load of the upstream, if this is an agent.
     pub(crate) load: Load,
+    /// Links that are up.
+    pub(crate) links: BTreeMap<LinkId, Link>,
+    /// Members that may be dead.
+    pub(crate) suspects: Suspects,
+    /// Agents linked to this balancer.
+    pub(crate) homed: BTreeMap<String, Homed>,
+    /// Events of linked agents that wait to be passed on.
+    pub(crate) events: VecDeque<Event>,
+    /// Pools whose agents this agent wants to know.
+    pub(crate) pools: Vec<String>,
+    started_ms: u64,
+    next_link: LinkId,
     assembler: Assembler,
 }
 
@@ -32,23 +125,29 @@
     /// The state of a process that has just started.
     pub(crate) fn new(common: &Common, role: &Role) -> State {
         let wall = wall_ms();
-        let role = match role {
-            Role::Agent(agent) => MemberRole::Agent { agent: agent.clone(), homes: Vec::new() },
-            Role::Balancer => MemberRole::Balancer {
-                balancer: Balancer {
-                    name: common.name.clone(),
-                    place: common.place.clone(),
-                    control: common.control,
-                    state: BalancerState::Ready,
-                },
-                lease: None,
-            },
+        let pools = match role {
+            Role::Agent(agent) => vec![agent.pool.clone()],
+            Role::Balancer => Vec::new(),
         };
+        let role = own_role(common, role);
         let own = Member { version: Version::member(wall, 0), since_ms: wall, role };
         let mut view = View::new();
         view.merge(&Record::Member(own.clone()), wall);
-        let assembler = Assembler::new();
-        State { view, own, applied: 0, load: Load::default(), assembler }
+        State {
+            view,
+            own,
+            fenced: false,
+            applied: 0,
+            load: Load::default(),
+            links: BTreeMap::new(),
+            suspects: Suspects::new(),
+            homed: BTreeMap::new(),
+            events: VecDeque::new(),
+            pools,
+            started_ms: now_ms(),
+            next_link: 0,
+            assembler: Assembler::new(),
+        }
     }
 
     /// Builds a snapshot; also returns faults of objects that were not seen before.
@@ -56,27 +155,281 @@
         self.assembler.snapshot(&self.view)
     }
 
-    /// Announces a change of the own record; true if there was one.
-    pub(crate) fn announce<F>(&mut self, change: F) -> bool
+    /// Whether this process is an agent.
+    pub(crate) fn is_agent(&self) -> bool {
+        matches!(self.own.role, MemberRole::Agent { .. })
+    }
+
+    /// Adds a link and returns its number.
+    pub(crate) fn add_link(&mut self, link: Link) -> LinkId {
+        self.next_link += 1;
+        self.suspects.clear(&link.peer);
+        self.links.insert(self.next_link, link);
+        self.next_link
+    }
+
+    /// Whether a link to this peer is up.
+    pub(crate) fn linked(&self, peer: &str) -> bool {
+        self.links.values().any(|it| it.peer == peer)
+    }
+
+    /// Announces a change of the own record, to all peers.
+    pub(crate) fn announce<F>(&mut self, change: F)
     where
         F: FnOnce(&mut MemberRole),
     {
         let before = self.own.role.clone();
         change(&mut self.own.role);
         if self.own.role == before {
-            return false;
+            return;
+        }
+        if state_of(&before) != state_of(&self.own.role) {
+            self.own.since_ms = wall_ms();
+            let text = format!("{} is {}", self.own.name(), state_of(&self.own.role));
+            event::emit(Id::MemberChanged, About::new(), &text);
         }
         self.own.version = self.own.version.next();
-        self.own.since_ms = wall_ms();
-        self.view.merge(&Record::Member(self.own.clone()), wall_ms())
+        self.publish_own();
+    }
+
+    fn publish_own(&mut self) {
+        let record = Record::Member(self.own.clone());
+        if self.view.merge(&record, wall_ms()) {
+            self.flood(&[record], None);
+        }
     }
 
-    /// Sets the own state if this is an agent.
-    pub(crate) fn set_agent_state(&mut self, state: AgentState) -> bool {
+    /// Sets the state that an agent announces.
+    pub(crate) fn set_agent_state(&mut self, state: AgentState) {
         self.announce(|role| {
             if let MemberRole::Agent { agent, .. } = role {
                 agent.state = state;
             }
-        })
+        });
+    }
+
+    /// Announces that the process leaves.
+    pub(crate) fn set_leaving(&mut self) {
+        self.announce(|role| match role {
+            MemberRole::Agent { agent, .. } => agent.state = AgentState::Leaving,
+            MemberRole::Balancer { balancer, lease } => {
+                balancer.state = BalancerState::Leaving;
+                *lease = None;
+            }
+        });
+    }
+
+    /// Takes in records and the mark that came with them, and passes on what is news; returns whether there was any.
+    pub(crate) fn take(
+        &mut self,
+        records: &[Record],
+        mark: Option<Mark>,
+        from: Option<LinkId>,
+    ) -> bool {
+        let wall = wall_ms();
+        let mut news = Vec::new();
+        for record in records {
+            if self.view.merge(record, wall) {
+                log_change(record);
+                news.push(record.clone());
+            }
+        }
+        let adoption = mark.map_or(Adoption::Known, |it| self.view.adopt(it));
+        if !news.is_empty() || adoption == Adoption::Taken {
+            self.flood(&news, from);
+        }
+        if let (Adoption::Differs, Some(id)) = (adoption, from) {
+            self.ask(id);
+        }
+        self.defend_name();
+        !news.is_empty() || adoption == Adoption::Taken
+    }
+
+    /// Takes in records from the platform's watch, which are complete up to `revision`; returns whether there was news.
+    pub(crate) fn take_watched(&mut self, records: &[Record], revision: u64) -> bool {
+        let wall = wall_ms();
+        let mut news = Vec::new();
+        for record in records {
+            if self.view.merge(record, wall) {
+                news.push(record.clone());
+            }
+        }
+        let advanced = self.view.advance(revision);
+        if advanced || !news.is_empty() {
+            self.flood(&news, None);
+        }
+        advanced || !news.is_empty()
+    }
+
+    /// Answers another announcement under the own name: the process was taken for dead, or replaced.
+    fn defend_name(&mut self) {
+        let Some(seen) = self.view.member(self.own.name()).map(|it| it.version) else {
+            return;
+        };
+        if seen <= self.own.version {
+            return;
+        }
+        let starting = now_ms().saturating_sub(self.started_ms) < NAME_GRACE_MS;
+        if seen.major > self.own.version.major && !starting {
+            self.fenced = true;
+            return;
+        }
+        if seen.major > self.own.version.major {
+            self.own.version = Version::member(seen.major.saturating_add(1), 0);
+        } else {
+            self.own.version = seen.next();
+            event::emit(Id::MemberBack, About::new(), "peers took this process for dead");
+        }
+        self.publish_own();
+    }
+
+    /// Passes records on to all links but the one they came from, with the mark of how complete this process is.
+    pub(crate) fn flood(&self, records: &[Record], except: Option<LinkId>) {
+        let agent = self.is_agent();
+        for (id, link) in &self.links {
+            if except == Some(*id) {
+                continue;
+            }
+            let own = |it: &&Record| {
+                !agent || matches!(it, Record::Member(m) if m.name() == self.own.name())
+            };
+            let fitting: Vec<&Record> =
+                records.iter().filter(|it| link.scope.covers_record(it)).filter(own).collect();
+            if fitting.is_empty() && (agent || !records.is_empty()) {
+                continue;
+            }
+            self.send_records(link, &fitting);
+        }
+    }
+
+    /// Sends records over one link, split into frames of moderate size, the mark with the last one.
+    pub(crate) fn send_records(&self, link: &Link, records: &[&Record]) {
+        let mut update = Update::default();
+        let mut size = 0;
+        for record in records {
+            let part = RecordPart::from(*record);
+            size += part.encoded_len();
+            update.records.push(part);
+            if size >= SPLIT {
+                link.send(Body::Update(std::mem::take(&mut update)));
+                size = 0;
+            }
+        }
+        update.mark = self.view.mark().map(Into::into);
+        update.stamp = Some(stamp());
+        link.send(Body::Update(update));
+    }
+
+    fn ask(&mut self, id: LinkId) {
+        let now = now_ms();
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        if now.saturating_sub(link.digest_ms) < DIGEST_GAP_MS {
+            return;
+        }
+        link.digest_ms = now;
+        self.send_digest(id);
+    }
+
+    /// Sends the digest of what the link's peer should hold.
+    pub(crate) fn send_digest(&self, id: LinkId) {
+        let Some(link) = self.links.get(&id) else {
+            return;
+        };
+        let buckets = self.view.digest(&link.scope).to_vec();
+        link.send(Body::Digest(Digest { buckets }));
+    }
+
+    /// Balancers that may be linked to: ready, by what is known.
+    pub(crate) fn balancers(&self) -> Vec<&Balancer> {
+        let mut found = Vec::new();
+        for member in self.view.members() {
+            let MemberRole::Balancer { balancer, .. } = &member.role else {
+                continue;
+            };
+            if balancer.state == BalancerState::Ready {
+                found.push(balancer);
+            }
+        }
+        found
+    }
+
+    /// The holder of the zone's lease with the lowest number; of any zone's, if none of this zone is held.
+    pub(crate) fn seed(&self, zone: &str) -> Option<&Balancer> {
+        let mut best: Option<(bool, u8, &Balancer)> = None;
+        for member in self.view.members() {
+            let MemberRole::Balancer { balancer, lease: Some(lease) } = &member.role else {
+                continue;
+            };
+            if balancer.state != BalancerState::Ready {
+                continue;
+            }
+            let order = (balancer.place.zone != zone, *lease);
+            if best.is_none_or(|(far, number, _)| order < (far, number)) {
+                best = Some((order.0, order.1, balancer));
+            }
+        }
+        best.map(|(_, _, it)| it)
+    }
+
+    /// Queues events of other processes to be passed on; the oldest go when there are too many.
+    pub(crate) fn queue_events<I>(&mut self, events: I)
+    where
+        I: IntoIterator<Item = Event>,
+    {
+        self.events.extend(events);
+        let excess = self.events.len().saturating_sub(WAITING_EVENTS);
+        self.events.drain(..excess);
+    }
+}
+
+/// The balancers as the core crate's choice functions take them.
+pub(crate) fn as_peers<'a>(balancers: &[&'a Balancer]) -> Vec<Peer<'a>> {
+    balancers.iter().map(|it| Peer { name: &it.name, zone: &it.place.zone }).collect()
+}
+
+/// Stamp of the process's clock, as sent to peers.
+pub(crate) fn stamp() -> Stamp {
+    let it = event::stamp();
+    Stamp { ms: it.ms, counter: it.counter }
+}
+
+fn own_role(common: &Common, role: &Role) -> MemberRole {
+    match role {
+        Role::Agent(agent) => MemberRole::Agent { agent: agent.clone(), homes: Vec::new() },
+        Role::Balancer => MemberRole::Balancer {
+            balancer: Balancer {
+                name: common.name.clone(),
+                place: common.place.clone(),
+                control: common.control,
+                state: BalancerState::Ready,
+            },
+            lease: None,
+        },
+    }
+}
+
+/// Name of the state that a member is in.
+pub(crate) fn state_of(role: &MemberRole) -> &'static str {
+    match role {
+        MemberRole::Agent { agent, .. } => match agent.state {
+            AgentState::Starting => "starting",
+            AgentState::Ready => "ready",
+            AgentState::Draining => "draining",
+            AgentState::Leaving => "leaving",
+            AgentState::Down => "down",
+        },
+        MemberRole::Balancer { balancer, .. } => match balancer.state {
+            BalancerState::Ready => "ready",
+            BalancerState::Leaving => "leaving",
+            BalancerState::Down => "down",
+        },
+    }
+}
+
+fn log_change(record: &Record) {
+    if let Record::Member(it) = record {
+        tracing::debug!("member {} is {}", it.name(), state_of(&it.role));
     }
 }
--- /dev/null
+++ b/crates/daemon/src/control/tick.rs
@@ -0,0 +1,209 @@
+//! What the control plane does at regular times: signs of life, timeouts, suspicion and comparison with peers.
+
+use std::{sync::Arc, time::Duration};
+
+use camphorwinch_core::{
+    mesh,
+    record::{Member, Record, Role},
+    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, ORPHAN_GRACE_MS, PAUSE_MS},
+};
+use camphorwinch_wire::message::{Beat, Body};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::{
+    clock::{now_ms, wall_ms},
+    control::{
+        Inner,
+        state::{LinkId, LinkKind, State, as_peers, stamp, state_of},
+    },
+    event::{self, About, Id},
+};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(250);
+/// Ticks between two signs of life.
+const BEAT_TICKS: u64 = 4;
+/// Ticks between two comparisons with some peer.
+const DIGEST_TICKS: u64 = 20;
+/// Ticks between two searches for members that were dead for long.
+const FORGET_TICKS: u64 = 240;
+/// Without anything heard for so long, a link between balancers is down.
+const MESH_SILENCE_MS: u64 = 4_000;
+/// The same for a link between an agent and a balancer.
+const AGENT_SILENCE_MS: u64 = 3_000;
+/// How much longer each further balancer waits before it declares an agent dead whose own balancers are dead.
+const ORPHAN_STEP_MS: u64 = 1_000;
+/// Events that an agent sends with one sign of life.
+const BEAT_EVENTS: usize = 100;
+
+/// Runs until the process stops.
+pub(crate) async fn run(inner: Arc<Inner>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0u64;
+    let mut last = now_ms();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => count += 1,
+            () = inner.beat.notified() => {
+                inner.send_beats();
+                continue;
+            }
+            () = inner.stop.cancelled() => return,
+        }
+        let now = now_ms();
+        let paused = now.saturating_sub(last) > PAUSE_MS;
+        last = now;
+        inner.tick(count, paused);
+        inner.dial_wanted();
+    }
+}
+
+impl Inner {
+    fn tick(&self, count: u64, paused: bool) {
+        let now = now_ms();
+        self.end_silent(now, paused);
+        if count.is_multiple_of(BEAT_TICKS) {
+            self.send_beats();
+        }
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        if count.is_multiple_of(DIGEST_TICKS) {
+            compare_next(state, count / DIGEST_TICKS);
+        }
+        if count.is_multiple_of(FORGET_TICKS) {
+            state.view.forget(wall_ms());
+        }
+        if state.is_agent() {
+            return;
+        }
+        if count.is_multiple_of(BEAT_TICKS) {
+            suspect_orphans(state, now);
+        }
+        let dead = find_dead(state, now);
+        if dead.is_empty() {
+            return;
+        }
+        let records: Vec<Record> = dead.into_iter().map(Record::Member).collect();
+        state.take(&records, None, None);
+        drop(guard);
+        self.changed();
+    }
+
+    fn end_silent(&self, now: u64, paused: bool) {
+        let mut state = self.state.lock();
+        for link in state.links.values_mut() {
+            if paused {
+                link.heard_ms = now;
+            }
+            let limit = match link.kind {
+                LinkKind::Mesh => MESH_SILENCE_MS,
+                LinkKind::Home | LinkKind::Agent => AGENT_SILENCE_MS,
+            };
+            if now.saturating_sub(link.heard_ms) > limit {
+                link.stop.cancel();
+            }
+        }
+    }
+
+    /// Sends a sign of life on every link.
+    pub(crate) fn send_beats(&self) {
+        let state = self.state.lock();
+        let primary = match &state.own.role {
+            Role::Agent { homes, .. } => homes.first().cloned(),
+            Role::Balancer { .. } => None,
+        };
+        for link in state.links.values() {
+            let mut beat = Beat { stamp: Some(stamp()), ..Beat::default() };
+            if link.kind == LinkKind::Home {
+                beat.applied = state.applied;
+                beat.flows = state.load.flows;
+                beat.busy = state.load.busy;
+                beat.primary = primary.as_ref() == Some(&link.peer);
+            }
+            if beat.primary {
+                beat.events = waiting_events();
+            }
+            link.send(Body::Beat(beat));
+        }
+    }
+}
+
+/// Events of this process as JSON, as many as fit into one message.
+pub(crate) fn waiting_events() -> Vec<String> {
+    let mut events = event::take_waiting();
+    if events.len() > BEAT_EVENTS {
+        event::put_back(events.split_off(BEAT_EVENTS));
+    }
+    events.iter().filter_map(|it| serde_json::to_string(it).ok()).collect()
+}
+
+fn compare_next(state: &State, round: u64) {
+    let ids: Vec<LinkId> = state.links.keys().copied().collect();
+    if let Some(index) = round.checked_rem(ids.len() as u64) {
+        state.send_digest(ids[index as usize]);
+    }
+}
+
+fn find_dead(state: &mut State, now: u64) -> Vec<Member> {
+    let connected = !state.links.is_empty();
+    let view = &state.view;
+    let names = state.suspects.due(now, connected, |name| view.member(name).map(|it| it.version));
+    let mut dead = Vec::new();
+    for name in names {
+        let Some(member) = view.member(&name).filter(|it| !it.is_down()) else {
+            continue;
+        };
+        report_dead(member);
+        dead.push(member.down(wall_ms()));
+    }
+    dead
+}
+
+fn report_dead(member: &Member) {
+    let leaving = state_of(&member.role) == "leaving";
+    let (id, what) = match leaving {
+        true => (Id::MemberChanged, "left"),
+        false => (Id::MemberDown, "was found dead"),
+    };
+    let about = match &member.role {
+        Role::Agent { agent, .. } => About::new().with_upstream(&agent.name),
+        Role::Balancer { .. } => About::new(),
+    };
+    event::emit(id, about, &format!("{} {what}", member.name()));
+}
+
+/// Suspects agents all of whose balancers are dead: nobody else will miss them. A balancer that sees only a minority of
+/// the balancers leaves them alone, because it may be the one that is cut off.
+fn suspect_orphans(state: &mut State, now: u64) {
+    let alive = state.balancers();
+    let known = state.view.members().filter(|it| matches!(it.role, Role::Balancer { .. })).count();
+    if alive.len() * 2 <= known && known > 1 {
+        return;
+    }
+    let peers = as_peers(&alive);
+    let mut orphans = Vec::new();
+    for member in state.view.members() {
+        let Role::Agent { homes, .. } = &member.role else {
+            continue;
+        };
+        let watched = homes.iter().any(|home| alive.iter().any(|it| it.name == *home));
+        if member.is_down() || watched || state.linked(member.name()) {
+            continue;
+        }
+        let rank = mesh::rank(member.name(), state.own.name(), &peers) as u64;
+        let due = now + ORPHAN_GRACE_MS + rank * ORPHAN_STEP_MS;
+        orphans.push((member.name().to_owned(), member.version, due));
+    }
+    for (name, version, due) in orphans {
+        state.suspects.suspect(&name, version, due);
+    }
+}
+
+/// For how long a peer of this kind of link may be without one before it counts as dead.
+pub(crate) fn grace(kind: LinkKind) -> u64 {
+    match kind {
+        LinkKind::Mesh | LinkKind::Home => BALANCER_GRACE_MS,
+        LinkKind::Agent => AGENT_GRACE_MS,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lease.rs
@@ -0,0 +1,338 @@
+//! The process's lease in the platform: taking it, renewing it together with the zone's report, and what its holder does.
+
+use std::{sync::Arc, time::Duration};
+
+use camphorwinch_core::{
+    lease::{Attempt, Keeper, LEASES, RENEW_MS, Term},
+    mesh,
+    object::{Kind, Object},
+    record::Role,
+    report::{Lease, Report},
+    timeline::{self, Event, Timeline},
+};
+use rand::Rng;
+use serde_json::json;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::{now_ms, wall_ms},
+    control::{Inner, state::as_peers},
+    event::{self, About, Id},
+    platform::{PlatformError, Put},
+    report, seed,
+};
+
+/// Time between two looks at what is to be done.
+const STEP: Duration = Duration::from_millis(500);
+/// Least time between two writes of a lease, in milliseconds.
+const WRITE_MS: u64 = 1_000;
+/// Time between looks at the leases while both are held as far as the peers know, in milliseconds.
+const LOOK_MS: u64 = 30_000;
+/// Time between looks while a lease of the zone may be free, in milliseconds.
+const LOOK_SOON_MS: u64 = 2_000;
+/// How much later each further balancer of the zone looks, in milliseconds.
+const RANK_MS: u64 = 200;
+/// Least time between two writes of the timeline, in milliseconds.
+const TIMELINE_MS: u64 = 2_000;
+/// Events kept in a zone's timeline.
+const TIMELINE_EVENTS: usize = 1_000;
+/// Largest timeline, in bytes: below what one object may hold.
+const TIMELINE_BYTES: usize = 900_000;
+
+/// Runs until the process stops; then gives the lease back.
+pub(crate) async fn run(inner: Arc<Inner>) {
+    let mut holder = Holder::new(Arc::clone(&inner));
+    loop {
+        holder.step().await;
+        let jitter = rand::rng().random_range(0.8..1.2);
+        tokio::select! {
+            () = sleep(STEP.mul_f64(jitter)) => {}
+            () = inner.leaving.cancelled() => break,
+            () = inner.stop.cancelled() => return,
+        }
+    }
+    holder.release().await;
+    inner.released.cancel();
+}
+
+struct Holder {
+    inner: Arc<Inner>,
+    keeper: Keeper,
+    zone: String,
+    written_ms: u64,
+    looked_ms: Option<u64>,
+    /// Ends the watch of the platform.
+    watch: Option<CancellationToken>,
+    timeline: Option<TimelineWriter>,
+    written: Report,
+}
+
+impl Holder {
+    fn new(inner: Arc<Inner>) -> Holder {
+        let zone = inner.common.place.zone.clone();
+        let keeper = Keeper::new(&inner.common.name);
+        Holder {
+            inner,
+            keeper,
+            zone,
+            written_ms: 0,
+            looked_ms: None,
+            watch: None,
+            timeline: None,
+            written: Report::default(),
+        }
+    }
+
+    async fn step(&mut self) {
+        match self.keeper.renew(now_ms()) {
+            Some(attempt) => self.renew(attempt).await,
+            None => self.look().await,
+        }
+        self.settle();
+        if self.keeper.holds(now_ms()).is_some() {
+            self.write_timeline().await;
+        }
+    }
+
+    async fn renew(&mut self, attempt: Attempt) {
+        let since = now_ms().saturating_sub(self.written_ms);
+        let report = report::current(&self.inner);
+        let changed = since >= WRITE_MS && differs(&report, &self.written);
+        if since < RENEW_MS && !changed {
+            return;
+        }
+        self.written = report.clone();
+        self.write(attempt, Some(report)).await;
+    }
+
+    async fn write(&mut self, attempt: Attempt, report: Option<Report>) {
+        let name = Lease::name(&self.zone, attempt.number);
+        let lease = Lease {
+            holder: attempt.term.holder.clone(),
+            control: self.inner.common.control.to_string(),
+            taken_ms: attempt.term.taken_ms,
+            report,
+        };
+        self.written_ms = now_ms();
+        match self.inner.platform.put(Kind::Lease, &name, attempt.base, &json!(lease)).await {
+            Ok(Put::Done(object)) => {
+                self.keeper.written(now_ms(), &attempt, object.version);
+            }
+            Ok(Put::Conflict(current)) => self.observe(attempt.number, current),
+            Err(e) => {
+                self.inner.platform_lost(&e);
+                self.read(attempt.number).await;
+            }
+        }
+    }
+
+    fn observe(&mut self, number: u8, object: Option<Object>) {
+        let version = object.as_ref().map_or(0, |it| it.version);
+        let spec = object.map(|it| it.spec).unwrap_or_default();
+        let lease: Lease = serde_json::from_value(spec).unwrap_or_default();
+        let term = Term { holder: lease.holder, taken_ms: lease.taken_ms };
+        self.keeper.observe(now_ms(), number, version, term);
+    }
+
+    async fn read(&mut self, number: u8) -> bool {
+        let name = Lease::name(&self.zone, number);
+        match self.inner.platform.get(Kind::Lease, &name).await {
+            Ok(object) => {
+                self.inner.platform_back();
+                self.observe(number, object);
+                true
+            }
+            Err(e) => {
+                self.inner.platform_lost(&e);
+                false
+            }
+        }
+    }
+
+    /// Looks whether a lease may be taken, when it is time, and takes it.
+    async fn look(&mut self) {
+        let now = now_ms();
+        let due = self.looked_ms.is_none_or(|it| now.saturating_sub(it) >= self.interval());
+        if !due {
+            return;
+        }
+        self.looked_ms = Some(now);
+        for number in 0..LEASES {
+            if !self.read(number).await {
+                return;
+            }
+        }
+        let Some(attempt) = self.keeper.take(now_ms(), wall_ms()) else {
+            return;
+        };
+        self.write(attempt, None).await;
+    }
+
+    fn interval(&self) -> u64 {
+        if self.keeper.last().is_some() {
+            return WRITE_MS;
+        }
+        let state = self.inner.state.lock();
+        let alive = state.balancers();
+        let in_zone: Vec<_> = alive.into_iter().filter(|it| it.place.zone == self.zone).collect();
+        let mut held = 0;
+        for member in state.view.members().filter(|it| it.zone() == self.zone) {
+            held += u8::from(matches!(member.role, Role::Balancer { lease: Some(_), .. }));
+        }
+        if held >= LEASES {
+            return LOOK_MS;
+        }
+        let rank = mesh::rank(&self.zone, state.own.name(), &as_peers(&in_zone)) as u64;
+        LOOK_SOON_MS + rank * RANK_MS
+    }
+
+    /// Brings what the process announces and does into line with the lease.
+    fn settle(&mut self) {
+        let held = self.keeper.holds(now_ms());
+        let before = self.inner.set_lease(held);
+        match (before, held) {
+            (None, Some(n)) => {
+                self.written = Report::default();
+                event::emit(Id::SeedTaken, About::new(), &Lease::name(&self.zone, n));
+            }
+            (Some(n), None) => {
+                self.timeline = None;
+                event::emit(Id::SeedLost, About::new(), &Lease::name(&self.zone, n));
+            }
+            _ => {}
+        }
+        // A watch only reads: it goes on while the lease lapsed and nobody else is known to have taken it.
+        match (&self.watch, self.keeper.last()) {
+            (None, Some(_)) => {
+                let token = self.inner.stop.child_token();
+                tokio::spawn(seed::run(Arc::clone(&self.inner), token.clone()));
+                self.watch = Some(token);
+            }
+            (Some(token), None) => {
+                token.cancel();
+                self.watch = None;
+            }
+            _ => {}
+        }
+    }
+
+    async fn write_timeline(&mut self) {
+        let inner = Arc::clone(&self.inner);
+        let reporting = {
+            let state = inner.state.lock();
+            state.seed(&self.zone).is_some_and(|it| it.name == state.own.name())
+        };
+        if !reporting {
+            self.timeline = None;
+            return;
+        }
+        let writer = match self.timeline.take() {
+            Some(it) => it,
+            None => match TimelineWriter::open(&inner, &self.zone).await {
+                Ok(it) => it,
+                Err(e) => return self.inner.platform_lost(&e),
+            },
+        };
+        self.timeline = writer.write(&inner, || self.keeper.holds(now_ms()).is_some()).await;
+    }
+
+    async fn release(&mut self) {
+        if let Some(token) = self.watch.take() {
+            token.cancel();
+        }
+        if let Some(attempt) = self.keeper.release(now_ms()) {
+            self.write(attempt, None).await;
+        }
+    }
+}
+
+fn differs(new: &Report, old: &Report) -> bool {
+    let at_ms = old.at_ms;
+    Report { at_ms, ..new.clone() } != *old
+}
+
+/// Writes the zone's timeline. The object is written once when the lease is taken: from then on a former holder's write,
+/// based on an older version, fails.
+struct TimelineWriter {
+    name: String,
+    version: u64,
+    events: Vec<Event>,
+    pending: Vec<Event>,
+    written_ms: u64,
+}
+
+impl TimelineWriter {
+    async fn open(inner: &Inner, zone: &str) -> Result<TimelineWriter, PlatformError> {
+        let name = format!("events-{zone}");
+        let object = inner.platform.get(Kind::Timeline, &name).await?;
+        let mut writer = TimelineWriter {
+            name,
+            version: 0,
+            events: Vec::new(),
+            pending: Vec::new(),
+            written_ms: 0,
+        };
+        writer.read(object);
+        Ok(writer)
+    }
+
+    fn read(&mut self, object: Option<Object>) {
+        self.version = object.as_ref().map_or(0, |it| it.version);
+        let spec = object.map(|it| it.spec).unwrap_or_default();
+        let timeline: Timeline = serde_json::from_value(spec).unwrap_or_default();
+        self.events = timeline.events;
+    }
+
+    async fn write<F>(mut self, inner: &Inner, held: F) -> Option<TimelineWriter>
+    where
+        F: Fn() -> bool,
+    {
+        let now = now_ms();
+        let first = self.written_ms == 0;
+        if !first && now.saturating_sub(self.written_ms) < TIMELINE_MS {
+            return Some(self);
+        }
+        self.pending.extend(event::take_waiting());
+        self.pending.extend(inner.state.lock().events.drain(..));
+        if self.pending.is_empty() && !first {
+            return Some(self);
+        }
+        let merged = newest(timeline::merge([self.events.clone(), self.pending.clone()]));
+        let spec = json!(Timeline { events: merged.clone() });
+        if !held() {
+            inner.state.lock().queue_events(self.pending);
+            return None;
+        }
+        match inner.platform.put(Kind::Timeline, &self.name, self.version, &spec).await {
+            Ok(Put::Done(object)) => {
+                self.version = object.version;
+                self.events = merged;
+                self.pending.clear();
+                self.written_ms = now.max(1);
+            }
+            Ok(Put::Conflict(current)) => self.read(current),
+            Err(e) => {
+                inner.platform_lost(&e);
+                inner.state.lock().queue_events(self.pending);
+                return None;
+            }
+        }
+        Some(self)
+    }
+}
+
+/// The newest events, as many as one object holds.
+fn newest(events: Vec<Event>) -> Vec<Event> {
+    let mut size = 0;
+    let mut kept = Vec::new();
+    for event in events.into_iter().rev().take(TIMELINE_EVENTS) {
+        size += serde_json::to_string(&event).map_or(0, |it| it.len() + 1);
+        if size > TIMELINE_BYTES {
+            break;
+        }
+        kept.push(event);
+    }
+    kept.reverse();
+    kept
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,9 +6,13 @@
 #[allow(dead_code, reason = "the data paths are being built on it")]
 mod control;
 mod event;
+mod lease;
 mod log;
 mod metrics;
 mod operator;
+mod platform;
+mod report;
+mod seed;
 mod signal;
 mod tls;
 
--- /dev/null
+++ b/crates/daemon/src/report.rs
@@ -0,0 +1,238 @@
+//! Reports: each balancer tells the holder of its zone's lease what is in force and how loaded the agents are; the
+//! holder keeps the zone's report.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use camphorwinch_core::{
+    member::{Agent, AgentState, Balancer, BalancerState},
+    record::{Member, Role},
+    report::{Applied, BalancerStatus, Behind, Report, State as Status, UpstreamStatus},
+    snapshot::Snapshot,
+};
+use camphorwinch_wire::message::{self, AgentReport, Body};
+use tokio::time::sleep;
+
+use crate::{
+    clock::{now_ms, wall_ms},
+    control::{Inner, state::State, tick::waiting_events},
+};
+
+/// Least time between two reports.
+const MIN_GAP: Duration = Duration::from_millis(100);
+/// Time between reports of load, in milliseconds.
+const LOAD_MS: u64 = 2_000;
+/// A report that was not repeated for so long no longer counts, in milliseconds.
+const STALE_MS: u64 = 15_000;
+/// For how long a member may be without a report before it counts as lagging, in milliseconds.
+const UNREPORTED_MS: u64 = 5_000;
+/// Revisions whose times are kept.
+const CHANGES: usize = 64;
+/// Events sent with one report.
+const REPORT_EVENTS: usize = 400;
+
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    applied: u64,
+    flows: u32,
+    busy: u32,
+    heard_ms: u64,
+}
+
+/// What the processes of a zone have reported.
+#[derive(Debug, Default)]
+pub(crate) struct Reports {
+    processes: BTreeMap<String, Process>,
+    changes: VecDeque<Applied>,
+}
+
+impl Reports {
+    /// Takes in the report of the balancer `name`.
+    pub(crate) fn take(&mut self, name: &str, report: &message::Report, now: u64) {
+        let own = Process { applied: report.applied, flows: 0, busy: 0, heard_ms: now };
+        self.processes.insert(name.to_owned(), own);
+        for it in &report.agents {
+            let agent =
+                Process { applied: it.applied, flows: it.flows, busy: it.busy, heard_ms: now };
+            self.processes.insert(it.name.clone(), agent);
+        }
+    }
+
+    /// Makes the report of `zone`: of its balancers and of the agents that they report about.
+    pub(crate) fn make(
+        &mut self,
+        zone: &str,
+        state: &State,
+        snapshot: &Snapshot,
+        now: u64,
+        wall: u64,
+    ) -> Report {
+        self.processes.retain(|_, it| now.saturating_sub(it.heard_ms) < STALE_MS);
+        let known = state.view.revision();
+        let mut report = Report { zone: zone.to_owned(), at_ms: wall, known, ..Report::default() };
+        let mut in_force = known;
+        for member in state.view.members().filter(|it| reported_in(it, zone, state)) {
+            self.add_status(&mut report, member, snapshot);
+            let lag = self.applied(member, known, wall);
+            let Some(applied) = lag.filter(|_| !member.is_down()) else {
+                continue;
+            };
+            report.processes += 1;
+            in_force = in_force.min(applied);
+            if applied < known {
+                report.behind.push(Behind { name: member.name().to_owned(), in_force: applied });
+            }
+        }
+        report.in_force = in_force;
+        self.note(known, in_force, wall);
+        report.changes = self.changes.iter().cloned().collect();
+        report
+    }
+
+    /// Revision in force at a member; `None` while it is so new that it can't have reported yet.
+    fn applied(&self, member: &Member, known: u64, wall: u64) -> Option<u64> {
+        let applied = self.processes.get(member.name()).map_or(0, |it| it.applied);
+        let new = wall.saturating_sub(member.since_ms) < UNREPORTED_MS;
+        (applied > 0 || known == 0 || !new).then_some(applied.min(known))
+    }
+
+    fn note(&mut self, known: u64, in_force: u64, wall: u64) {
+        let newest = self.changes.back().map_or(0, |it| it.revision);
+        if known > newest {
+            self.changes.push_back(Applied { revision: known, seen_ms: wall, done_ms: 0 });
+        }
+        while self.changes.len() > CHANGES {
+            self.changes.pop_front();
+        }
+        for change in &mut self.changes {
+            if change.done_ms == 0 && change.revision <= in_force {
+                change.done_ms = wall;
+            }
+        }
+    }
+
+    fn add_status(&self, report: &mut Report, member: &Member, snapshot: &Snapshot) {
+        let process = self.processes.get(member.name());
+        match &member.role {
+            Role::Agent { agent, .. } => report.upstreams.push(UpstreamStatus {
+                name: agent.name.clone(),
+                pool: agent.pool.clone(),
+                vm: agent.place.vm.clone(),
+                zone: agent.place.zone.clone(),
+                state: agent_status(agent, snapshot),
+                flows: process.map_or(0, |it| it.flows),
+                busy: process.map_or(0, |it| it.busy),
+                slots: agent.slots,
+                since_ms: member.since_ms,
+            }),
+            Role::Balancer { balancer, .. } => report.balancers.push(BalancerStatus {
+                name: balancer.name.clone(),
+                vm: balancer.place.vm.clone(),
+                zone: balancer.place.zone.clone(),
+                state: balancer_status(balancer),
+                in_force: process.map_or(0, |it| it.applied),
+            }),
+        }
+    }
+}
+
+/// Whether a member belongs to the report of `zone`: a balancer by its zone, an agent by that of its first balancer, or by
+/// its own once it has none.
+fn reported_in(member: &Member, zone: &str, state: &State) -> bool {
+    let Role::Agent { homes, .. } = &member.role else {
+        return member.zone() == zone;
+    };
+    let home = homes.first().and_then(|it| state.view.member(it));
+    home.map_or(member.zone(), Member::zone) == zone
+}
+
+fn agent_status(agent: &Agent, snapshot: &Snapshot) -> Status {
+    let drained = snapshot.drains(&agent.name, &agent.place.vm, &agent.place.zone);
+    match agent.state {
+        AgentState::Ready if drained => Status::Draining,
+        AgentState::Ready => Status::Ready,
+        AgentState::Draining => Status::Draining,
+        AgentState::Leaving => Status::Leaving,
+        AgentState::Down => Status::Down,
+        AgentState::Starting => Status::Other,
+    }
+}
+
+fn balancer_status(balancer: &Balancer) -> Status {
+    match balancer.state {
+        BalancerState::Ready => Status::Ready,
+        BalancerState::Leaving => Status::Leaving,
+        BalancerState::Down => Status::Down,
+    }
+}
+
+/// Sends this balancer's report to the holder of its zone's lease: at once when something is newly in force, else when
+/// it is due for the load.
+pub(crate) async fn run(inner: Arc<Inner>) {
+    loop {
+        inner.report();
+        tokio::select! {
+            () = inner.report.notified() => sleep(MIN_GAP).await,
+            () = sleep(Duration::from_millis(LOAD_MS)) => {}
+            () = inner.stop.cancelled() => return,
+        }
+    }
+}
+
+impl Inner {
+    fn report(&self) {
+        let mut state = self.state.lock();
+        let own = state.own.name().to_owned();
+        let Some(seed) = state.seed(state.own.zone()).map(|it| it.name.clone()) else {
+            return;
+        };
+        if seed == own {
+            let report = make_report(&state);
+            drop(state);
+            self.reports.lock().take(&own, &report, now_ms());
+            return;
+        }
+        if !state.linked(&seed) {
+            return;
+        }
+        let mut report = make_report(&state);
+        report.events = waiting_events();
+        let count = state.events.len().min(REPORT_EVENTS);
+        for event in state.events.drain(..count) {
+            report.events.extend(serde_json::to_string(&event).ok());
+        }
+        for link in state.links.values() {
+            if link.peer == seed {
+                link.send(Body::Report(report));
+                return;
+            }
+        }
+    }
+}
+
+fn make_report(state: &State) -> message::Report {
+    let mut report = message::Report { applied: state.applied, ..message::Report::default() };
+    for (name, it) in &state.homed {
+        if !it.primary {
+            continue;
+        }
+        report.agents.push(AgentReport {
+            name: name.clone(),
+            applied: it.applied,
+            flows: it.load.flows,
+            busy: it.load.busy,
+        });
+    }
+    report
+}
+
+/// The zone's report as of now.
+pub(crate) fn current(inner: &Inner) -> Report {
+    let snapshot = inner.snapshot.borrow().clone();
+    let state = inner.state.lock();
+    let zone = state.own.zone().to_owned();
+    inner.reports.lock().make(&zone, &state, &snapshot, now_ms(), wall_ms())
+}
--- /dev/null
+++ b/crates/daemon/src/seed.rs
@@ -0,0 +1,123 @@
+//! Watching the platform's configuration on behalf of the fleet: what the holder of a lease does.
+
+use std::{sync::Arc, time::Duration};
+
+use camphorwinch_core::{object::Kind, record::Record};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::now_ms,
+    control::Inner,
+    platform::{Happened, PlatformError, WatchEvent},
+};
+
+/// Longest wait of one watch.
+const WATCH: Duration = Duration::from_secs(20);
+/// Least time between two lists, in milliseconds.
+const LIST_MIN_MS: u64 = 10_000;
+/// Longest time between two lists, in milliseconds.
+const LIST_MAX_MS: u64 = 1_800_000;
+/// Bytes a second that lists may cost on average.
+const LIST_RATE: u64 = 2_000;
+/// First wait after a failure.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Longest wait after a failure.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+
+/// Runs until the lease is lost: lists everything, then watches; lists again at times, because a watch may skip an event.
+pub(crate) async fn run(inner: Arc<Inner>, stop: CancellationToken) {
+    tokio::select! {
+        () = follow(&inner) => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+async fn follow(inner: &Inner) {
+    let mut wait = RETRY_MIN;
+    loop {
+        match round(inner).await {
+            Ok(()) => wait = RETRY_MIN,
+            Err(e) => {
+                inner.platform_lost(&e);
+                sleep(wait).await;
+                wait = (wait * 2).min(RETRY_MAX);
+            }
+        }
+    }
+}
+
+/// One list, and the watches after it until the next list is due.
+async fn round(inner: &Inner) -> Result<(), PlatformError> {
+    let (mut since, bytes) = list(inner).await?;
+    inner.platform_back();
+    let until = now_ms() + (bytes as u64 * 1_000 / LIST_RATE).clamp(LIST_MIN_MS, LIST_MAX_MS);
+    loop {
+        let left = until.saturating_sub(now_ms()) / 1_000;
+        if left == 0 {
+            return Ok(());
+        }
+        let wait = WATCH.min(Duration::from_secs(left));
+        let watched = match inner.platform.watch(since, wait).await {
+            Ok(it) => it,
+            Err(PlatformError::TooOld { .. }) => return Ok(()),
+            Err(e) => return Err(e),
+        };
+        take_events(inner, &watched.events);
+        since = since.max(watched.revision);
+    }
+}
+
+async fn list(inner: &Inner) -> Result<(u64, usize), PlatformError> {
+    let mut lists = Vec::new();
+    for kind in Kind::CONFIG {
+        lists.push((kind, inner.platform.list(kind).await?));
+    }
+    let revision = lists.iter().map(|(_, it)| it.revision).min().unwrap_or(0);
+    let bytes = lists.iter().map(|(_, it)| it.bytes).sum();
+    let mut state = inner.state.lock();
+    let mut changed = Vec::new();
+    for (kind, list) in &lists {
+        changed.extend(state.view.take_list(*kind, &list.items, list.revision));
+    }
+    let news = match changed.is_empty() && state.view.synced() {
+        // Nothing new: the floor rises, but there is no need to tell everybody.
+        true => {
+            let revision = state.view.revision().min(revision);
+            state.view.confirm(revision)
+        }
+        false => state.view.confirm(revision),
+    };
+    if news || !changed.is_empty() {
+        state.flood(&changed, None);
+        drop(state);
+        inner.changed();
+    }
+    Ok((revision, bytes))
+}
+
+fn take_events(inner: &Inner, events: &[WatchEvent]) {
+    let mut records = Vec::new();
+    let mut newest = 0;
+    for event in events {
+        let Some(kind) = Kind::parse(&event.object.kind).filter(|it| Kind::CONFIG.contains(it))
+        else {
+            continue;
+        };
+        newest = newest.max(event.object.version);
+        records.push(match event.happened {
+            Happened::Put => Record::Object { kind, object: event.object.clone() },
+            Happened::Delete => Record::Deleted {
+                kind,
+                name: event.object.name.clone(),
+                revision: event.object.version,
+            },
+        });
+    }
+    if records.is_empty() {
+        return;
+    }
+    if inner.state.lock().take_watched(&records, newest) {
+        inner.changed();
+    }
+}
