--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod operator;
 mod platform;
+mod relay;
 mod report;
 mod seed;
 mod signal;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,8 +2,12 @@
 //! callers, and the site that ties them together.
 
 pub mod answer;
+pub mod caller;
 pub mod cmd;
 pub mod config;
+pub mod fabric;
 pub mod platform;
 pub mod server;
+pub mod site;
 pub mod stop;
+pub mod upstream;
