--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -184,6 +184,11 @@
         self.inner.state.lock().load = load;
     }
 
+    /// Sets the key epochs of the flows, which are reported: a key may go once no flow has its epoch.
+    pub(crate) fn set_epochs(&self, epochs: Vec<u8>) {
+        self.inner.state.lock().epochs = epochs;
+    }
+
     /// Announces that the process leaves, gives back its lease, and waits until peers have been told.
     pub(crate) async fn leave(&self) {
         self.inner.state.lock().set_leaving();
--- a/crates/daemon/src/control/receive.rs
+++ b/crates/daemon/src/control/receive.rs
@@ -62,7 +62,8 @@
             return;
         }
         let load = Load { flows: beat.flows, busy: beat.busy };
-        let homed = Homed { applied: beat.applied, load, primary: beat.primary };
+        let homed =
+            Homed { applied: beat.applied, load, epochs: beat.epochs, primary: beat.primary };
         let before = state.homed.insert(link.peer.clone(), homed);
         state.queue_events(parse_events(&beat.events));
         if before.is_none_or(|it| it.applied != beat.applied) {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -83,12 +83,14 @@
 }
 
 /// What a balancer knows of an agent that is linked to it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Homed {
     /// Revision in force there.
     pub(crate) applied: u64,
     /// Its load.
     pub(crate) load: Load,
+    /// Key epochs of its flows.
+    pub(crate) epochs: Vec<u8>,
     /// Whether this balancer is the one to report about it.
     pub(crate) primary: bool,
 }
@@ -106,6 +108,8 @@
     pub(crate) applied: u64,
     /// Load of the upstream, if this is an agent.
     pub(crate) load: Load,
+    /// Key epochs of the flows, if this is an agent.
+    pub(crate) epochs: Vec<u8>,
     /// Links that are up.
     pub(crate) links: BTreeMap<LinkId, Link>,
     /// Members that may be dead.
@@ -139,6 +143,7 @@
             fenced: false,
             applied: 0,
             load: Load::default(),
+            epochs: Vec::new(),
             links: BTreeMap::new(),
             suspects: Suspects::new(),
             homed: BTreeMap::new(),
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -119,6 +119,7 @@
                 beat.applied = state.applied;
                 beat.flows = state.load.flows;
                 beat.busy = state.load.busy;
+                beat.epochs.clone_from(&state.epochs);
                 beat.primary = primary.as_ref() == Some(&link.peer);
             }
             if beat.primary {
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -34,11 +34,12 @@
 /// Events sent with one report.
 const REPORT_EVENTS: usize = 400;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Process {
     applied: u64,
     flows: u32,
     busy: u32,
+    epochs: Vec<u8>,
     heard_ms: u64,
 }
 
@@ -52,11 +53,16 @@
 impl Reports {
     /// Takes in the report of the balancer `name`.
     pub(crate) fn take(&mut self, name: &str, report: &message::Report, now: u64) {
-        let own = Process { applied: report.applied, flows: 0, busy: 0, heard_ms: now };
+        let own = Process { applied: report.applied, heard_ms: now, ..Process::default() };
         self.processes.insert(name.to_owned(), own);
         for it in &report.agents {
-            let agent =
-                Process { applied: it.applied, flows: it.flows, busy: it.busy, heard_ms: now };
+            let agent = Process {
+                applied: it.applied,
+                flows: it.flows,
+                busy: it.busy,
+                epochs: it.epochs.clone(),
+                heard_ms: now,
+            };
             self.processes.insert(it.name.clone(), agent);
         }
     }
@@ -127,6 +133,7 @@
                 busy: process.map_or(0, |it| it.busy),
                 slots: agent.slots,
                 since_ms: member.since_ms,
+                epochs: process.map(|it| it.epochs.clone()).unwrap_or_default(),
             }),
             Role::Balancer { balancer, .. } => report.balancers.push(BalancerStatus {
                 name: balancer.name.clone(),
@@ -224,6 +231,7 @@
             applied: it.applied,
             flows: it.load.flows,
             busy: it.load.busy,
+            epochs: it.epochs.clone(),
         });
     }
     report
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -136,6 +136,9 @@
     /// Events for the timeline, as JSON.
     #[prost(string, repeated, tag = "6")]
     pub events: Vec<String>,
+    /// Key epochs of the sender's flows, one byte each, if the sender is an agent.
+    #[prost(bytes = "vec", tag = "7")]
+    pub epochs: Vec<u8>,
 }
 
 /// How complete the sender's configuration is; see [`camphorwinch_core::record::Mark`].
@@ -386,6 +389,9 @@
     /// Slots in use.
     #[prost(uint32, tag = "4")]
     pub busy: u32,
+    /// Key epochs of its flows, one byte each.
+    #[prost(bytes = "vec", tag = "5")]
+    pub epochs: Vec<u8>,
 }
 
 impl Frame {
