--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -380,3 +380,6 @@
     }
     Some(pools.into_iter().collect())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -121,6 +121,7 @@
     /// Pools whose agents this agent wants to know.
     pub(crate) pools: Vec<String>,
     started_ms: u64,
+    settled: bool,
     next_link: LinkId,
     assembler: Assembler,
 }
@@ -150,11 +151,18 @@
             events: VecDeque::new(),
             pools,
             started_ms: now_ms(),
+            settled: false,
             next_link: 0,
             assembler: Assembler::new(),
         }
     }
 
+    /// Makes the process count as one that started long ago.
+    #[cfg(test)]
+    pub(crate) fn age(&mut self) {
+        self.settled = true;
+    }
+
     /// Builds a snapshot; also returns faults of objects that were not seen before.
     pub(crate) fn snapshot(&mut self) -> (Snapshot, Vec<SpecError>) {
         self.assembler.snapshot(&self.view)
@@ -274,7 +282,8 @@
         if seen <= self.own.version {
             return;
         }
-        let starting = now_ms().saturating_sub(self.started_ms) < NAME_GRACE_MS;
+        self.settled |= now_ms().saturating_sub(self.started_ms) >= NAME_GRACE_MS;
+        let starting = !self.settled;
         if seen.major > self.own.version.major && !starting {
             self.fenced = true;
             return;
--- /dev/null
+++ b/crates/daemon/src/control/tests.rs
@@ -0,0 +1,321 @@
+mod fake;
+
+use std::{future::Future, net::TcpListener as StdListener};
+
+use camphorwinch_core::{
+    invariant::{Invariant, violations},
+    member::{BalancerState, Place},
+    object::ServiceId,
+    report::{Lease, Report},
+};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+
+use super::*;
+use crate::config::{FleetPem, LogForm};
+use fake::Fake;
+
+/// Longest wait for anything to happen. The machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Fleet {
+    platform: Fake,
+    address: SocketAddr,
+    pem: FleetPem,
+}
+
+impl Fleet {
+    async fn new() -> Fleet {
+        let (platform, address) = Fake::start().await;
+        Fleet { platform, address, pem: fleet_pem() }
+    }
+
+    fn common(&self, name: &str, zone: &str, peers: &[SocketAddr]) -> Common {
+        let place =
+            Place { vm: format!("vm-{name}"), zone: zone.to_owned(), region: "r".to_owned() };
+        Common {
+            name: name.to_owned(),
+            place,
+            platform: self.address,
+            control: free_address(),
+            operator: free_address(),
+            peers: peers.to_vec(),
+            fleet: self.pem.clone(),
+            log: LogForm::Text,
+            log_level: "info".to_owned(),
+        }
+    }
+
+    async fn balancer(&self, name: &str, zone: &str) -> Control {
+        self.balancer_with(name, zone, &[]).await
+    }
+
+    async fn balancer_with(&self, name: &str, zone: &str, peers: &[SocketAddr]) -> Control {
+        let control =
+            Control::start(&self.common(name, zone, peers), Role::Balancer).await.unwrap();
+        follow(&control);
+        control
+    }
+
+    async fn agent(&self, name: &str, zone: &str, pool: &str) -> Control {
+        let common = self.common(name, zone, &[]);
+        let agent = Agent {
+            name: name.to_owned(),
+            place: common.place.clone(),
+            pool: pool.to_owned(),
+            data: free_address(),
+            control: common.control,
+            weight: 1.0,
+            slots: 4,
+            connections: 100,
+            state: AgentState::Ready,
+        };
+        let control = Control::start(&common, Role::Agent(agent)).await.unwrap();
+        follow(&control);
+        control
+    }
+
+    fn add_service(&self, name: &str, port: u16) -> u64 {
+        let address = format!("127.0.0.1:{port}");
+        let spec = json!({ "address": address, "pool": name, "certificate": "c" });
+        self.platform.write("service", name, spec)
+    }
+}
+
+/// Puts every snapshot in force at once, as a data path would.
+fn follow(control: &Control) {
+    let mut snapshots = control.watch();
+    let control = control.clone();
+    tokio::spawn(async move {
+        while snapshots.changed().await.is_ok() {
+            let revision = snapshots.borrow_and_update().revision;
+            control.applied(revision);
+        }
+    });
+}
+
+/// Ends a process as if it was killed: its links close, it says nothing.
+fn kill(control: &Control) {
+    control.inner.stop.cancel();
+}
+
+fn fleet_pem() -> FleetPem {
+    let mut params = CertificateParams::new(Vec::new()).unwrap();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let ca = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
+    let key = KeyPair::generate().unwrap();
+    let params = CertificateParams::new(vec!["any.name".to_owned()]).unwrap();
+    let cert = params.signed_by(&key, &ca).unwrap();
+    FleetPem { ca: ca.pem(), cert: cert.pem(), key: key.serialize_pem() }
+}
+
+fn free_address() -> SocketAddr {
+    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+async fn until<F>(what: &str, mut done: F)
+where
+    F: FnMut() -> bool,
+{
+    let wait = async {
+        while !done() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
+async fn within<F>(what: &str, future: F) -> F::Output
+where
+    F: Future,
+{
+    timeout(PATIENCE, future).await.unwrap_or_else(|_| panic!("not in time: {what}"))
+}
+
+fn state_in(control: &Control, agent: &str) -> Option<AgentState> {
+    control.snapshot().agents.get(agent).map(|it| it.state)
+}
+
+fn has_service(control: &Control, name: &str, revision: u64) -> bool {
+    let snapshot = control.snapshot();
+    snapshot.revision >= revision && snapshot.services.contains_key(&ServiceId::new(name))
+}
+
+fn intact() {
+    assert_eq!(violations(Invariant::VersionGrows), 0);
+    assert_eq!(violations(Invariant::LeaseHeld), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn configuration_and_members_reach_everybody() {
+    let fleet = Fleet::new().await;
+    let first = fleet.add_service("ledger", 4433);
+    let b1 = fleet.balancer("b1", "z1").await;
+    let b2 = fleet.balancer("b2", "z2").await;
+    let b3 = fleet.balancer("b3", "z2").await;
+    let a1 = fleet.agent("a1", "z1", "ledger").await;
+    let a2 = fleet.agent("a2", "z2", "ledger").await;
+    let other = fleet.agent("x1", "z2", "other").await;
+    let all = [&b1, &b2, &b3, &a1, &a2, &other];
+    until("the service everywhere", || all.iter().all(|it| has_service(it, "ledger", first))).await;
+    let pool = [&b1, &b2, &b3, &a1, &a2];
+    let known = |it: &Control, name: &str| state_in(it, name) == Some(AgentState::Ready);
+    until("the agents", || pool.iter().all(|it| known(it, "a1") && known(it, "a2"))).await;
+    assert_eq!(state_in(&other, "a1"), None, "an agent learns of its own pool only");
+
+    let second = fleet.add_service("intake", 4434);
+    until("a change everywhere", || all.iter().all(|it| has_service(it, "intake", second))).await;
+    fleet.platform.delete("service", "intake");
+    let gone = |it: &Control| !has_service(it, "intake", 0);
+    until("a deletion everywhere", || all.iter().all(|it| gone(it))).await;
+
+    until("it is in force by the reports", || {
+        let zones = ["z1", "z2"].map(|zone| report_of(&fleet, zone));
+        zones.iter().all(|it| it.as_ref().is_some_and(|it| it.in_force > second))
+    })
+    .await;
+    let report = report_of(&fleet, "z1").unwrap();
+    assert!(report.upstreams.iter().any(|it| it.name == "a1" && it.slots == 4));
+    assert!(report.changes.iter().any(|it| it.done_ms >= it.seen_ms && it.done_ms > 0));
+    until("a timeline", || fleet.platform.read("timeline", "events-z2").is_some()).await;
+    intact();
+}
+
+fn report_of(fleet: &Fleet, zone: &str) -> Option<Report> {
+    let mut reports = Vec::new();
+    for number in 0..2 {
+        let object = fleet.platform.read("lease", &Lease::name(zone, number));
+        let lease: Option<Lease> = object.and_then(|it| serde_json::from_value(it.spec).ok());
+        reports.extend(lease.and_then(|it| it.report));
+    }
+    reports.into_iter().max_by_key(|it| it.at_ms)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_agent_is_found_dead_and_a_leaving_one_is_known() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let b2 = fleet.balancer("b2", "z2").await;
+    let a1 = fleet.agent("a1", "z1", "p").await;
+    let a2 = fleet.agent("a2", "z1", "p").await;
+    let both = [&b1, &b2];
+    let all = |name, state| both.iter().all(|it| state_in(it, name) == Some(state));
+    until("both ready", || all("a1", AgentState::Ready) && all("a2", AgentState::Ready)).await;
+    a1.set_state(AgentState::Draining);
+    until("draining", || all("a1", AgentState::Draining)).await;
+    kill(&a1);
+    until("found dead", || all("a1", AgentState::Down)).await;
+    assert!(all("a2", AgentState::Ready));
+    a2.leave().await;
+    until("leaving", || all("a2", AgentState::Leaving)).await;
+    intact();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agents_outlive_their_balancers() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let b2 = fleet.balancer("b2", "z2").await;
+    let a1 = fleet.agent("a1", "z1", "p").await;
+    until("ready", || state_in(&b2, "a1") == Some(AgentState::Ready)).await;
+    let b3 = fleet.balancer("b3", "z1").await;
+    until("known to the new one", || state_in(&b3, "a1") == Some(AgentState::Ready)).await;
+    let mut seen = b3.watch();
+    kill(&b1);
+    let dead = |it: &Control, name: &str| {
+        it.snapshot().balancers.get(name).is_some_and(|it| it.state == BalancerState::Down)
+    };
+    until("the balancer is found dead", || dead(&b2, "b1") && dead(&b3, "b1")).await;
+    kill(&b2);
+    until("the other one too", || dead(&b3, "b2")).await;
+    until("the agent moved", || homes(&a1) == ["b3"]).await;
+    assert_eq!(state_in(&b3, "a1"), Some(AgentState::Ready));
+    assert!(seen.borrow_and_update().agents["a1"].state == AgentState::Ready);
+    let lease = || fleet.platform.read("lease", "seed-z1-0").map(|it| it.spec["holder"].clone());
+    until("the lease is taken over or held", || lease() == Some(json!("b3")) || holds(&b3)).await;
+    let revision = fleet.add_service("ledger", 4433);
+    until("configuration", || has_service(&a1, "ledger", revision)).await;
+    intact();
+}
+
+fn homes(control: &Control) -> Vec<String> {
+    match &control.inner.state.lock().own.role {
+        MemberRole::Agent { homes, .. } => homes.clone(),
+        MemberRole::Balancer { .. } => Vec::new(),
+    }
+}
+
+fn holds(control: &Control) -> bool {
+    let state = control.inner.state.lock();
+    matches!(state.own.role, MemberRole::Balancer { lease: Some(_), .. })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_joins_through_peers_while_the_platform_is_down() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let revision = fleet.add_service("ledger", 4433);
+    until("configuration", || has_service(&b1, "ledger", revision)).await;
+    fleet.platform.set_down(true);
+    let lonely = fleet.balancer("lonely", "z2").await;
+    let b2 = fleet.balancer_with("b2", "z2", &[b1.inner.common.control]).await;
+    until("joined", || has_service(&b2, "ledger", revision)).await;
+    assert!(b2.synced());
+    assert!(!lonely.synced(), "nothing is served that was not verified");
+    fleet.platform.set_down(false);
+    let next = fleet.add_service("intake", 4434);
+    let all = [&b1, &b2, &lonely];
+    until("back to normal", || all.iter().all(|it| has_service(it, "intake", next))).await;
+    intact();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_skipped_event_and_a_lost_answer_are_made_good() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    until("synced", || b1.synced()).await;
+    fleet.platform.skip_events(true);
+    fleet.add_service("ledger", 4433);
+    fleet.platform.lose_next();
+    sleep(Duration::from_secs(1)).await;
+    fleet.platform.skip_events(false);
+    until("found by a list", || has_service(&b1, "ledger", 0)).await;
+    until("the lease is still held", || holds(&b1)).await;
+    intact();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replaced_process_is_fenced() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let old = fleet.agent("a1", "z1", "p").await;
+    until("ready", || state_in(&b1, "a1").is_some()).await;
+    old.inner.state.lock().age();
+    sleep(Duration::from_millis(5)).await;
+    let new = fleet.agent("a1", "z1", "p").await;
+    let mut fenced = old.fenced();
+    within("fenced", fenced.wait_for(|it| *it)).await.unwrap();
+    assert!(!*new.fenced().borrow());
+    intact();
+}
+
+#[tokio::test]
+async fn a_stranger_and_a_faulty_frame_are_refused() {
+    use futures::{SinkExt, StreamExt};
+    use tokio::io::AsyncWriteExt;
+
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let address = b1.inner.common.control;
+    let mut plain = TcpStream::connect(address).await.unwrap();
+    plain.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let stranger = Tls::new(&fleet_pem()).unwrap();
+    let stream = TcpStream::connect(address).await.unwrap();
+    assert!(stranger.connect(stream).await.is_err(), "another CA");
+    let own = Tls::new(&fleet.pem).unwrap();
+    let stream = own.connect(TcpStream::connect(address).await.unwrap()).await.unwrap();
+    let mut frames = frame::frames(stream);
+    frames.send(bytes::Bytes::from(vec![0xff; 64])).await.unwrap();
+    let end = within("the link ends", frames.next()).await;
+    assert!(end.is_none_or(|it| it.is_err()));
+    assert!(b1.inner.state.lock().links.is_empty());
+}
