--- /dev/null
+++ b/crates/standin/src/capacity/decisions.rs
@@ -0,0 +1,283 @@
+//! Costs of the decision crate alone, at sizes that no fleet on one machine has.
+
+use std::{
+    hint::black_box,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+};
+
+use anyhow::Context;
+use camphorwinch_core::{
+    assemble::Assembler,
+    member::{Agent, AgentState, Balancer, BalancerState, Place},
+    object::{Keys, Kind, Object},
+    place::{MIN_INITIAL, Placer},
+    record::{Member, Record, Role, Version},
+    report::{Report, State, UpstreamStatus},
+    view::{Scope, View},
+};
+use nix::time::{ClockId, clock_gettime};
+use rand::{SeedableRng, rngs::StdRng};
+use serde_json::json;
+
+use super::{
+    series::{Ground, Series},
+    usage::Usage,
+};
+use crate::site::{objects, pki::Authority};
+
+const MEMBERS: [usize; 6] = [500, 1_000, 2_000, 4_000, 6_000, 8_000];
+const SERVICES: [usize; 6] = [40, 80, 160, 320, 640, 800];
+const POOL: usize = 9;
+const ZONES: usize = 6;
+const BATCHES: usize = 7;
+const BATCH_NS: u64 = 20_000_000;
+const QUICK_BATCHES: usize = 3;
+const NOW_MS: u64 = 1_800_000_000_000;
+const COPIES: usize = 4;
+
+/// Measures all lines of the decision crate.
+pub fn measure(quick: bool) -> anyhow::Result<Vec<Series>> {
+    let batches = if quick { QUICK_BATCHES } else { BATCHES };
+    let config = Config::new()?;
+    let mut series = by_members(&config, batches)?;
+    series.extend(by_services(&config, batches)?);
+    series.extend(memory(&config)?);
+    series.push(report_bytes()?);
+    Ok(series)
+}
+
+fn decided(id: &'static str, what: &'static str, unit: &'static str, axis: &'static str) -> Series {
+    Series::new(id, what, unit, axis, Ground::Decisions)
+}
+
+/// Objects that all sizes share.
+struct Config {
+    certificate: serde_json::Value,
+    keys: Keys,
+}
+
+impl Config {
+    fn new() -> anyhow::Result<Config> {
+        let leaf = Authority::new("sizes")?.leaf("service-0", &[])?;
+        let certificate = serde_json::to_value(objects::certificate(&leaf))
+            .context("write a certificate as JSON")?;
+        Ok(Config { certificate, keys: objects::keys(&mut StdRng::seed_from_u64(1)) })
+    }
+
+    /// A view with this many services and members, of which one in twelve is a balancer.
+    fn view(&self, services: usize, members: usize) -> anyhow::Result<View> {
+        let mut view = View::new();
+        let mut version = 1;
+        let keys = serde_json::to_value(&self.keys).context("write keys as JSON")?;
+        view.merge(&object(Kind::Keys, "fleet", version, keys), NOW_MS);
+        for i in 0..services {
+            version += 2;
+            let name = format!("service-{i}");
+            let certificate = self.certificate.clone();
+            view.merge(&object(Kind::Certificate, &name, version - 1, certificate), NOW_MS);
+            view.merge(&object(Kind::Service, &name, version, service(i)), NOW_MS);
+        }
+        for i in 0..members {
+            view.merge(&Record::Member(member(i, services, 1)), NOW_MS);
+        }
+        view.confirm(version);
+        Ok(view)
+    }
+}
+
+fn service(i: usize) -> serde_json::Value {
+    let address = SocketAddr::new(ip(1, i), 443);
+    json!({ "address": address.to_string(), "pool": format!("pool-{i}"), "certificate": format!("service-{i}") })
+}
+
+fn object(kind: Kind, name: &str, version: u64, spec: serde_json::Value) -> Record {
+    let object = Object {
+        kind: kind.as_str().to_owned(),
+        name: name.to_owned(),
+        version,
+        writer: objects::mark(),
+        spec,
+    };
+    Record::Object { kind, object }
+}
+
+fn member(i: usize, services: usize, seq: u64) -> Member {
+    let zone = i % ZONES;
+    let place = Place {
+        vm: format!("vm-{i}"),
+        zone: format!("zone-{zone}"),
+        region: format!("region-{}", zone % 2),
+    };
+    let control = SocketAddr::new(ip(2, i), 7_000);
+    let role = if i % 12 == 0 {
+        let balancer =
+            Balancer { name: format!("entry-{i}"), place, control, state: BalancerState::Ready };
+        Role::Balancer { balancer, lease: None }
+    } else {
+        let agent = Agent {
+            name: format!("agent-{i}"),
+            place,
+            pool: format!("pool-{}", (i / POOL) % services.max(1)),
+            data: SocketAddr::new(ip(2, i), 7_001),
+            control,
+            weight: 1.0,
+            slots: 7,
+            connections: 2_000,
+            state: AgentState::Ready,
+        };
+        Role::Agent { agent, homes: vec!["entry-0".to_owned(), "entry-12".to_owned()] }
+    };
+    Member { version: Version::member(NOW_MS, seq), since_ms: NOW_MS, role }
+}
+
+fn ip(block: u8, i: usize) -> IpAddr {
+    let [_, _, high, low] = (i as u32).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(10, block, high, low))
+}
+
+fn by_members(config: &Config, batches: usize) -> anyhow::Result<Vec<Series>> {
+    const AXIS: &str = "members";
+    let mut merge = decided("merge", "merge of a member's announcement into the view", "us", AXIS);
+    let mut digest = decided("digest", "digest of the view for a peer", "us", AXIS);
+    let mut snapshot = decided("snapshot", "snapshot after one change, 680 services", "us", AXIS);
+    let mut placer = decided("placer", "placing tables after one change, 680 services", "us", AXIS);
+    let mut tables = decided("tables", "placing tables, 680 services", "MiB", AXIS);
+    let mut place =
+        decided("place", "placing the first packet of a flow, 680 services", "us", AXIS);
+    for size in MEMBERS {
+        let mut view = config.view(680, size)?;
+        let mut seq = 1;
+        let cost = micros(batches, || {
+            seq += 1;
+            view.merge(&Record::Member(member(1, 680, seq)), NOW_MS)
+        })?;
+        merge.push(size as f64, cost);
+        digest.push(size as f64, micros(batches, || view.digest(&Scope::All))?);
+        let mut assembler = Assembler::new();
+        let (before, faults) = assembler.snapshot(&view);
+        anyhow::ensure!(faults.is_empty(), "build a snapshot: {faults:?}");
+        snapshot.push(size as f64, micros(batches, || assembler.snapshot(&view))?);
+        let former = Placer::new(&before, None, NOW_MS);
+        view.merge(&Record::Member(member(2, 680, 2).down(NOW_MS)), NOW_MS);
+        let (after, _) = assembler.snapshot(&view);
+        let update = micros(batches, || Placer::new(&after, Some(&former), NOW_MS))?;
+        placer.push(size as f64, update);
+        tables.push(size as f64, former.table_bytes() as f64 / (1024.0 * 1024.0));
+        place.push(size as f64, placing(&former, batches)?);
+    }
+    Ok(vec![merge, digest, snapshot, placer, tables, place])
+}
+
+fn placing(placer: &Placer, batches: usize) -> anyhow::Result<f64> {
+    let listener = placer.listeners().values().next().context("place a packet: no service")?;
+    let mut datagram = vec![0; MIN_INITIAL];
+    datagram[..6].copy_from_slice(&[0xc0, 0, 0, 0, 1, 8]);
+    let mut caller = 0u32;
+    micros(batches, || {
+        caller = caller.wrapping_add(1);
+        datagram[6..10].copy_from_slice(&caller.to_be_bytes());
+        let from = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(caller)), 4_000);
+        placer.place(listener, from, &datagram)
+    })
+}
+
+fn by_services(config: &Config, batches: usize) -> anyhow::Result<Vec<Series>> {
+    const AXIS: &str = "services";
+    let mut mark = decided("mark", "statement of how complete the configuration is", "us", AXIS);
+    let mut snapshot =
+        decided("snapshot-services", "snapshot after one change, 6,420 members", "us", AXIS);
+    let mut placer =
+        decided("placer-services", "placing tables after one change, 6,420 members", "us", AXIS);
+    for size in SERVICES {
+        let view = config.view(size, 6_420)?;
+        mark.push(size as f64, micros(batches, || view.mark())?);
+        let mut assembler = Assembler::new();
+        let (before, _) = assembler.snapshot(&view);
+        snapshot.push(size as f64, micros(batches, || assembler.snapshot(&view))?);
+        let former = Placer::new(&before, None, NOW_MS);
+        placer.push(size as f64, micros(batches, || Placer::new(&before, Some(&former), NOW_MS))?);
+    }
+    Ok(vec![mark, snapshot, placer])
+}
+
+/// Memory, as the growth of this process with several copies.
+fn memory(config: &Config) -> anyhow::Result<Vec<Series>> {
+    let mut members = decided("view-memory", "view and snapshot, no services", "MiB", "members");
+    for size in MEMBERS {
+        members.push(size as f64, grown(config, 0, size)?);
+    }
+    let mut services = decided("config-memory", "view and snapshot, no members", "MiB", "services");
+    for size in SERVICES {
+        services.push(size as f64, grown(config, size, 0)?);
+    }
+    Ok(vec![members, services])
+}
+
+fn grown(config: &Config, services: usize, members: usize) -> anyhow::Result<f64> {
+    let before = Usage::read(std::process::id())?.own_mib;
+    let mut held = Vec::new();
+    for _ in 0..COPIES {
+        let view = config.view(services, members)?;
+        let mut assembler = Assembler::new();
+        let snapshot = assembler.snapshot(&view).0;
+        held.push((view, assembler, snapshot));
+    }
+    let after = Usage::read(std::process::id())?.own_mib;
+    black_box(&held);
+    Ok((after - before).max(0.0) / COPIES as f64)
+}
+
+fn report_bytes() -> anyhow::Result<Series> {
+    let mut bytes =
+        decided("report", "report of a zone in its lease object", "bytes", "upstreams of the zone");
+    for size in [60, 120, 250, 500, 1_000] {
+        let mut report = Report { zone: "zone-0".to_owned(), at_ms: NOW_MS, ..Report::default() };
+        for i in 0..size {
+            report.upstreams.push(UpstreamStatus {
+                name: format!("agent-{i}"),
+                pool: format!("pool-{}", i / POOL),
+                vm: format!("vm-{i}"),
+                zone: "zone-0".to_owned(),
+                state: State::Ready,
+                flows: 1_542,
+                busy: 5,
+                slots: 7,
+                since_ms: NOW_MS,
+            });
+        }
+        let text = serde_json::to_vec(&report).context("write a report as JSON")?;
+        bytes.push(size as f64, text.len() as f64);
+    }
+    Ok(bytes)
+}
+
+/// Processor time of one call in microseconds: the least of several batches, as the machine is shared.
+fn micros<F, T>(batches: usize, mut call: F) -> anyhow::Result<f64>
+where
+    F: FnMut() -> T,
+{
+    let mut count = 1u64;
+    let mut best = f64::INFINITY;
+    let mut done = 0;
+    while done < batches {
+        let start = thread_nanos()?;
+        for _ in 0..count {
+            black_box(call());
+        }
+        let spent = thread_nanos()? - start;
+        if spent < BATCH_NS {
+            let scale = (BATCH_NS / spent.max(1) + 1).clamp(2, 16);
+            count *= scale;
+            continue;
+        }
+        best = best.min(spent as f64 / count as f64 / 1_000.0);
+        done += 1;
+    }
+    Ok(best)
+}
+
+fn thread_nanos() -> anyhow::Result<u64> {
+    let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
+        .context("read the processor time of this thread")?;
+    Ok(time.tv_sec() as u64 * 1_000_000_000 + time.tv_nsec() as u64)
+}
--- a/crates/standin/src/capacity/fleet.rs
+++ b/crates/standin/src/capacity/fleet.rs
@@ -37,6 +37,8 @@
 const POLL: Duration = Duration::from_millis(50);
 const DAEMON: &str = "camphorwinchd";
 const STANDIN: &str = "camphorwinch-standin";
+const APPLIED: &str = "/control/applied";
+const LINKS: &str = "/control/links";
 const CONTROL_BYTES: &str = "camphorwinch_control_bytes_total";
 
 /// A balancer or an agent that runs.
@@ -85,6 +87,19 @@
     pub calls: f64,
 }
 
+/// What the mean daemon has used since a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Used {
+    /// Seconds since the moment.
+    pub seconds: f64,
+    /// Processor time, in seconds.
+    pub cpu_s: f64,
+    /// Control bytes.
+    pub bytes: f64,
+    /// Memory now, in MiB.
+    pub rss_mib: f64,
+}
+
 /// Readings of all daemons at one moment.
 #[derive(Clone, Debug)]
 pub struct Moment {
@@ -417,6 +432,66 @@
         self.close(&start).await
     }
 
+    /// Starts a window over the balancers alone, as agents come and go.
+    pub async fn open_balancers(&self) -> anyhow::Result<Moment> {
+        let control = self.balancer_bytes().await?;
+        let mut balancers = Vec::new();
+        for (it, control) in self.balancers.iter().zip(control) {
+            balancers.push(Reading { usage: Usage::read(it.pid()?)?, control });
+        }
+        Ok(Moment { at: Instant::now(), balancers, agents: Vec::new(), calls: 0 })
+    }
+
+    /// Ends a window over the balancers alone: what the mean one used for each second.
+    pub async fn close_balancers(&self, start: &Moment) -> anyhow::Result<Rate> {
+        let used = self.used_by_balancers(start).await?;
+        let seconds = used.seconds;
+        Ok(Rate {
+            cpu: 100.0 * used.cpu_s / seconds,
+            control: used.bytes / seconds,
+            rss: used.rss_mib,
+        })
+    }
+
+    /// What the mean balancer has used since the start of a window.
+    pub async fn used_by_balancers(&self, start: &Moment) -> anyhow::Result<Used> {
+        let mut used = Used::default();
+        let n = self.balancers.len() as f64;
+        for (it, from) in self.balancers.iter().zip(&start.balancers) {
+            let usage = Usage::read(it.pid()?)?;
+            used.cpu_s += (usage.cpu_s - from.usage.cpu_s) / n;
+            used.rss_mib += usage.rss_mib / n;
+        }
+        used.seconds = start.at.elapsed().as_secs_f64();
+        for (bytes, from) in self.balancer_bytes().await?.into_iter().zip(&start.balancers) {
+            used.bytes += (bytes - from.control) / n;
+        }
+        Ok(used)
+    }
+
+    async fn balancer_bytes(&self) -> anyhow::Result<Vec<f64>> {
+        let reads = self.balancers.iter().map(|it| self.control_bytes(it.operator));
+        join_all(reads).await.into_iter().collect()
+    }
+
+    /// Mean number of links of a balancer to other balancers.
+    pub async fn links(&self) -> anyhow::Result<f64> {
+        let mut sum = 0.0;
+        for it in &self.balancers {
+            let status = self.status(it.operator).await?;
+            let links = status.pointer(LINKS).and_then(Value::as_f64);
+            sum += links.with_context(|| format!("status of {}: no {LINKS}", it.name))?;
+        }
+        Ok(sum / self.balancers.len().max(1) as f64)
+    }
+
+    /// Revision that a daemon has in force.
+    pub async fn applied(&self, operator: SocketAddr) -> anyhow::Result<u64> {
+        let status = self.status(operator).await?;
+        let applied = status.pointer(APPLIED).and_then(Value::as_u64);
+        applied.with_context(|| format!("status of {operator}: no {APPLIED}"))
+    }
+
     /// Kills some agents at once, by their numbers.
     pub async fn kill_agents(&mut self, numbers: &[usize]) -> anyhow::Result<()> {
         let mut kills = Vec::new();
--- a/crates/standin/src/capacity/output.rs
+++ b/crates/standin/src/capacity/output.rs
@@ -93,7 +93,10 @@
         for term in &it.terms {
             let Value { mean, error } = term.value;
             let (role, resource, unit) = (it.role, it.resource, it.unit);
-            line(&mut text, format_args!("{role},{resource},{unit},{},{mean},{error},,", term.what));
+            line(
+                &mut text,
+                format_args!("{role},{resource},{unit},{},{mean},{error},,", term.what),
+            );
         }
         let Value { mean, error } = it.value();
         line(
@@ -123,7 +126,10 @@
         ),
     );
     line(&mut text, format_args!("## Lines\n"));
-    line(&mut text, format_args!("| series | what | against | sizes | slope | at size 0 | R2 | on |"));
+    line(
+        &mut text,
+        format_args!("| series | what | against | sizes | slope | at size 0 | R2 | on |"),
+    );
     line(&mut text, format_args!("| --- | --- | --- | --- | --- | --- | --- | --- |"));
     for it in &measured.series {
         slope_row(&mut text, it);
--- /dev/null
+++ b/crates/standin/src/cmd/capacity.rs
@@ -0,0 +1,107 @@
+//! `capacity`.
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::{Command, ExitCode},
+    time::Instant,
+};
+
+use anyhow::Context;
+use bpaf::Bpaf;
+
+use crate::capacity::{
+    Part, Plan,
+    output::{self, Circumstances},
+    series::Measured,
+    size,
+    usage::load_average,
+};
+
+/// Measure cost against size, and work out the size designed for
+///
+/// Starts real processes on loopback addresses, at five sizes or more of each axis, and measures the decision crate at
+/// larger sizes. Writes points.csv, slopes.csv, totals.csv, tables.md and a plot for each line into the folder. Needs a
+/// release build of the whole workspace; up to 190 processes, 6 GB and 12 minutes, or 2 minutes with --quick.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(command)]
+pub struct Capacity {
+    /// Folder for the files of the run
+    #[bpaf(argument("DIR"), fallback(PathBuf::from("docs/capacity")))]
+    pub out: PathBuf,
+    /// Smaller sizes and shorter times
+    pub quick: bool,
+    /// Measure only this part; several may be given
+    #[bpaf(argument("PART"))]
+    pub part: Vec<Part>,
+    /// Folder with the programs; the folder of this one when left out
+    #[bpaf(argument("DIR"))]
+    pub bin_dir: Option<PathBuf>,
+}
+
+impl Capacity {
+    /// Runs the subcommand.
+    pub async fn run(self) -> anyhow::Result<ExitCode> {
+        let start = Instant::now();
+        let logs = env::temp_dir().join(format!("camphorwinch-capacity-{}", std::process::id()));
+        let plan = Plan { quick: self.quick, bin: self.bin()?, logs };
+        let load = load_average();
+        let parts = if self.part.is_empty() { Part::ALL.to_vec() } else { self.part.clone() };
+        let (measured, failed) = measure(&plan, &parts).await;
+        let run = Circumstances {
+            commit: commit(),
+            cores: std::thread::available_parallelism().map_or(0, usize::from),
+            load: [load, load_average()],
+            quick: self.quick,
+            seconds: start.elapsed().as_secs(),
+        };
+        output::write(&self.out, &run, &measured, &size::totals(&measured))?;
+        if failed {
+            eprintln!("logs of the processes: {}", plan.logs.display());
+            return Ok(ExitCode::FAILURE);
+        }
+        remove(&plan.logs);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn bin(&self) -> anyhow::Result<PathBuf> {
+        if let Some(dir) = &self.bin_dir {
+            return Ok(dir.clone());
+        }
+        let program = env::current_exe().context("find the folder of this program")?;
+        Ok(program.parent().unwrap_or(Path::new(".")).to_owned())
+    }
+}
+
+/// Measures the parts one after another; a part that fails is told and left out.
+async fn measure(plan: &Plan, parts: &[Part]) -> (Measured, bool) {
+    let mut measured = Measured::default();
+    let mut failed = false;
+    for part in parts {
+        let start = Instant::now();
+        match part.measure(plan).await {
+            Ok(series) => {
+                eprintln!("{}: {} s", part.as_str(), start.elapsed().as_secs());
+                measured.extend(series);
+            }
+            Err(error) => {
+                eprintln!("{}: failed: {error:#}", part.as_str());
+                failed = true;
+            }
+        }
+    }
+    (measured, failed)
+}
+
+fn commit() -> String {
+    let output = Command::new("git").args(["describe", "--always", "--dirty"]).output();
+    let text = output.ok().filter(|it| it.status.success()).map(|it| it.stdout);
+    let text = text.and_then(|it| String::from_utf8(it).ok());
+    text.map_or_else(|| "unknown".to_owned(), |it| it.trim().to_owned())
+}
+
+fn remove(logs: &Path) {
+    if let Err(error) = fs::remove_dir_all(logs) {
+        tracing::debug!(%error, "remove the logs");
+    }
+}
