--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,64 @@
+//! A small fleet for the tests of the packet path.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use camphorwinch_core::{
+    member::{Agent, AgentState, Place},
+    object::{KeySpec, KeyUse, Keys, Policy, Service, ServiceId},
+    seal::{Home, KeyRing},
+    snapshot::{ServiceEntry, Snapshot},
+};
+
+pub(crate) const SERVICE: &str = "ledger";
+
+pub(crate) fn keys() -> Keys {
+    let key = KeySpec { epoch: 1, secret: [1; 32], usage: KeyUse::Seal };
+    Keys { reset: [2; 32], keys: vec![key] }
+}
+
+pub(crate) fn ring() -> KeyRing {
+    KeyRing::new(&keys()).expect("a key seals")
+}
+
+/// A snapshot with one service at `address` and an agent at each of `agents`.
+pub(crate) fn snapshot(address: SocketAddr, agents: &[SocketAddr]) -> Snapshot {
+    let spec = Service {
+        address,
+        pool: SERVICE.to_owned(),
+        certificate: "cert".to_owned(),
+        policy: Policy::Steady,
+        weights: Default::default(),
+        key_window_s: 600,
+        retry_budget: 0.1,
+        connections: 2_000,
+    };
+    let entry = ServiceEntry { name: SERVICE.to_owned(), version: 1, spec };
+    let mut snapshot = Snapshot { keys: Some(keys()), ..Snapshot::default() };
+    snapshot.services.insert(ServiceId::new(SERVICE), entry);
+    for (number, &data) in agents.iter().enumerate() {
+        let name = format!("ledger-{number}");
+        let agent = Agent {
+            name: name.clone(),
+            place: Place::default(),
+            pool: SERVICE.to_owned(),
+            data,
+            control: data,
+            weight: 1.0,
+            slots: 7,
+            connections: 2_000,
+            state: AgentState::Ready,
+        };
+        snapshot.agents.insert(name, agent);
+    }
+    snapshot
+}
+
+/// A packet of an established flow at `agent`, `len` bytes long.
+pub(crate) fn established(agent: SocketAddrV4, flow: u16, len: usize) -> Vec<u8> {
+    let [high, low] = flow.to_be_bytes();
+    let home = Home { agent, service: ServiceId::new(SERVICE) };
+    let cid = ring().seal(home, [0, high, low]);
+    let mut datagram = [&[0x40], &cid[..]].concat();
+    datagram.resize(len, 0x5a);
+    datagram
+}
