--- a/crates/standin/src/fabric/counts.rs
+++ b/crates/standin/src/fabric/counts.rs
@@ -38,3 +38,22 @@
     /// Datagrams that the operating system did not take, and callers for which it gave no socket.
     pub errors: u64,
 }
+
+impl ServiceCounts {
+    /// Adds the counts of another shard.
+    pub(super) fn add(&mut self, other: &ServiceCounts) {
+        self.callers += other.callers;
+        self.opened += other.opened;
+        self.forward += other.forward;
+        self.back += other.back;
+        for (balancer, count) in &other.balancers {
+            *self.balancers.entry(*balancer).or_default() += count;
+        }
+        self.lost += other.lost;
+        self.duplicated += other.duplicated;
+        self.reordered += other.reordered;
+        self.cut += other.cut;
+        self.unrouted += other.unrouted;
+        self.errors += other.errors;
+    }
+}
--- a/crates/standin/src/fabric/relay.rs
+++ b/crates/standin/src/fabric/relay.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use quinn_udp::{RecvMeta, Transmit, UdpSocketState};
 use rand::{SeedableRng, rngs::StdRng};
-use socket2::{SockAddr, SockRef};
+use socket2::{Domain, Protocol, SockAddr, SockRef, Socket, Type};
 use tokio::{
     io::Interest,
     net::UdpSocket,
@@ -39,12 +39,16 @@
 }
 
 impl Udp {
-    pub(super) fn bind(addr: SocketAddr) -> anyhow::Result<Udp> {
+    /// Binds the address; a shared one can be bound again, and its callers are divided over the sockets.
+    pub(super) fn bind(addr: SocketAddr, shared: bool) -> anyhow::Result<Udp> {
         let step = || format!("bind {addr}/udp");
-        let socket = std::net::UdpSocket::bind(addr).with_context(step)?;
-        let raw = SockRef::from(&socket);
+        let raw = Socket::new(Domain::for_address(addr), Type::DGRAM, Some(Protocol::UDP));
+        let raw = raw.with_context(step)?;
+        raw.set_reuse_port(shared).with_context(step)?;
+        raw.bind(&addr.into()).with_context(step)?;
         raw.set_recv_buffer_size(SOCKET_BUFFER).with_context(step)?;
         raw.set_send_buffer_size(SOCKET_BUFFER).with_context(step)?;
+        let socket = std::net::UdpSocket::from(raw);
         let state = UdpSocketState::new((&socket).into()).with_context(step)?;
         socket.set_nonblocking(true).with_context(step)?;
         let socket = UdpSocket::from_std(socket).with_context(step)?;
@@ -110,7 +114,7 @@
         caller: SocketAddr,
         shared: Arc<Shared>,
     ) -> anyhow::Result<Relay> {
-        let udp = Udp::bind(SocketAddr::new(ip, 0))?;
+        let udp = Udp::bind(SocketAddr::new(ip, 0), false)?;
         Ok(Relay { udp, caller, used: AtomicU64::new(shared.now_ms()), shared })
     }
 
--- a/crates/standin/src/fabric/service.rs
+++ b/crates/standin/src/fabric/service.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rustc_hash::FxHashMap;
 use tokio::{
-    sync::{oneshot, watch},
+    sync::watch,
     task::{AbortHandle, JoinSet},
     time::{Instant, MissedTickBehavior, interval},
 };
@@ -23,6 +23,9 @@
     relay::{BUFFER, Buffers, Relay, Udp},
 };
 
+/// Sockets on one service address, each with a task and a receive buffer of its own.
+const SHARDS: u64 = 4;
+
 /// What the service's task shares with the relays of its callers.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -51,12 +54,11 @@
     pub(super) faults: watch::Receiver<Arc<Faults>>,
 }
 
-/// A service address that is being served; its task ends when this value is dropped.
+/// A service address that is being served; its tasks end when this value is dropped.
 #[derive(Debug)]
 pub(super) struct Service {
-    shared: Arc<Shared>,
+    shards: Vec<Arc<Shared>>,
     balancers: watch::Sender<Vec<SocketAddr>>,
-    _open: oneshot::Sender<()>,
 }
 
 impl Service {
@@ -65,28 +67,22 @@
         balancers: &[SocketAddr],
         common: &Common,
     ) -> anyhow::Result<Service> {
-        let seed = common.seed ^ u64::from(addr.port());
-        let shared = Arc::new(Shared {
-            udp: Udp::bind(addr)?,
-            counts: Mutex::default(),
-            buffers: Buffers::default(),
-            started: Instant::now(),
-            seed,
-            faults: common.faults.clone(),
-        });
+        let mut shards = Vec::new();
+        for shard in 0..SHARDS {
+            shards.push(Arc::new(Shared {
+                udp: Udp::bind(addr, true)?,
+                counts: Mutex::default(),
+                buffers: Buffers::default(),
+                started: Instant::now(),
+                seed: common.seed ^ u64::from(addr.port()) ^ (shard << u32::BITS),
+                faults: common.faults.clone(),
+            }));
+        }
         let (balancers, route) = watch::channel(balancers.to_vec());
-        let (open, closed) = oneshot::channel();
-        let task = Task {
-            shared: shared.clone(),
-            ip: common.ip,
-            idle: common.idle,
-            route,
-            random: StdRng::seed_from_u64(seed),
-            callers: FxHashMap::default(),
-            tasks: JoinSet::new(),
-        };
-        tokio::spawn(task.run(closed));
-        Ok(Service { shared, balancers, _open: open })
+        for shared in &shards {
+            tokio::spawn(Task::new(shared.clone(), common, route.clone()).run());
+        }
+        Ok(Service { shards, balancers })
     }
 
     pub(super) fn set_balancers(&self, balancers: &[SocketAddr]) {
@@ -98,11 +94,15 @@
     }
 
     pub(super) fn counts(&self) -> ServiceCounts {
-        self.shared.counts.lock().clone()
+        let mut sum = ServiceCounts::default();
+        for shared in &self.shards {
+            sum.add(&shared.counts.lock());
+        }
+        sum
     }
 }
 
-/// The task that reads the service's socket.
+/// The task that reads one of the service's sockets.
 struct Task {
     shared: Arc<Shared>,
     ip: IpAddr,
@@ -114,14 +114,29 @@
 }
 
 impl Task {
-    async fn run(mut self, mut closed: oneshot::Receiver<()>) {
+    fn new(shared: Arc<Shared>, common: &Common, route: watch::Receiver<Vec<SocketAddr>>) -> Task {
+        Task {
+            ip: common.ip,
+            idle: common.idle,
+            route,
+            random: StdRng::seed_from_u64(shared.seed),
+            callers: FxHashMap::default(),
+            tasks: JoinSet::new(),
+            shared,
+        }
+    }
+
+    async fn run(mut self) {
         let mut buffer = vec![0; BUFFER * BATCH_SIZE];
         let mut sweep = interval(self.idle / 4);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let shared = self.shared.clone();
         loop {
             tokio::select! {
-                _ = &mut closed => return,
+                changed = self.route.changed() => match changed {
+                    Ok(()) => {}
+                    Err(_) => return,
+                },
                 _ = sweep.tick() => self.forget_idle(),
                 Some(_) = self.tasks.join_next() => {}
                 ready = shared.udp.socket.readable() => match ready {
