--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod server;
 pub mod site;
 pub mod stop;
+pub mod upstream;
