--- a/crates/standin/src/capacity/changes.rs
+++ b/crates/standin/src/capacity/changes.rs
@@ -14,6 +14,7 @@
     series::{Ground, Series},
 };
 
+const ZONES: usize = 2;
 const BALANCERS: usize = 6;
 const AGENTS: usize = 24;
 const POLL: Duration = Duration::from_millis(20);
@@ -42,7 +43,7 @@
         Series::new("agent-bytes-changes", "agent under changes, control", "bytes/s", RATE, ground),
         Series::new("calls-changes", "fleet under changes, platform", "calls/s", RATE, ground),
     ];
-    let mut fleet = plan.fleet("changes").await?;
+    let mut fleet = plan.fleet("changes", ZONES).await?;
     fleet.add_services(20, 20).await?;
     fleet.add_balancers(BALANCERS)?;
     fleet.add_agents(AGENTS)?;
@@ -53,8 +54,8 @@
         let written = write_at(&fleet, rate, plan.window()).await?;
         let window = fleet.close(&start).await?;
         let values = [
-            (written, window.balancer.cpu),
-            (written, window.balancer.control),
+            (written, window.plain.cpu),
+            (written, window.plain.control),
             (written, window.agent.cpu),
             (written, window.agent.control),
             (written, window.calls),
@@ -74,7 +75,7 @@
         Series::new("in-force-p99", "accepted to in force at all, p99", "s", AXIS, ground),
         Series::new("in-force-worst", "accepted to in force at all, worst", "s", AXIS, ground),
     ];
-    let mut fleet = plan.fleet("times").await?;
+    let mut fleet = plan.fleet("times", ZONES).await?;
     fleet.add_services(20, 20).await?;
     for &(balancers, agents) in plan.time_sizes() {
         fleet.add_balancers(balancers)?;
--- a/crates/standin/src/capacity/decisions.rs
+++ b/crates/standin/src/capacity/decisions.rs
@@ -33,7 +33,7 @@
 const BATCHES: usize = 7;
 const BATCH_NS: u64 = 20_000_000;
 const QUICK_BATCHES: usize = 3;
-const NOW_MS: u64 = 1_800_000_000_000;
+const NOW_MS: u64 = 1_790_000_000_000;
 const COPIES: usize = 4;
 const BALANCER_EVERY: usize = 12;
 
@@ -133,6 +133,28 @@
     Member { version: Version::member(NOW_MS, seq), since_ms: NOW_MS, role }
 }
 
+/// An agent that exists only as a record, homed at one balancer.
+pub fn made_up_agent(i: usize, zone: usize, home: &str) -> Member {
+    let place = Place {
+        vm: format!("vm-made-{i}"),
+        zone: format!("zone-{zone}"),
+        region: format!("region-{}", zone % 2),
+    };
+    let agent = Agent {
+        name: format!("made-{i}"),
+        place,
+        pool: format!("pool-{}", i / POOL),
+        data: SocketAddr::new(ip(3, i), 7_001),
+        control: SocketAddr::new(ip(3, i), 7_000),
+        weight: 1.0,
+        slots: 7,
+        connections: 2_000,
+        state: AgentState::Ready,
+    };
+    let role = Role::Agent { agent, homes: vec![home.to_owned()] };
+    Member { version: Version::member(NOW_MS, 1), since_ms: NOW_MS, role }
+}
+
 fn ip(block: u8, i: usize) -> IpAddr {
     let [_, _, high, low] = (i as u32).to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(10, block, high, low))
--- a/crates/standin/src/capacity/events.rs
+++ b/crates/standin/src/capacity/events.rs
@@ -13,6 +13,7 @@
     series::{Ground, Series},
 };
 
+const ZONES: usize = 2;
 const BALANCERS: usize = 6;
 const AGENTS: usize = 36;
 const OUTAGE: Duration = Duration::from_secs(8);
@@ -38,7 +39,7 @@
             ground,
         ),
     ];
-    let mut fleet = plan.fleet("events").await?;
+    let mut fleet = plan.fleet("events", ZONES).await?;
     fleet.add_services(20, 20).await?;
     fleet.add_balancers(BALANCERS)?;
     fleet.add_agents(AGENTS)?;
@@ -84,7 +85,7 @@
         Series::new("storm-calls", "calls of the platform", "calls", AXIS, ground),
     ];
     for &count in plan.storms() {
-        let mut fleet = plan.fleet("storm").await?;
+        let mut fleet = plan.fleet("storm", ZONES).await?;
         fleet.add_services(20, 20).await?;
         fleet.add_balancers(BALANCERS)?;
         fleet.settle(Plan::LIMIT).await?;
@@ -121,7 +122,7 @@
             ground,
         ),
     ];
-    let mut fleet = plan.fleet("outages").await?;
+    let mut fleet = plan.fleet("outages", ZONES).await?;
     fleet.add_services(20, 20).await?;
     for &count in plan.balancers() {
         fleet.add_balancers(count)?;
--- a/crates/standin/src/capacity/fleet.rs
+++ b/crates/standin/src/capacity/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
@@ -28,7 +28,6 @@
     },
 };
 
-const ZONES: usize = 6;
 const REGIONS: usize = 2;
 /// Upstreams behind a service at the size designed for: 5,900 behind 680.
 const POOL: usize = 9;
@@ -37,6 +36,9 @@
 const POLL: Duration = Duration::from_millis(50);
 const DAEMON: &str = "camphorwinchd";
 const STANDIN: &str = "camphorwinch-standin";
+const LEASE: &str = "/control/lease";
+const MEMBERS: &str = "/control/members";
+const BALANCER: &str = "entry-";
 const APPLIED: &str = "/control/applied";
 const LINKS: &str = "/control/links";
 const CONTROL_BYTES: &str = "camphorwinch_control_bytes_total";
@@ -74,17 +76,19 @@
     pub rss: f64,
 }
 
-/// Means over the processes of each role, in a window.
+/// Means over the processes of each class, in a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Window {
-    /// Mean balancer.
-    pub balancer: Rate,
+    /// Mean balancer that holds no lease.
+    pub plain: Rate,
+    /// Mean balancer that holds the first lease of its zone, and so reports for it.
+    pub seed: Rate,
     /// Mean agent.
     pub agent: Rate,
-    /// The balancer that used most of each.
-    pub worst: Rate,
     /// Calls of the platform, for each second.
     pub calls: f64,
+    /// Bytes that the platform answered with, for each second.
+    pub answers: f64,
 }
 
 /// What the mean daemon has used since a moment.
@@ -106,7 +110,7 @@
     at: Instant,
     balancers: Vec<Reading>,
     agents: Vec<Reading>,
-    calls: u64,
+    counts: Counts,
 }
 
 /// A fleet of real processes.
@@ -131,11 +135,12 @@
     service_host: IpAddr,
     standins: BTreeMap<&'static str, Process>,
     pools: usize,
+    zones: usize,
 }
 
 impl Fleet {
     /// Starts the platform and an upstream, with keys but no services, and no daemons yet.
-    pub async fn start(bin: &std::path::Path, folder: &std::path::Path) -> anyhow::Result<Fleet> {
+    pub async fn start(bin: &Path, folder: &Path, zones: usize) -> anyhow::Result<Fleet> {
         let mut block = Block::new()?;
         let platform = SocketAddr::new(block.host()?, block.port(PORTS[0]));
         let upstream = SocketAddr::new(block.host()?, block.port(PORTS[1]));
@@ -158,6 +163,7 @@
             service_host,
             standins: BTreeMap::new(),
             pools: 1,
+            zones,
         };
         fleet.start_standins().await?;
         let keys = objects::keys(&mut StdRng::seed_from_u64(1));
@@ -249,7 +255,7 @@
     /// Starts balancers until there are `count`.
     pub fn add_balancers(&mut self, count: usize) -> anyhow::Result<()> {
         for i in self.balancers.len()..count {
-            let name = format!("entry-{i}");
+            let name = format!("{BALANCER}{i}");
             let host = self.block.host()?;
             let mut args = vec!["balance".to_owned()];
             args.extend(self.common(&name, i, host));
@@ -298,7 +304,7 @@
     }
 
     fn common(&self, name: &str, number: usize, host: IpAddr) -> Vec<String> {
-        let zone = number % ZONES;
+        let zone = number % self.zones;
         let mut args = Vec::new();
         for (flag, value) in [
             ("--name", name.to_owned()),
@@ -382,7 +388,7 @@
             usage = self.usages()?;
         }
         let control = join_all(self.daemons().map(|it| self.control_bytes(it.operator))).await;
-        let calls = self.counts().await?.total;
+        let counts = self.counts().await?;
         if start {
             usage = self.usages()?;
         }
@@ -391,7 +397,7 @@
             readings.push(Reading { usage, control: control? });
         }
         let agents = readings.split_off(self.balancers.len());
-        Ok(Moment { at: Instant::now(), balancers: readings, agents, calls })
+        Ok(Moment { at: Instant::now(), balancers: readings, agents, counts })
     }
 
     fn usages(&self) -> anyhow::Result<Vec<Usage>> {
@@ -409,19 +415,29 @@
         self.moment(true).await
     }
 
-    /// Ends a window: what each role used on average.
+    /// Ends a window: what each class used on average.
     pub async fn close(&self, start: &Moment) -> anyhow::Result<Window> {
         let end = self.moment(false).await?;
         let seconds = (end.at - start.at).as_secs_f64();
         let rates = |from: &[Reading], to: &[Reading]| -> Vec<Rate> {
             from.iter().zip(to).map(|(from, to)| rate(from, to, seconds)).collect()
         };
-        let balancers = rates(&start.balancers, &end.balancers);
+        let mut plain = Vec::new();
+        let mut seeds = Vec::new();
+        for (it, rate) in self.balancers.iter().zip(rates(&start.balancers, &end.balancers)) {
+            let status = self.status(it.operator).await?;
+            match status.pointer(LEASE).and_then(Value::as_u64) {
+                None => plain.push(rate),
+                Some(0) => seeds.push(rate),
+                Some(_) => {}
+            }
+        }
         Ok(Window {
-            balancer: mean(&balancers),
+            plain: mean(&plain),
+            seed: mean(&seeds),
             agent: mean(&rates(&start.agents, &end.agents)),
-            worst: most(&balancers),
-            calls: (end.calls - start.calls) as f64 / seconds,
+            calls: (end.counts.total - start.counts.total) as f64 / seconds,
+            answers: (end.counts.bytes_out - start.counts.bytes_out) as f64 / seconds,
         })
     }
 
@@ -439,7 +455,7 @@
         for (it, control) in self.balancers.iter().zip(control) {
             balancers.push(Reading { usage: Usage::read(it.pid()?)?, control });
         }
-        Ok(Moment { at: Instant::now(), balancers, agents: Vec::new(), calls: 0 })
+        Ok(Moment { at: Instant::now(), balancers, agents: Vec::new(), counts: Counts::default() })
     }
 
     /// Ends a window over the balancers alone: what the mean one used for each second.
@@ -474,15 +490,54 @@
         join_all(reads).await.into_iter().collect()
     }
 
-    /// Mean number of links of a balancer to other balancers.
+    /// Mean number of links to other balancers, of balancers that hold no lease.
     pub async fn links(&self) -> anyhow::Result<f64> {
-        let mut sum = 0.0;
+        let mut counts = Vec::new();
         for it in &self.balancers {
             let status = self.status(it.operator).await?;
-            let links = status.pointer(LINKS).and_then(Value::as_f64);
-            sum += links.with_context(|| format!("status of {}: no {LINKS}", it.name))?;
+            let links = status.pointer(LINKS).and_then(Value::as_array);
+            let links = links.with_context(|| format!("status of {}: no {LINKS}", it.name))?;
+            if status.pointer(LEASE).is_some_and(Value::is_u64) {
+                continue;
+            }
+            let to_balancer = |it: &&Value| it.as_str().is_some_and(|it| it.starts_with(BALANCER));
+            counts.push(links.iter().filter(to_balancer).count());
+        }
+        Ok(counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64)
+    }
+
+    /// The balancers that hold the first lease of their zone, with the number of the zone.
+    pub async fn seeds(&self) -> anyhow::Result<Vec<(usize, &Daemon)>> {
+        let mut seeds = Vec::new();
+        for (number, it) in self.balancers.iter().enumerate() {
+            let status = self.status(it.operator).await?;
+            if status.pointer(LEASE).and_then(Value::as_u64) == Some(0) {
+                seeds.push((number % self.zones, it));
+            }
         }
-        Ok(sum / self.balancers.len().max(1) as f64)
+        Ok(seeds)
+    }
+
+    /// Number of zones.
+    pub fn zones(&self) -> usize {
+        self.zones
+    }
+
+    /// A certificate of the fleet.
+    pub fn leaf(&self, name: &str) -> anyhow::Result<Leaf> {
+        self.authority.leaf(name, &[])
+    }
+
+    /// Control address of a daemon.
+    pub fn control(&self, it: &Daemon) -> SocketAddr {
+        SocketAddr::new(it.host, self.block.port(PORTS[3]))
+    }
+
+    /// Number of members that a daemon knows.
+    pub async fn members(&self, it: &Daemon) -> anyhow::Result<u64> {
+        let status = self.status(it.operator).await?;
+        let count = status.pointer(MEMBERS).and_then(Value::as_u64);
+        count.with_context(|| format!("status of {}: no {MEMBERS}", it.name))
     }
 
     /// Revision that a daemon has in force.
@@ -547,11 +602,6 @@
     Rate { cpu: sum(|it| it.cpu), control: sum(|it| it.control), rss: sum(|it| it.rss) }
 }
 
-fn most(rates: &[Rate]) -> Rate {
-    let top = |of: fn(&Rate) -> f64| rates.iter().map(of).fold(0.0, f64::max);
-    Rate { cpu: top(|it| it.cpu), control: top(|it| it.control), rss: top(|it| it.rss) }
-}
-
 /// Sum of a metric over its labels.
 pub fn metric(text: &str, name: &str) -> f64 {
     let mut sum = 0.0;
--- a/crates/standin/src/capacity/flows.rs
+++ b/crates/standin/src/capacity/flows.rs
@@ -18,6 +18,7 @@
 };
 use crate::caller::{Target, client, flow::Flow};
 
+const ZONES: usize = 2;
 const BALANCERS: usize = 2;
 const HOSTS: usize = 4;
 const ENDPOINTS: usize = 64;
@@ -81,7 +82,7 @@
 }
 
 async fn fleet(plan: &Plan, agents: usize) -> anyhow::Result<(Fleet, Callers)> {
-    let mut fleet = plan.fleet("flows").await?;
+    let mut fleet = plan.fleet("flows", ZONES).await?;
     fleet.add_services(1, 1).await?;
     fleet.add_balancers(BALANCERS)?;
     fleet.add_agents(agents)?;
@@ -116,7 +117,7 @@
         time::sleep(CALM).await;
         let window = fleet.window(plan.window()).await?;
         let x = count as f64;
-        push(&mut set, &[(x, window.agent.rss), (x, window.agent.cpu), (x, window.balancer.rss)]);
+        push(&mut set, &[(x, window.agent.rss), (x, window.agent.cpu), (x, window.plain.rss)]);
     }
     fleet.end().await?;
     Ok(set.into())
@@ -149,7 +150,7 @@
         let window = fleet.close(&start).await?;
         let values = [
             (opened / AGENTS as f64, window.agent.cpu),
-            (opened / BALANCERS as f64, window.balancer.cpu),
+            (opened / BALANCERS as f64, window.plain.cpu),
         ];
         push(&mut set, &values);
     }
--- a/crates/standin/src/capacity/mod.rs
+++ b/crates/standin/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 pub mod fit;
 pub mod fleet;
 pub mod flows;
+pub mod inject;
 pub mod output;
 pub mod plot;
 pub mod scale;
@@ -22,6 +23,8 @@
 pub enum Part {
     /// The decision crate.
     Decisions,
+    /// Number of members, most of them made up.
+    Members,
     /// Number of agents.
     Agents,
     /// Number of balancers.
@@ -46,8 +49,9 @@
 
 impl Part {
     /// All parts, in the order in which they are measured.
-    pub const ALL: [Part; 11] = [
+    pub const ALL: [Part; 12] = [
         Part::Decisions,
+        Part::Members,
         Part::Agents,
         Part::Balancers,
         Part::Services,
@@ -64,6 +68,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Part::Decisions => "decisions",
+            Part::Members => "members",
             Part::Agents => "agents",
             Part::Balancers => "balancers",
             Part::Services => "services",
@@ -81,6 +86,7 @@
     pub async fn measure(self, plan: &Plan) -> anyhow::Result<Vec<Series>> {
         match self {
             Part::Decisions => decisions::measure(plan.quick),
+            Part::Members => scale::members(plan).await,
             Part::Agents => scale::agents(plan).await,
             Part::Balancers => scale::balancers(plan).await,
             Part::Services => scale::services(plan).await,
@@ -121,10 +127,10 @@
     pub const LIMIT: Duration = Duration::from_secs(60);
 
     /// Starts a fleet whose processes log into a folder of its own.
-    pub async fn fleet(&self, name: &str) -> anyhow::Result<Fleet> {
+    pub async fn fleet(&self, name: &str, zones: usize) -> anyhow::Result<Fleet> {
         let folder = self.logs.join(name);
         std::fs::create_dir_all(&folder)?;
-        Fleet::start(&self.bin, &folder).await
+        Fleet::start(&self.bin, &folder, zones).await
     }
 
     /// Length of a window.
@@ -132,12 +138,16 @@
         Duration::from_secs(if self.quick { 3 } else { 8 })
     }
 
+    fn members(&self) -> &'static [usize] {
+        if self.quick { &[100, 200, 400, 800, 1_600] } else { &[500, 1_000, 2_000, 4_000, 6_000] }
+    }
+
     fn agents(&self) -> &'static [usize] {
         if self.quick { &[5, 10, 20, 30, 40] } else { &[10, 20, 40, 80, 120, 160] }
     }
 
     fn balancers(&self) -> &'static [usize] {
-        if self.quick { &[2, 3, 5, 8, 12] } else { &[3, 5, 8, 14, 24, 40] }
+        if self.quick { &[3, 4, 6, 9, 14] } else { &[3, 5, 8, 14, 24, 40] }
     }
 
     fn services(&self) -> &'static [usize] {
--- a/crates/standin/src/capacity/scale.rs
+++ b/crates/standin/src/capacity/scale.rs
@@ -1,18 +1,21 @@
-//! Cost of a quiet fleet, against the numbers of agents, balancers and services.
+//! Cost of a quiet fleet, against the numbers of members, agents, balancers and services.
 
 use std::time::Duration;
 
-use anyhow::Context;
-use tokio::time;
+use anyhow::{Context, bail};
+use tokio::time::{self, Instant};
 
 use super::{
     Plan,
+    decisions::made_up_agent,
     fleet::{Fleet, Window},
+    inject::{self, Reporter, Zone},
     series::{Ground, Series},
 };
 
 const BALANCERS: usize = 4;
-const CALM: Duration = Duration::from_secs(3);
+const CALM: Duration = Duration::from_secs(4);
+const POLL: Duration = Duration::from_millis(100);
 
 fn on_processes(
     id: &'static str,
@@ -23,20 +26,114 @@
     Series::new(id, what, unit, axis, Ground::Processes)
 }
 
-/// Grows the number of agents before four balancers.
+/// Grows the number of members that real balancers know, by made-up agents, in six zones with three balancers each.
+pub async fn members(plan: &Plan) -> anyhow::Result<Vec<Series>> {
+    const AXIS: &str = "members, most made up";
+    const EACH_ZONE: usize = 3;
+    const SERVICES: usize = 60;
+    let zones = if plan.quick { 2 } else { 6 };
+    let mut set = [
+        on_processes("plain-cpu-members", "quiet balancer, time", "% of a core", AXIS),
+        on_processes("plain-bytes-members", "quiet balancer, control", "bytes/s", AXIS),
+        on_processes("plain-memory-members", "quiet balancer, memory", "MiB", AXIS),
+        on_processes("seed-cpu-members", "quiet lease holder, time", "% of a core", AXIS),
+        on_processes("seed-bytes-members", "quiet lease holder, control", "bytes/s", AXIS),
+        on_processes("seed-memory-members", "quiet lease holder, memory", "MiB", AXIS),
+        on_processes("calls-members", "quiet fleet, platform", "calls/s", AXIS),
+        on_processes("answers-members", "quiet fleet, platform's answers", "bytes/s", AXIS),
+    ];
+    let mut fleet = plan.fleet("members", zones).await?;
+    fleet.add_services(SERVICES, SERVICES).await?;
+    fleet.add_balancers(zones * EACH_ZONE)?;
+    fleet.settle(Plan::LIMIT).await?;
+    time::sleep(CALM).await;
+    let reporters = start_reporters(&fleet).await?;
+    let mut told = 0;
+    for &count in plan.members() {
+        tell(&fleet, told, count).await?;
+        told = count;
+        announce(&fleet, &reporters, count).await?;
+        let window = quiet(&fleet, plan).await.with_context(|| format!("with {count} members"))?;
+        let x = count as f64;
+        let values = [
+            (x, window.plain.cpu),
+            (x, window.plain.control),
+            (x, window.plain.rss),
+            (x, window.seed.cpu),
+            (x, window.seed.control),
+            (x, window.seed.rss),
+            (x, window.calls),
+            (x, window.answers),
+        ];
+        push(&mut set, &values);
+    }
+    for (_, reporter) in reporters {
+        reporter.end().await?;
+    }
+    fleet.end().await?;
+    Ok(set.into())
+}
+
+async fn start_reporters(fleet: &Fleet) -> anyhow::Result<Vec<(usize, Reporter)>> {
+    let mut reporters = Vec::new();
+    for (zone, seed) in fleet.seeds().await? {
+        reporters.push((zone, Reporter::start(fleet, fleet.control(seed)).await?));
+    }
+    Ok(reporters)
+}
+
+/// Tells the fleet of agents, each homed at a balancer of its zone, and waits until every balancer knows them.
+async fn tell(fleet: &Fleet, from: usize, to: usize) -> anyhow::Result<()> {
+    let mut members = Vec::new();
+    for i in from..to {
+        let zone = i % fleet.zones();
+        let home = &fleet.balancers[zone];
+        members.push(made_up_agent(i, zone, &home.name));
+    }
+    let peer = fleet.control(&fleet.balancers[0]);
+    let _told = inject::tell(fleet, peer, &members).await?;
+    let start = Instant::now();
+    for balancer in &fleet.balancers {
+        while fleet.members(balancer).await? < (to + fleet.balancers.len()) as u64 {
+            if start.elapsed() > Plan::LIMIT {
+                bail!("wait until {} knows {to} made-up agents: too long", balancer.name);
+            }
+            time::sleep(POLL).await;
+        }
+    }
+    Ok(())
+}
+
+async fn announce(
+    fleet: &Fleet,
+    reporters: &[(usize, Reporter)],
+    count: usize,
+) -> anyhow::Result<()> {
+    let applied = fleet.applied(fleet.balancers[0].operator).await?;
+    for (zone, reporter) in reporters {
+        let numbers = (0..count).filter(|it| it % fleet.zones() == *zone);
+        let agents = numbers.map(|it| made_up_agent(it, *zone, "").name().to_owned()).collect();
+        reporter.zone.send_replace(Zone { agents, applied });
+    }
+    Ok(())
+}
+
+/// Grows the number of agents before four balancers of one zone.
 pub async fn agents(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const EACH: &str = "agents per balancer";
-    const ALL: &str = "agents";
+    const ALL: &str = "agents of the zone";
     let mut set = [
-        on_processes("balancer-cpu-agents", "quiet balancer, time", "% of a core", EACH),
-        on_processes("balancer-bytes-agents", "quiet balancer, control", "bytes/s", EACH),
-        on_processes("balancer-memory-agents", "quiet balancer, memory", "MiB", ALL),
+        on_processes("plain-cpu-agents", "quiet balancer, time", "% of a core", EACH),
+        on_processes("plain-bytes-agents", "quiet balancer, control", "bytes/s", EACH),
+        on_processes("plain-memory-agents", "quiet balancer, memory", "MiB", EACH),
+        on_processes("seed-cpu-agents", "quiet lease holder, time", "% of a core", ALL),
+        on_processes("seed-bytes-agents", "quiet lease holder, control", "bytes/s", ALL),
         on_processes("agent-cpu-agents", "quiet agent, time", "% of a core", ALL),
         on_processes("agent-bytes-agents", "quiet agent, control", "bytes/s", ALL),
         on_processes("agent-memory-agents", "quiet agent, memory", "MiB", ALL),
         on_processes("calls-agents", "quiet fleet, platform", "calls/s", ALL),
     ];
-    let mut fleet = plan.fleet("agents").await?;
+    let mut fleet = plan.fleet("agents", 1).await?;
     fleet.add_services(20, 20).await?;
     fleet.add_balancers(BALANCERS)?;
     for &count in plan.agents() {
@@ -45,9 +142,11 @@
         let each = count as f64 / BALANCERS as f64;
         let all = count as f64;
         let values = [
-            (each, window.balancer.cpu),
-            (each, window.balancer.control),
-            (all, window.balancer.rss),
+            (each, window.plain.cpu),
+            (each, window.plain.control),
+            (each, window.plain.rss),
+            (all, window.seed.cpu),
+            (all, window.seed.control),
             (all, window.agent.cpu),
             (all, window.agent.control),
             (all, window.agent.rss),
@@ -59,35 +158,37 @@
     Ok(set.into())
 }
 
-/// Grows the number of balancers before twelve agents.
+/// Grows the number of balancers of one zone, without agents.
 pub async fn balancers(plan: &Plan) -> anyhow::Result<Vec<Series>> {
-    const LINKS: &str = "links between balancers, per balancer";
-    const ALL: &str = "balancers";
-    const AGENTS: usize = 12;
+    const ALL: &str = "balancers of the zone";
     let mut set = [
-        on_processes("balancer-cpu-links", "quiet balancer, time", "% of a core", LINKS),
-        on_processes("balancer-bytes-links", "quiet balancer, control", "bytes/s", LINKS),
-        on_processes("links", "links of a balancer to balancers", "links", "log2 of balancers"),
-        on_processes("balancer-memory-balancers", "quiet balancer, memory", "MiB", ALL),
-        on_processes("agent-bytes-balancers", "quiet agent, control", "bytes/s", ALL),
+        on_processes("plain-cpu-balancers", "quiet balancer, time", "% of a core", ALL),
+        on_processes("plain-bytes-balancers", "quiet balancer, control", "bytes/s", ALL),
+        on_processes("plain-memory-balancers", "quiet balancer, memory", "MiB", ALL),
+        on_processes("plain-links-balancers", "links between balancers", "links", ALL),
+        on_processes("seed-cpu-balancers", "quiet lease holder, time", "% of a core", ALL),
+        on_processes("seed-bytes-balancers", "quiet lease holder, control", "bytes/s", ALL),
+        on_processes("seed-memory-balancers", "quiet lease holder, memory", "MiB", ALL),
         on_processes("calls-balancers", "quiet fleet, platform", "calls/s", ALL),
+        on_processes("answers-balancers", "quiet fleet, platform's answers", "bytes/s", ALL),
     ];
-    let mut fleet = plan.fleet("balancers").await?;
+    let mut fleet = plan.fleet("balancers", 1).await?;
     fleet.add_services(20, 20).await?;
     for &count in plan.balancers() {
         fleet.add_balancers(count)?;
-        fleet.add_agents(AGENTS)?;
         let window =
             quiet(&fleet, plan).await.with_context(|| format!("with {count} balancers"))?;
-        let links = fleet.links().await?;
-        let all = count as f64;
+        let x = count as f64;
         let values = [
-            (links, window.balancer.cpu),
-            (links, window.balancer.control),
-            (all.log2(), links),
-            (all, window.balancer.rss),
-            (all, window.agent.control),
-            (all, window.calls),
+            (x, window.plain.cpu),
+            (x, window.plain.control),
+            (x, window.plain.rss),
+            (x, fleet.links().await?),
+            (x, window.seed.cpu),
+            (x, window.seed.control),
+            (x, window.seed.rss),
+            (x, window.calls),
+            (x, window.answers),
         ];
         push(&mut set, &values);
     }
@@ -95,20 +196,20 @@
     Ok(set.into())
 }
 
-/// Grows the number of services before four balancers and ten agents.
+/// Grows the number of services before four balancers and ten agents of one zone.
 pub async fn services(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const AXIS: &str = "services";
     const AGENTS: usize = 10;
     let mut set = [
-        on_processes("balancer-cpu-services", "quiet balancer, time", "% of a core", AXIS),
-        on_processes("balancer-memory-services", "quiet balancer, memory", "MiB", AXIS),
-        on_processes("agent-memory-services", "quiet agent, memory", "MiB", AXIS),
+        on_processes("plain-cpu-services", "quiet balancer, time", "% of a core", AXIS),
+        on_processes("plain-bytes-services", "quiet balancer, control", "bytes/s", AXIS),
+        on_processes("plain-memory-services", "quiet balancer, memory", "MiB", AXIS),
         on_processes("agent-cpu-services", "quiet agent, time", "% of a core", AXIS),
         on_processes("agent-bytes-services", "quiet agent, control", "bytes/s", AXIS),
-        on_processes("balancer-bytes-services", "quiet balancer, control", "bytes/s", AXIS),
+        on_processes("agent-memory-services", "quiet agent, memory", "MiB", AXIS),
         on_processes("agent-start-bytes", "an agent that starts, until healthy", "bytes", AXIS),
     ];
-    let mut fleet = plan.fleet("services").await?;
+    let mut fleet = plan.fleet("services", 1).await?;
     fleet.add_balancers(BALANCERS)?;
     for &count in plan.services() {
         fleet.add_services(count, count).await?;
@@ -117,12 +218,12 @@
         let start = first_bytes(&mut fleet).await?;
         let x = count as f64;
         let values = [
-            (x, window.balancer.cpu),
-            (x, window.balancer.rss),
-            (x, window.agent.rss),
+            (x, window.plain.cpu),
+            (x, window.plain.control),
+            (x, window.plain.rss),
             (x, window.agent.cpu),
             (x, window.agent.control),
-            (x, window.balancer.control),
+            (x, window.agent.rss),
             (x, start),
         ];
         push(&mut set, &values);
