--- a/crates/core/src/assemble.rs
+++ b/crates/core/src/assemble.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, btree_map};
 
 use crate::{
+    invariant::{Invariant, check},
     object::{KEYS_NAME, Kind, Object, Service, ServiceId, Spec, SpecError, check_services},
     record::Role,
     snapshot::{ServiceEntry, Snapshot},
@@ -75,6 +76,11 @@
 }
 
 fn parse(old: Option<Parsed>, object: &Object, faults: &mut Vec<SpecError>) -> Parsed {
+    // An older version than the one in force stays out, whatever the view says.
+    let newer = old.as_ref().is_none_or(|it| object.version >= it.seen);
+    if let Some(old) = old.as_ref().filter(|_| !check(Invariant::VersionGrows, newer)) {
+        return Parsed { seen: old.seen, good: old.good.clone() };
+    }
     if let Some(old) = old.as_ref().filter(|it| it.seen == object.version) {
         return Parsed { seen: old.seen, good: old.good.clone() };
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -13,7 +13,6 @@
 use siphasher::sip::SipHasher13;
 
 use crate::{
-    invariant::{Invariant, check},
     object::{Kind, Object},
     record::{Key, Mark, Member, Record, Role, Version},
 };
@@ -162,12 +161,7 @@
         match self.objects.get(&key) {
             Some(old) if old.revision() >= slot.revision() => return false,
             None if slot.revision() <= self.floor => return false,
-            Some(old) => {
-                if !check(Invariant::VersionGrows, slot.revision() > old.revision()) {
-                    return false;
-                }
-            }
-            None => {}
+            Some(_) | None => {}
         }
         self.objects.insert(key, slot);
         true
@@ -177,13 +171,8 @@
         if forgotten(member, wall_ms) {
             return false;
         }
-        if let Some(old) = self.members.get(member.name()) {
-            if old.version >= member.version {
-                return false;
-            }
-            if !check(Invariant::VersionGrows, member.version > old.version) {
-                return false;
-            }
+        if self.members.get(member.name()).is_some_and(|it| it.version >= member.version) {
+            return false;
         }
         self.members.insert(member.name().to_owned(), member.clone());
         true
--- /dev/null
+++ b/crates/core/tests/suspect.rs
@@ -0,0 +1,60 @@
+//! Who counts as dead, and who does not.
+
+use camphorwinch_core::{
+    record::Version,
+    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, PAUSE_MS, Suspects},
+};
+
+const OLD: Version = Version { major: 1, minor: 0 };
+
+fn tick_until(suspects: &mut Suspects, from: u64, until: u64, version: Version) -> Vec<String> {
+    let mut dead = Vec::new();
+    let mut now = from;
+    while now <= until {
+        dead.extend(suspects.due(now, true, |_| Some(version)));
+        now += 250;
+    }
+    dead
+}
+
+#[test]
+fn silence_is_death_after_the_grace() {
+    let mut suspects = Suspects::new();
+    suspects.suspect("a", OLD, AGENT_GRACE_MS);
+    assert!(tick_until(&mut suspects, 0, AGENT_GRACE_MS - 1, OLD).is_empty());
+    assert_eq!(tick_until(&mut suspects, AGENT_GRACE_MS, AGENT_GRACE_MS, OLD), ["a"]);
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn a_new_announcement_or_link_is_life() {
+    let mut suspects = Suspects::new();
+    suspects.suspect("a", OLD, AGENT_GRACE_MS);
+    assert!(tick_until(&mut suspects, 0, 60_000, OLD.next()).is_empty());
+    suspects.suspect("b", OLD, AGENT_GRACE_MS);
+    suspects.clear("b");
+    assert!(tick_until(&mut suspects, 0, 60_000, OLD).is_empty());
+}
+
+#[test]
+fn a_process_that_slept_or_is_alone_declares_nobody_dead() {
+    let mut suspects = Suspects::new();
+    assert!(suspects.due(0, true, |_| Some(OLD)).is_empty());
+    suspects.suspect("a", OLD, 2_000);
+    let woken = 5_000 + PAUSE_MS;
+    assert!(suspects.due(woken, true, |_| Some(OLD)).is_empty());
+    assert!(
+        tick_until(&mut suspects, woken + 250, woken + BALANCER_GRACE_MS - 250, OLD).is_empty()
+    );
+    assert!(suspects.contains("a"));
+    assert!(suspects.due(woken + BALANCER_GRACE_MS, false, |_| Some(OLD)).is_empty());
+    assert_eq!(suspects.len(), 1);
+}
+
+#[test]
+fn asking_again_does_not_prolong() {
+    let mut suspects = Suspects::new();
+    suspects.suspect("a", OLD, 1_000);
+    suspects.suspect("a", OLD, 9_000);
+    assert_eq!(tick_until(&mut suspects, 0, 1_000, OLD), ["a"]);
+}
--- /dev/null
+++ b/crates/core/tests/view.rs
@@ -0,0 +1,310 @@
+//! A fleet of views against a platform: records arrive late, twice, out of order or never.
+
+use std::collections::BTreeMap;
+
+use camphorwinch_core::{
+    assemble::Assembler,
+    invariant::{Invariant, violations},
+    member::{Agent, AgentState, Balancer, BalancerState, Place},
+    object::{Kind, Object},
+    record::{Key, Member, Record, Role, Version},
+    view::{Adoption, FORGET_MS, Scope, View},
+};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use serde_json::json;
+
+const VIEWS: usize = 4;
+const NAMES: u8 = 6;
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An operator writes or deletes an object.
+    Write { name: u8, delete: bool },
+    /// A view gets the platform's event number so many from the newest, complete up to it or not.
+    Watch { view: u8, back: u8, skipped: bool },
+    /// A view lists the platform.
+    List { view: u8 },
+    /// A view gets a record of another, without a mark.
+    Gossip { from: u8, to: u8, name: u8 },
+    /// Two views compare; the second may lose what the first sends.
+    Compare { from: u8, to: u8, lost: bool },
+    /// A view is replaced by one that knows nothing.
+    Restart { view: u8 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let view = u8::arbitrary(g) % VIEWS as u8;
+        let other = u8::arbitrary(g) % VIEWS as u8;
+        let name = u8::arbitrary(g) % NAMES;
+        match u8::arbitrary(g) % 16 {
+            0..5 => Step::Write { name, delete: bool::arbitrary(g) },
+            5..8 => Step::Watch { view, back: u8::arbitrary(g) % 4, skipped: bool::arbitrary(g) },
+            8..9 => Step::List { view },
+            9..12 => Step::Gossip { from: view, to: other, name },
+            12..15 => Step::Compare { from: view, to: other, lost: bool::arbitrary(g) },
+            _ => Step::Restart { view },
+        }
+    }
+}
+
+#[derive(Default)]
+struct Platform {
+    revision: u64,
+    objects: BTreeMap<String, Object>,
+    events: Vec<Record>,
+}
+
+impl Platform {
+    fn write(&mut self, name: &str, delete: bool) {
+        if delete && !self.objects.contains_key(name) {
+            return;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        let kind = Kind::Change;
+        if delete {
+            self.objects.remove(name);
+            let name = name.to_owned();
+            self.events.push(Record::Deleted { kind, name, revision });
+            return;
+        }
+        let spec = json!({ "action": "drain", "target": { "vm": format!("vm-{revision}") } });
+        let object = Object {
+            kind: kind.as_str().to_owned(),
+            name: name.to_owned(),
+            version: revision,
+            writer: String::new(),
+            spec,
+        };
+        self.objects.insert(name.to_owned(), object.clone());
+        self.events.push(Record::Object { kind, object });
+    }
+
+    fn list(&self) -> Vec<Object> {
+        self.objects.values().cloned().collect()
+    }
+}
+
+fn list(platform: &Platform, view: &mut View) {
+    view.take_list(Kind::Change, &platform.list(), platform.revision);
+    view.confirm(platform.revision);
+}
+
+/// What two processes say to each other after a difference: digest, summary, what is lacking, mark.
+fn compare(from: &mut View, to: &mut View, lost: bool) -> Adoption {
+    let scope = Scope::All;
+    let summary = to.summary(&scope, &from.digest(&scope));
+    let lacking = from.compare(&scope, &summary).lacking;
+    let back = from.summary(&scope, &to.digest(&scope));
+    to.compare(&scope, &back);
+    for record in lacking.iter().take(if lost { 1 } else { usize::MAX }) {
+        to.merge(record, 0);
+    }
+    from.mark().map_or(Adoption::Known, |it| to.adopt(it))
+}
+
+fn versions(view: &View) -> BTreeMap<String, u64> {
+    view.objects(Kind::Change).map(|it| (it.name.clone(), it.version)).collect()
+}
+
+fn truth(platform: &Platform) -> BTreeMap<String, u64> {
+    platform.objects.values().map(|it| (it.name.clone(), it.version)).collect()
+}
+
+struct Run {
+    platform: Platform,
+    views: Vec<View>,
+    assemblers: Vec<Assembler>,
+}
+
+impl Run {
+    fn new() -> Run {
+        Run {
+            platform: Platform::default(),
+            views: (0..VIEWS).map(|_| View::new()).collect(),
+            assemblers: (0..VIEWS).map(|_| Assembler::new()).collect(),
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Write { name, delete } => self.platform.write(&format!("n{name}"), delete),
+            Step::Watch { view, back, skipped } => self.watch(view, back, skipped),
+            Step::List { view } => list(&self.platform, &mut self.views[usize::from(view)]),
+            Step::Gossip { from, to, name } => {
+                let key = Key::Object(Kind::Change, format!("n{name}"));
+                if let Some(record) = self.views[usize::from(from)].record(&key) {
+                    self.views[usize::from(to)].merge(&record, 0);
+                }
+            }
+            Step::Compare { from, to, lost } if from != to => {
+                let mut sender = self.views[usize::from(from)].clone();
+                compare(&mut sender, &mut self.views[usize::from(to)], lost);
+                self.views[usize::from(from)] = sender;
+            }
+            Step::Compare { .. } => {}
+            Step::Restart { view } => {
+                self.views[usize::from(view)] = View::new();
+                self.assemblers[usize::from(view)] = Assembler::new();
+            }
+        }
+    }
+
+    fn watch(&mut self, view: u8, back: u8, skipped: bool) {
+        let events = &self.platform.events;
+        let Some(newest) = events.len().checked_sub(1 + usize::from(back)) else {
+            return;
+        };
+        let view = &mut self.views[usize::from(view)];
+        let known = view.revision();
+        for record in &events[..=newest] {
+            let due = record.version().major > known;
+            if due && !(skipped && record.version().major % 2 == 0) {
+                view.merge(record, 0);
+            }
+        }
+        view.advance(events[newest].version().major);
+    }
+}
+
+quickcheck! {
+    /// Whatever was lost on the way, one list and one comparison with its reader make every view whole; nothing that was
+    /// in force ever goes back to an older version.
+    fn views_converge(steps: Vec<Step>) -> bool {
+        let mut run = Run::new();
+        let mut floors = [0; VIEWS];
+        for step in &steps {
+            run.step(step);
+            for (index, floor) in floors.iter_mut().enumerate() {
+                run.assemblers[index].snapshot(&run.views[index]);
+                if matches!(step, Step::Restart { view } if usize::from(*view) == index) {
+                    *floor = 0;
+                }
+                assert!(run.views[index].floor() >= *floor, "the floor sinks");
+                *floor = run.views[index].floor();
+            }
+        }
+        list(&run.platform, &mut run.views[0]);
+        let mut seed = run.views[0].clone();
+        for view in &mut run.views[1..] {
+            compare(&mut seed, view, false);
+            let adoption = compare(&mut seed, view, false);
+            assert_ne!(adoption, Adoption::Differs);
+            assert_eq!(versions(view), truth(&run.platform));
+        }
+        versions(&seed) == truth(&run.platform) && violations(Invariant::VersionGrows) == 0
+    }
+
+    /// A view that skipped no event and takes over a mark holds just what the platform held at that revision.
+    fn marks_are_true(steps: Vec<Step>) -> bool {
+        let mut run = Run::new();
+        let mut history = vec![(0, BTreeMap::new())];
+        for step in &steps {
+            let step = match step.clone() {
+                Step::Watch { view, back, .. } => Step::Watch { view, back, skipped: false },
+                other => other,
+            };
+            run.step(&step);
+            history.push((run.platform.revision, truth(&run.platform)));
+            for view in run.views.iter().filter(|it| it.synced()) {
+                let newest = history.iter().rev().find(|(at, _)| *at <= view.revision());
+                let (_, expected) = newest.unwrap();
+                for (name, version) in versions(view) {
+                    let known = expected.get(&name) == Some(&version);
+                    assert!(known || version > view.revision(), "{name} at {version}: {view:?}");
+                }
+                for (name, version) in expected {
+                    let held = view.record(&Key::Object(Kind::Change, name.clone()));
+                    assert!(held.is_some_and(|it| it.version().major >= *version), "lacks {name}");
+                }
+            }
+        }
+        true
+    }
+}
+
+fn place(zone: &str) -> Place {
+    Place { vm: "v".to_owned(), zone: zone.to_owned(), region: "r".to_owned() }
+}
+
+fn agent(name: &str, pool: &str, version: Version) -> Member {
+    let agent = Agent {
+        name: name.to_owned(),
+        place: place("z"),
+        pool: pool.to_owned(),
+        data: "127.0.0.1:1".parse().unwrap(),
+        control: "127.0.0.1:2".parse().unwrap(),
+        weight: 1.0,
+        slots: 1,
+        connections: 1,
+        state: AgentState::Ready,
+    };
+    Member { version, since_ms: 0, role: Role::Agent { agent, homes: Vec::new() } }
+}
+
+#[test]
+fn members_go_by_incarnation_then_sequence() {
+    let mut view = View::new();
+    let alive = agent("a", "p", Version::member(5, 3));
+    assert!(view.merge(&Record::Member(alive.clone()), 0));
+    assert!(!view.merge(&Record::Member(agent("a", "p", Version::member(4, 9))), 0));
+    let down = alive.down(1_000);
+    assert!(view.merge(&Record::Member(down.clone()), 1_000));
+    assert!(!view.merge(&Record::Member(alive), 1_000), "an old announcement does not revive");
+    assert!(view.merge(&Record::Member(agent("a", "p", down.version.next())), 1_000));
+}
+
+#[test]
+fn the_dead_are_forgotten_and_stay_so() {
+    let mut view = View::new();
+    let down = agent("a", "p", Version::member(1, 0)).down(1_000);
+    view.merge(&Record::Member(down.clone()), 1_000);
+    let later = 1_001 + FORGET_MS;
+    assert_eq!(view.forget(later), 1);
+    assert!(!view.merge(&Record::Member(down), later), "a slower peer does not bring it back");
+}
+
+#[test]
+fn an_agent_learns_of_its_pools_and_of_balancers() {
+    let mut home = View::new();
+    let balancer = Balancer {
+        name: "b".to_owned(),
+        place: place("z"),
+        control: "127.0.0.1:3".parse().unwrap(),
+        state: BalancerState::Ready,
+    };
+    let role = Role::Balancer { balancer, lease: None };
+    let version = Version::member(1, 0);
+    home.merge(&Record::Member(Member { version, since_ms: 0, role }), 0);
+    home.merge(&Record::Member(agent("a", "p", version)), 0);
+    home.merge(&Record::Member(agent("x", "q", version)), 0);
+    let scope = Scope::Pools(["p".to_owned()].into());
+    let summary = View::new().summary(&scope, &home.digest(&scope));
+    let lacking = home.compare(&scope, &summary).lacking;
+    let names: Vec<_> = lacking.iter().map(Record::key).collect();
+    assert_eq!(names, [Key::Member("a".to_owned()), Key::Member("b".to_owned())]);
+}
+
+#[test]
+fn a_malformed_object_leaves_the_last_good_one_in_force() {
+    let mut view = View::new();
+    let mut assembler = Assembler::new();
+    let object = |version, spec| Object {
+        kind: "service".to_owned(),
+        name: "s".to_owned(),
+        version,
+        writer: String::new(),
+        spec,
+    };
+    let good = json!({ "address": "127.0.0.1:1", "pool": "p", "certificate": "c" });
+    let kind = Kind::Service;
+    view.merge(&Record::Object { kind, object: object(1, good) }, 0);
+    assert!(assembler.snapshot(&view).1.is_empty());
+    view.merge(&Record::Object { kind, object: object(2, json!({ "pool": 7 })) }, 0);
+    let (snapshot, faults) = assembler.snapshot(&view);
+    assert_eq!(faults.len(), 1);
+    assert_eq!(snapshot.services.values().next().map(|it| it.version), Some(1));
+    assert!(assembler.snapshot(&view).1.is_empty(), "a fault is reported once");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages and framing between camphorwinch processes.
 
+mod convert;
 pub mod encap;
 pub mod frame;
 pub mod message;
--- /dev/null
+++ b/crates/wire/tests/message.rs
@@ -0,0 +1,109 @@
+//! Every decoder takes any bytes without a panic, and what is encoded is decoded again.
+
+use camphorwinch_core::{
+    member::{Agent, AgentState, Balancer, BalancerState, Place},
+    object::{Kind, Object},
+    record::{Mark, Member, Record, Role, Version},
+    view::{self, BUCKETS},
+};
+use camphorwinch_wire::message::{
+    Body, Digest, Frame, MarkPart, MemberPart, RecordPart, Summary, Update,
+};
+use prost::Message;
+use quickcheck::quickcheck;
+use serde_json::json;
+
+fn member(name: String, agent: bool, state: u8, version: Version, homes: Vec<String>) -> Member {
+    let place = Place { vm: name.clone(), zone: "z".to_owned(), region: String::new() };
+    let control = "127.0.0.1:7".parse().unwrap();
+    let role = if agent {
+        let states = [
+            AgentState::Starting,
+            AgentState::Ready,
+            AgentState::Draining,
+            AgentState::Leaving,
+            AgentState::Down,
+        ];
+        let agent = Agent {
+            name,
+            place,
+            pool: "p".to_owned(),
+            data: "[::1]:9".parse().unwrap(),
+            control,
+            weight: f64::from(state),
+            slots: 3,
+            connections: 4,
+            state: states[usize::from(state) % states.len()],
+        };
+        Role::Agent { agent, homes }
+    } else {
+        let states = [BalancerState::Ready, BalancerState::Leaving, BalancerState::Down];
+        let state = states[usize::from(state) % states.len()];
+        let lease = homes.first().map(|it| it.len() as u8);
+        Role::Balancer { balancer: Balancer { name, place, control, state }, lease }
+    };
+    Member { version, since_ms: version.minor, role }
+}
+
+quickcheck! {
+    fn any_bytes_are_a_message_or_an_error(bytes: Vec<u8>) -> bool {
+        match Frame::parse(&bytes) {
+            Ok(Body::Update(it)) => it.records.iter().for_each(|it| drop(Record::try_from(it))),
+            Ok(Body::Summary(it)) => drop(view::Summary::try_from(&it)),
+            Ok(Body::Digest(it)) => drop(it.to_buckets()),
+            Ok(_) | Err(_) => {}
+        }
+        true
+    }
+
+    fn damaged_messages_are_a_message_or_an_error(at: usize, with: u8, name: String) -> bool {
+        let version = Version::member(1, 2);
+        let record = Record::Member(member(name, true, with, version, Vec::new()));
+        let update = Update { records: vec![RecordPart::from(&record)], ..Update::default() };
+        let mut bytes = Frame::new(Body::Update(update)).encode_to_vec();
+        let at = at % bytes.len();
+        bytes[at] = with;
+        if let Ok(Body::Update(it)) = Frame::parse(&bytes) {
+            it.records.iter().for_each(|it| drop(Record::try_from(it)));
+        }
+        Frame::parse(&bytes[..at]).is_err() || at > 0
+    }
+
+    fn members_come_back(name: String, agent: bool, state: u8, at: (u64, u64), homes: Vec<String>) -> bool {
+        let it = member(name, agent, state, Version::member(at.0, at.1), homes);
+        let bytes = MemberPart::from(&it).encode_to_vec();
+        Member::try_from(&MemberPart::decode(bytes.as_slice()).unwrap()) == Ok(it)
+    }
+
+    fn objects_come_back(name: String, version: u64, text: String, deleted: bool) -> bool {
+        let kind = Kind::Service;
+        let record = if deleted {
+            Record::Deleted { kind, name, revision: version }
+        } else {
+            let spec = json!({ "any": text });
+            let kind_text = "service".to_owned();
+            let object = Object { kind: kind_text, name, version, writer: text, spec };
+            Record::Object { kind, object }
+        };
+        let bytes = RecordPart::from(&record).encode_to_vec();
+        Record::try_from(&RecordPart::decode(bytes.as_slice()).unwrap()) == Ok(record)
+    }
+
+    fn marks_come_back(revision: u64, floor: u64, sum: u64) -> bool {
+        let mark = Mark { revision, floor, sum };
+        Mark::from(MarkPart::from(mark)) == mark
+    }
+}
+
+#[test]
+fn what_does_not_fit_is_refused() {
+    let digest = Digest { buckets: vec![0; BUCKETS - 1] };
+    assert!(digest.to_buckets().is_err());
+    let summary = Summary { buckets: vec![BUCKETS as u32], ..Summary::default() };
+    assert!(view::Summary::try_from(&summary).is_err());
+    assert!(Record::try_from(&RecordPart::default()).is_err());
+    let mut part = MemberPart::from(&member("a".to_owned(), true, 1, Version::default(), vec![]));
+    part.control = "nowhere".to_owned();
+    let error = Member::try_from(&part).unwrap_err();
+    assert_eq!(error.field, "member.control");
+}
