--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -245,6 +245,13 @@
     }
 }
 
+/// Whether two datagrams from one caller to one address are surely placed alike: short headers with the same ID.
+#[inline]
+pub fn same_flow(first: &[u8], second: &[u8]) -> bool {
+    let id = |it: &[u8]| it.get(..1 + CID_LEN).is_some_and(|it| it[0] & LONG_FORM == 0);
+    id(first) && id(second) && first[1..1 + CID_LEN] == second[1..1 + CID_LEN]
+}
+
 fn checked(listener: &Listener, placement: Placement) -> Placement {
     let service = match placement {
         Placement::Owner { home, .. } | Placement::Reset(home) => home.service,
--- a/crates/daemon/src/cmd/balance.rs
+++ b/crates/daemon/src/cmd/balance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bpaf::Bpaf;
-use camphorwinch_relay::worker::Shared;
+use camphorwinch_relay::relay::Shared;
 use serde_json::{Value, json};
 use tokio::runtime::Builder;
 use tokio_util::sync::CancellationToken;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -15,8 +15,9 @@
 use camphorwinch_core::{place::Placer, snapshot::Snapshot};
 use camphorwinch_relay::{
     outcome::{Outcome, Tally},
+    relay::Shared,
     socket,
-    worker::{Shared, Worker},
+    worker::Worker,
 };
 use prometheus::{IntCounterVec, IntGauge};
 use serde_json::{Value, json};
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod batch;
 pub mod outcome;
+pub mod relay;
 pub mod socket;
 pub mod worker;
--- a/crates/relay/tests/batch.rs
+++ b/crates/relay/tests/batch.rs
@@ -65,7 +65,7 @@
         let mut buffers = Vec::new();
         for (number, flow, len) in flows {
             let len = 21 + usize::from(len) % 4 * 300;
-            let datagram = common::established(agent(number), flow, len);
+            let datagram = common::established(agent(number), flow.into(), len);
             expected.entry(agent(number).into()).or_default().push(datagram.clone());
             buffers.push((datagram, len));
         }
@@ -78,7 +78,7 @@
         let count = count % 40 + 1;
         for flow in 0..count {
             let len = if flow + 1 == count { 21 + last % 1_000 } else { 1_021 };
-            let datagram = common::established(agent(0), flow as u16, len);
+            let datagram = common::established(agent(0), flow as u32, len);
             bytes.extend_from_slice(&datagram);
             expected.push(datagram);
         }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -54,10 +54,10 @@
 }
 
 /// A packet of an established flow at `agent`, `len` bytes long.
-pub(crate) fn established(agent: SocketAddrV4, flow: u16, len: usize) -> Vec<u8> {
-    let [high, low] = flow.to_be_bytes();
+pub(crate) fn established(agent: SocketAddrV4, flow: u32, len: usize) -> Vec<u8> {
+    let [_, nonce @ ..] = flow.to_be_bytes();
     let home = Home { agent, service: ServiceId::new(SERVICE) };
-    let cid = ring().seal(home, [0, high, low]);
+    let cid = ring().seal(home, nonce);
     let mut datagram = [&[0x40], &cid[..]].concat();
     datagram.resize(len, 0x5a);
     datagram
--- a/crates/relay/tests/worker.rs
+++ b/crates/relay/tests/worker.rs
@@ -12,8 +12,9 @@
 use camphorwinch_core::place::Placer;
 use camphorwinch_relay::{
     outcome::{Outcome, Tally},
+    relay::Shared,
     socket,
-    worker::{Intake, Shared, Worker},
+    worker::{Intake, Worker},
 };
 use camphorwinch_wire::encap;
 use tokio::sync::oneshot;
--- a/crates/wire/src/encap.rs
+++ b/crates/wire/src/encap.rs
@@ -78,29 +78,58 @@
 }
 
 /// Appends `payload` with its header in front to `out`, authenticated under the ring's sealing epoch.
-#[inline]
 pub fn encode(header: &Header, ring: &KeyRing, payload: &[u8], out: &mut Vec<u8>) {
-    let epoch = ring.epoch();
-    let key = ring.packet_key(epoch).expect("the sealing epoch is in the ring");
-    let candidates = header.candidates.as_slice();
-    let start = out.len();
-    let mut fixed = [0; HEADER_LEN];
-    fixed[0] = VERSION;
-    fixed[1] = header.hop;
-    fixed[2] = candidates.len() as u8;
-    fixed[3] = epoch;
-    fixed[4..8].copy_from_slice(&header.service.0.to_be_bytes());
-    fixed[16..32].copy_from_slice(&mapped(header.caller.ip()).octets());
-    fixed[32..34].copy_from_slice(&header.caller.port().to_be_bytes());
-    out.extend_from_slice(&fixed);
-    for agent in candidates {
-        out.extend_from_slice(&agent.ip().octets());
-        out.extend_from_slice(&agent.port().to_be_bytes());
+    Encoder::new(header, ring).append(payload, out);
+}
+
+/// A header made ready for any number of datagrams that carry the same one.
+#[derive(Clone, Debug)]
+pub struct Encoder {
+    bytes: [u8; MAX_OVERHEAD],
+    len: usize,
+    // The code's state after the header.
+    hasher: SipHasher24,
+}
+
+impl Encoder {
+    /// Prepares `header` under the ring's sealing epoch.
+    #[inline]
+    pub fn new(header: &Header, ring: &KeyRing) -> Encoder {
+        let epoch = ring.epoch();
+        let key = ring.packet_key(epoch).expect("the sealing epoch is in the ring");
+        let candidates = header.candidates.as_slice();
+        let mut bytes = [0; MAX_OVERHEAD];
+        bytes[0] = VERSION;
+        bytes[1] = header.hop;
+        bytes[2] = candidates.len() as u8;
+        bytes[3] = epoch;
+        bytes[4..8].copy_from_slice(&header.service.0.to_be_bytes());
+        bytes[16..32].copy_from_slice(&mapped(header.caller.ip()).octets());
+        bytes[32..HEADER_LEN].copy_from_slice(&header.caller.port().to_be_bytes());
+        let mut len = HEADER_LEN;
+        for agent in candidates {
+            bytes[len..len + 4].copy_from_slice(&agent.ip().octets());
+            bytes[len + 4..len + CANDIDATE_LEN].copy_from_slice(&agent.port().to_be_bytes());
+            len += CANDIDATE_LEN;
+        }
+        let hasher = header_code(key, &bytes[..len]);
+        Encoder { bytes, len, hasher }
+    }
+
+    /// Length of the encapsulation around a payload.
+    pub fn overhead(&self) -> usize {
+        self.len
+    }
+
+    /// Appends `payload` with the header in front to `out`.
+    #[inline]
+    pub fn append(&self, payload: &[u8], out: &mut Vec<u8>) {
+        let code = full_code(self.hasher, payload);
+        out.extend_from_slice(&self.bytes[..CODE_AT]);
+        out.extend_from_slice(&code.to_be_bytes());
+        out.extend_from_slice(&self.bytes[CODE_END..self.len]);
+        out.extend_from_slice(payload);
     }
-    let body = out.len();
-    out.extend_from_slice(payload);
-    let code = code(key, &out[start..], body - start);
-    out[start + CODE_AT..start + CODE_END].copy_from_slice(&code.to_be_bytes());
 }
 
 /// Checks an encapsulated datagram and splits it into header and payload.
@@ -124,7 +153,8 @@
         return Err(EncapError::Oversized);
     }
     let key = ring.packet_key(fixed[3]).ok_or(EncapError::Epoch(fixed[3]))?;
-    if fixed[CODE_AT..CODE_END] != code(key, datagram, body).to_be_bytes() {
+    let code = full_code(header_code(key, &datagram[..body]), &datagram[body..]);
+    if fixed[CODE_AT..CODE_END] != code.to_be_bytes() {
         return Err(EncapError::Code);
     }
     let mut candidates = Candidates::NONE;
@@ -151,10 +181,17 @@
     }
 }
 
-fn code(key: &PacketKey, datagram: &[u8], body: usize) -> u64 {
-    let end = datagram.len().min(body + COVERED_PAYLOAD);
+/// The code's state after a header with its candidates.
+#[inline]
+fn header_code(key: &PacketKey, header: &[u8]) -> SipHasher24 {
     let mut hasher = SipHasher24::new_with_key(key);
-    hasher.write(&datagram[..CODE_AT]);
-    hasher.write(&datagram[CODE_END..end]);
+    hasher.write(&header[..CODE_AT]);
+    hasher.write(&header[CODE_END..]);
+    hasher
+}
+
+#[inline]
+fn full_code(mut hasher: SipHasher24, payload: &[u8]) -> u64 {
+    hasher.write(&payload[..payload.len().min(COVERED_PAYLOAD)]);
     hasher.finish()
 }
