--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -14,9 +14,11 @@
     net::{TcpListener, TcpStream},
     sync::{oneshot, watch},
     task::JoinSet,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
+/// Pause after an accept that failed, such as for want of file descriptors.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const DISCARD: Duration = Duration::from_secs(10);
 
 /// Body of an answer.
@@ -106,7 +108,10 @@
             _ = &mut closed => return,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
+                let Ok((stream, _)) = accepted else {
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
                 connections.spawn(serve(stream, handle.clone()));
             }
         }
--- a/crates/standin/src/upstream/admin.rs
+++ b/crates/standin/src/upstream/admin.rs
@@ -120,7 +120,10 @@
             () = server::turned_on(&mut closing) => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
+                let Ok((stream, _)) = accepted else {
+                    sleep(server::ACCEPT_PAUSE).await;
+                    continue;
+                };
                 let counted = Counted::new(&state, Count::Connections);
                 let over = state.record.lock().connections.now > state.settings.connections as u64;
                 let (state, closed) = (state.clone(), closed.clone());
