--- a/crates/standin/src/caller/ask.rs
+++ b/crates/standin/src/caller/ask.rs
@@ -63,6 +63,8 @@
     pub kind: Kind,
     /// Token that the answer must echo; new for each attempt.
     pub token: String,
+    /// Tokens of earlier attempts under the same key: the answer may be that of one of them.
+    pub earlier: Vec<String>,
     /// Idempotency key; the same for each attempt.
     pub key: Option<String>,
     /// Query beyond the token.
@@ -98,7 +100,7 @@
             ask.chunks.push(Bytes::from(chunk));
         }
         ask.pause = Duration::from_millis(rng.random_range(1..40));
-        ask.span = ask.pause * ask.chunks.len() as u32;
+        ask.span = ask.pause * (ask.chunks.len() as u32 - 1);
         ask
     }
 
@@ -116,6 +118,7 @@
         Ask {
             kind,
             token: token(rng),
+            earlier: Vec::new(),
             key: None,
             query: String::new(),
             chunks: Vec::new(),
@@ -126,7 +129,20 @@
 
     /// The same request for a further attempt, under a new token.
     pub fn again(&self, rng: &mut StdRng) -> Ask {
-        Ask { token: token(rng), ..self.clone() }
+        let mut ask = Ask { token: token(rng), ..self.clone() };
+        if self.key.is_some() {
+            ask.earlier.push(self.token.clone());
+        }
+        ask
+    }
+
+    /// Two requests under one key, as when a caller submits twice: the answer to either may be that of the other.
+    pub fn twins(&self, rng: &mut StdRng) -> [Ask; 2] {
+        let mut first = self.clone();
+        let mut second = Ask { token: token(rng), ..self.clone() };
+        first.earlier.push(second.token.clone());
+        second.earlier.push(first.token.clone());
+        [first, second]
     }
 
     /// The request's head, as sent to the service with this name.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod caller;
+pub mod capacity;
 pub mod cmd;
 pub mod config;
 pub mod fabric;
@@ -10,3 +11,4 @@
 pub mod server;
 pub mod site;
 pub mod stop;
+pub mod upstream;
