--- a/crates/standin/src/upstream/request.rs
+++ b/crates/standin/src/upstream/request.rs
@@ -78,6 +78,12 @@
         Ok(Task { resource, head, work, deadline: deadline(headers)? })
     }
 
+    /// Notes the length and digest of the body.
+    pub(super) fn received(&mut self, (size, digest): (u64, String)) {
+        self.head.size = size;
+        self.head.digest = digest;
+    }
+
     /// Whether running it twice differs from running it once.
     pub(super) fn runs_once(&self) -> bool {
         self.resource == Resource::Transfer
--- a/crates/standin/src/upstream/state.rs
+++ b/crates/standin/src/upstream/state.rs
@@ -108,7 +108,9 @@
         match task.resource {
             Resource::Feed { length, every } => self.feed(&task, length, every),
             Resource::Upload => self.upload(task, request.into_body()).await,
-            Resource::Screen { .. } | Resource::Transfer => self.page(task).await,
+            Resource::Screen { .. } | Resource::Transfer => {
+                self.page(task, request.into_body()).await
+            }
         }
     }
 
@@ -219,8 +221,8 @@
         Ok(answer)
     }
 
-    /// A request without a body to read: it starts when it has a slot.
-    async fn page(self: &Arc<State>, task: Task) -> Answer {
+    /// A request that starts when it has a slot, and reads its body, if it has one, in that slot.
+    async fn page(self: &Arc<State>, mut task: Task, body: Incoming) -> Answer {
         let slot = match self.gate.enter(self, task.deadline).await {
             Ok(slot) => slot,
             Err(reason) => return Ok(self.refuse(&task, reason)),
@@ -229,7 +231,13 @@
             Ok(run) => run,
             Err(reason) => return Ok(self.refuse(&task, reason)),
         };
-        let worked = within(task.deadline, self.work(task.work)).await;
+        let work = task.work;
+        let whole = async {
+            let read = digest(body).await?;
+            self.work(work).await?;
+            Ok(read)
+        };
+        let worked = within(task.deadline, whole).await.map(|read| task.received(read));
         drop(slot);
         self.finish(task, run, worked).await
     }
@@ -248,10 +256,7 @@
             drop(slot);
             Ok(read)
         };
-        let worked = within(task.deadline, whole).await.map(|(size, digest)| {
-            task.head.size = size;
-            task.head.digest = digest;
-        });
+        let worked = within(task.deadline, whole).await.map(|read| task.received(read));
         self.finish(task, run, worked).await
     }
 
@@ -319,6 +324,7 @@
     }
 }
 
+/// Length and SHA-256 of a body, the latter empty if there is no body.
 async fn digest(mut body: Incoming) -> Result<(u64, String), Broken> {
     let mut size = 0;
     let mut digest = Sha256::new();
@@ -328,6 +334,9 @@
         size += data.len() as u64;
         digest.update(data);
     }
+    if size == 0 {
+        return Ok((0, String::new()));
+    }
     Ok((size, answer::to_hex(&digest.finalize())))
 }
 
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -74,6 +74,10 @@
     let stored = client.call(Method::PUT, "/upload?echo=t3", &[], sent).await.unwrap();
     let head = answer::read(&stored.body).unwrap();
     assert_eq!((head.size, head.digest), (300_000, digest));
+
+    let paid = client.call(Method::POST, "/transfer?echo=t4", &[], b"amount=5".to_vec()).await;
+    let head = answer::read(&paid.unwrap().body).unwrap();
+    assert_eq!((head.size, head.digest), (8, answer::hex_digest(b"amount=5")));
 }
 
 #[test]
