--- /dev/null
+++ b/crates/daemon/src/agent/body.rs
@@ -0,0 +1,195 @@
+//! Request bodies on their way in and answers on their way out, over a flow or over a link from another agent.
+
+use bytes::{Buf, Bytes};
+use camphorwinch_core::claims::{Answer, MAX_ANSWER};
+use futures::FutureExt;
+use h3::{error::Code, server::RequestStream};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use thiserror::Error;
+
+use super::quic::{RecvStream, SendStream};
+
+/// Part of a body that is kept, so that a request refused by one upstream can be sent to another.
+const KEPT: usize = 64 << 10;
+
+/// The caller's side broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the caller gave up")]
+pub(crate) struct GivenUp;
+
+/// Where a body comes from.
+pub(crate) enum Inlet {
+    /// No body. The caller's stream is kept, so that it is not asked to stop.
+    Empty(Option<RequestStream<RecvStream, Bytes>>),
+    /// A caller's stream.
+    Flow(RequestStream<RecvStream, Bytes>),
+}
+
+impl Inlet {
+    async fn next(&mut self) -> Result<Option<Bytes>, GivenUp> {
+        match self {
+            Inlet::Empty(_) => Ok(None),
+            Inlet::Flow(stream) => match stream.recv_data().await {
+                Ok(Some(mut data)) => Ok(Some(data.copy_to_bytes(data.remaining()))),
+                Ok(None) => Ok(None),
+                Err(_) => Err(GivenUp),
+            },
+        }
+    }
+}
+
+/// A request's body. The first part is kept for a second attempt.
+pub(crate) struct Body {
+    inlet: Inlet,
+    kept: Vec<Bytes>,
+    size: usize,
+    at: usize,
+    ended: bool,
+    expected: bool,
+}
+
+impl Body {
+    /// A body read from `inlet`.
+    pub(crate) fn new(inlet: Inlet) -> Body {
+        let expected = !matches!(inlet, Inlet::Empty(_));
+        Body { inlet, kept: Vec::new(), size: 0, at: 0, ended: !expected, expected }
+    }
+
+    /// Whether there is a body at all.
+    pub(crate) fn is_expected(&self) -> bool {
+        self.expected
+    }
+
+    /// Whether all of it was read.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Starts again from the beginning; false if that part is not kept any more.
+    pub(crate) fn rewind(&mut self) -> bool {
+        self.at = 0;
+        self.size <= KEPT
+    }
+
+    /// Reads what the caller may have sent beyond a body that nobody wanted, without waiting.
+    pub(crate) fn close(&mut self) {
+        let stream = match &mut self.inlet {
+            Inlet::Empty(Some(stream)) | Inlet::Flow(stream) => stream,
+            Inlet::Empty(None) => return,
+        };
+        if stream.recv_data().now_or_never().is_none() {
+            stream.stop_sending(Code::H3_NO_ERROR);
+        }
+    }
+
+    /// The next part. Cancelling the wait loses nothing.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, GivenUp> {
+        if let Some(part) = self.kept.get(self.at) {
+            self.at += 1;
+            return Ok(Some(part.clone()));
+        }
+        if self.ended {
+            return Ok(None);
+        }
+        let Some(part) = self.inlet.next().await? else {
+            self.ended = true;
+            return Ok(None);
+        };
+        self.size += part.len();
+        if self.size <= KEPT {
+            self.kept.push(part.clone());
+            self.at += 1;
+        } else {
+            self.kept.clear();
+            self.at = 0;
+        }
+        Ok(Some(part))
+    }
+}
+
+/// Where an answer goes to.
+pub(crate) enum Outlet {
+    /// A caller's stream.
+    Flow(RequestStream<SendStream<Bytes>, Bytes>),
+}
+
+impl Outlet {
+    /// Sends the head.
+    pub(crate) async fn head(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), GivenUp> {
+        match self {
+            Outlet::Flow(stream) => {
+                let mut response = Response::new(());
+                *response.status_mut() = status;
+                *response.headers_mut() = headers.clone();
+                stream.send_response(response).await.map_err(|_| GivenUp)
+            }
+        }
+    }
+
+    /// Sends a part of the body.
+    pub(crate) async fn data(&mut self, part: Bytes) -> Result<(), GivenUp> {
+        match self {
+            Outlet::Flow(stream) => stream.send_data(part).await.map_err(|_| GivenUp),
+        }
+    }
+
+    /// Ends the answer.
+    pub(crate) async fn finish(&mut self) -> Result<(), GivenUp> {
+        match self {
+            Outlet::Flow(stream) => stream.finish().await.map_err(|_| GivenUp),
+        }
+    }
+
+    /// Breaks the answer off, so that nobody takes the part for the whole.
+    pub(crate) fn reset(&mut self, code: Code) {
+        match self {
+            Outlet::Flow(stream) => stream.stop_stream(code),
+        }
+    }
+}
+
+/// A whole answer, kept while it is passed on.
+#[derive(Debug, Default)]
+pub(crate) struct Capture {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Vec<u8>,
+    overflow: bool,
+}
+
+impl Capture {
+    /// Keeps the head.
+    pub(crate) fn head(&mut self, status: StatusCode, headers: &HeaderMap) {
+        self.status = status;
+        self.headers = headers.clone();
+        self.body.clear();
+        self.overflow = false;
+    }
+
+    /// Keeps a part of the body.
+    pub(crate) fn data(&mut self, part: &[u8]) {
+        self.overflow |= self.body.len() + part.len() > MAX_ANSWER;
+        if !self.overflow {
+            self.body.extend_from_slice(part);
+        }
+    }
+
+    /// The answer, unless it is too large to be kept.
+    pub(crate) fn answer(self) -> Option<Answer> {
+        if self.overflow {
+            return None;
+        }
+        let field = |(name, value): (&HeaderName, &HeaderValue)| {
+            (name.as_str().to_owned(), value.as_bytes().to_vec())
+        };
+        Some(Answer {
+            status: self.status.as_u16(),
+            headers: self.headers.iter().map(field).collect(),
+            body: self.body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/node.rs
@@ -0,0 +1,296 @@
+//! State of the agent that all its parts share.
+//!
+//! Lock order: `services` before a service's own locks; `gate`, `hints` and a service's locks are never held together.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+};
+
+use anyhow::Context;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use camphorwinch_core::{
+    admit::Intake,
+    gate::Gate,
+    member::AgentState,
+    object::ServiceId,
+    peers::Hints,
+    seal::{self, KeyRing},
+    snapshot::Snapshot,
+};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use super::{meter, service::Service, socket::DataSocket, upstream::Upstream, work::Work};
+use crate::{
+    clock,
+    config::{AddressMode, AgentConfig},
+    event::{self, About, Id},
+};
+
+/// What an agent must know of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    /// Name.
+    pub(crate) name: String,
+    /// VM.
+    pub(crate) vm: String,
+    /// Availability zone.
+    pub(crate) zone: String,
+    /// Pool of the upstream.
+    pub(crate) pool: String,
+    /// Address for encapsulated datagrams.
+    pub(crate) data: SocketAddr,
+    /// Address of the upstream.
+    pub(crate) upstream: SocketAddr,
+    /// Requests that the upstream runs at once.
+    pub(crate) slots: u32,
+    /// Flows that the agent holds at most.
+    pub(crate) connections: u32,
+    /// Source address of answers.
+    pub(crate) reply: AddressMode,
+}
+
+impl Settings {
+    /// The part of the configuration that concerns flows and requests.
+    pub(crate) fn new(config: &AgentConfig) -> Settings {
+        Settings {
+            name: config.common.name.clone(),
+            vm: config.common.place.vm.clone(),
+            zone: config.common.place.zone.clone(),
+            pool: config.pool.clone(),
+            data: config.data,
+            upstream: config.upstream,
+            slots: config.slots,
+            connections: config.connections,
+            reply: config.reply,
+        }
+    }
+}
+
+/// The agent's shared state.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    /// Data address as connection IDs carry it.
+    pub(crate) home: SocketAddrV4,
+    pub(crate) data: Arc<DataSocket>,
+    pub(crate) ring: Arc<ArcSwapOption<KeyRing>>,
+    pub(crate) work: Work,
+    pub(crate) gate: Mutex<Gate>,
+    pub(crate) hints: Mutex<Hints>,
+    pub(crate) upstream: Upstream,
+    /// Flows and requests in progress.
+    pub(crate) tasks: TaskTracker,
+    snapshot: ArcSwap<Snapshot>,
+    services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+    flows: Arc<AtomicU32>,
+    stopping: AtomicBool,
+    draining: AtomicBool,
+    reachable: AtomicBool,
+    changed: watch::Sender<u64>,
+}
+
+/// A flow counted at the agent; uncounted when dropped.
+#[derive(Debug)]
+pub(crate) struct FlowCount {
+    all: Arc<AtomicU32>,
+    own: Arc<AtomicU32>,
+}
+
+impl FlowCount {
+    fn new(all: &Arc<AtomicU32>, own: &Arc<AtomicU32>) -> FlowCount {
+        all.fetch_add(1, Ordering::Relaxed);
+        own.fetch_add(1, Ordering::Relaxed);
+        meter::HELD.inc();
+        FlowCount { all: Arc::clone(all), own: Arc::clone(own) }
+    }
+}
+
+impl Drop for FlowCount {
+    fn drop(&mut self) {
+        self.all.fetch_sub(1, Ordering::Relaxed);
+        self.own.fetch_sub(1, Ordering::Relaxed);
+        meter::HELD.dec();
+    }
+}
+
+impl Node {
+    /// Binds the data socket.
+    pub(crate) fn new(settings: Settings) -> anyhow::Result<Arc<Node>> {
+        let data = Arc::new(DataSocket::bind(settings.data)?);
+        let home = seal::sealable(data.local()).context("the data address must be IPv4")?;
+        Ok(Arc::new(Node {
+            home,
+            data,
+            ring: Arc::default(),
+            work: Work::new(settings.slots),
+            gate: Mutex::new(Gate::new()),
+            hints: Mutex::new(Hints::new()),
+            upstream: Upstream::new(settings.upstream),
+            tasks: TaskTracker::new(),
+            snapshot: ArcSwap::default(),
+            services: Mutex::default(),
+            flows: Arc::default(),
+            stopping: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            reachable: AtomicBool::new(false),
+            changed: watch::Sender::new(0),
+            settings,
+        }))
+    }
+
+    /// Configuration and members in force here.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Puts a snapshot in force.
+    pub(crate) fn apply(&self, snapshot: Arc<Snapshot>) {
+        self.apply_keys(&snapshot);
+        self.snapshot.store(Arc::clone(&snapshot));
+        self.refresh();
+        for service in self.services() {
+            service.apply(&snapshot, self);
+        }
+    }
+
+    fn apply_keys(&self, snapshot: &Snapshot) {
+        let Some(keys) = &snapshot.keys else {
+            return;
+        };
+        if self.snapshot.load().keys.as_ref() == Some(keys) {
+            return;
+        }
+        let Some(ring) = KeyRing::new(keys) else {
+            event::emit(Id::ConfigRefused, About::new(), "keys/fleet: no key seals");
+            return;
+        };
+        let epoch = ring.epoch();
+        let former = self.ring.swap(Some(Arc::new(ring)));
+        if former.is_some_and(|it| it.epoch() != epoch) {
+            event::emit(Id::KeyRotated, About::new(), &format!("sealing epoch {epoch}"));
+        }
+    }
+
+    /// Asks for a graceful stop: no new work from here on.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.refresh();
+        let snapshot = self.snapshot();
+        for service in self.services() {
+            service.apply(&snapshot, self);
+        }
+    }
+
+    /// Notes whether the upstream accepts connections.
+    pub(crate) fn set_reachable(&self, reachable: bool) {
+        if self.reachable.swap(reachable, Ordering::SeqCst) != reachable {
+            self.bump();
+        }
+    }
+
+    /// Signals changes of the agent's own state.
+    pub(crate) fn changed(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Tells those that follow the agent's state to look again.
+    pub(crate) fn bump(&self) {
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    /// Whether the agent drains, by a planned change or because it stops.
+    pub(crate) fn drains(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Whether the agent takes new work.
+    pub(crate) fn intake(&self) -> Intake {
+        if self.drains() {
+            return Intake::Draining;
+        }
+        let reachable = self.reachable.load(Ordering::SeqCst);
+        if reachable && self.gate.lock().is_open(clock::now_ms()) {
+            Intake::Open
+        } else {
+            Intake::Closed
+        }
+    }
+
+    /// State to announce.
+    pub(crate) fn state(&self) -> AgentState {
+        const CLOSED_MS: u64 = 3_000;
+        if self.stopping.load(Ordering::SeqCst) {
+            return AgentState::Draining;
+        }
+        let closed = self.gate.lock().closed_for(clock::now_ms());
+        if self.reachable.load(Ordering::SeqCst) && closed < CLOSED_MS {
+            AgentState::Ready
+        } else {
+            AgentState::Starting
+        }
+    }
+
+    /// Flows held.
+    pub(crate) fn flows(&self) -> u32 {
+        self.flows.load(Ordering::Relaxed)
+    }
+
+    /// Counts a flow of a service whose own count is `own`.
+    pub(crate) fn count_flow(&self, own: &Arc<AtomicU32>) -> FlowCount {
+        FlowCount::new(&self.flows, own)
+    }
+
+    /// The services that flows came for so far.
+    pub(crate) fn services(&self) -> Vec<Arc<Service>> {
+        self.services.lock().values().cloned().collect()
+    }
+
+    /// The service with this number; set up at its first datagram.
+    pub(crate) fn service(self: &Arc<Self>, id: ServiceId) -> Option<Arc<Service>> {
+        if let Some(it) = self.services.lock().get(&id) {
+            return Some(Arc::clone(it));
+        }
+        let snapshot = self.snapshot();
+        let entry = snapshot.services.get(&id)?;
+        let ring = self.ring.load_full()?;
+        let mut services = self.services.lock();
+        if let Some(it) = services.get(&id) {
+            return Some(Arc::clone(it));
+        }
+        match Service::open(self, id, entry, &ring) {
+            Ok(it) => {
+                services.insert(id, Arc::clone(&it));
+                drop(services);
+                it.apply(&snapshot, self);
+                Some(it)
+            }
+            Err(e) => {
+                drop(services);
+                let about = About::new().with_service(&entry.name);
+                event::emit(Id::ConfigRefused, about, &format!("{e:#}"));
+                None
+            }
+        }
+    }
+
+    fn refresh(&self) {
+        let it = &self.settings;
+        let planned = self.snapshot.load().drains(&it.name, &it.vm, &it.zone);
+        let drains = planned || self.stopping.load(Ordering::SeqCst);
+        let drained = self.draining.swap(drains, Ordering::SeqCst);
+        if drains && !drained {
+            let text = format!("{} flows, {} requests", self.flows(), self.work.busy());
+            event::emit(Id::DrainStarted, About::new().with_upstream(&it.name), &text);
+        }
+        if drained && !drains {
+            event::emit(Id::DrainEnded, About::new().with_upstream(&it.name), "takes new work");
+        }
+        self.bump();
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The camphorwinch daemon: `balance` on an entry VM, `agent` beside an upstream.
 
+mod agent;
 mod clock;
 mod cmd;
 mod config;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod encap;
 pub mod frame;
+pub mod handover;
