--- /dev/null
+++ b/crates/relay/tests/worker.rs
@@ -0,0 +1,62 @@
+//! A worker on real sockets.
+
+mod common;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use camphorwinch_core::place::Placer;
+use camphorwinch_relay::{
+    outcome::{Outcome, Tally},
+    socket,
+    worker::{Intake, Shared, Worker},
+};
+use camphorwinch_wire::encap;
+use tokio::sync::oneshot;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn receiver() -> UdpSocket {
+    let socket = UdpSocket::bind(loopback()).expect("bind");
+    socket.set_read_timeout(Some(TIMEOUT)).expect("set a timeout");
+    socket
+}
+
+#[test]
+fn relays_to_the_owner_until_its_intake_is_closed() {
+    let agent = receiver();
+    let data = agent.local_addr().expect("an address");
+    let SocketAddr::V4(home) = data else { panic!("IPv4") };
+    let service = socket::bind(loopback()).expect("bind");
+    let address = service.local_addr().expect("an address");
+    let placer = Placer::new(&common::snapshot(address, &[data]), None, 0);
+    let shared =
+        Arc::new(Shared { placer: ArcSwap::from_pointee(placer), tally: Tally::default() });
+    let own = socket::bind(loopback()).expect("bind");
+    let worker = Worker::new("test", own, Arc::clone(&shared)).expect("start");
+    let (closer, closed) = oneshot::channel();
+    assert!(worker.open(Intake { address, socket: service, closed }));
+
+    let caller = receiver();
+    let datagram = common::established(home, 1, 900);
+    caller.send_to(&[0; 30], address).expect("send");
+    caller.send_to(&datagram, address).expect("send");
+    let mut buffer = [0; 2_000];
+    let (len, _) = agent.recv_from(&mut buffer).expect("the datagram arrives");
+    let (header, payload) = encap::decode(&common::ring(), &buffer[..len]).expect("valid");
+    assert_eq!(header.caller, caller.local_addr().expect("an address"));
+    assert_eq!(payload, datagram);
+    assert_eq!(shared.tally.get(Outcome::Epoch), 1, "the first datagram's ID has an unknown epoch");
+
+    drop(closer);
+    worker.join();
+    assert!(socket::bind(address).is_ok());
+}
