--- a/crates/daemon/src/agent/datagram.rs
+++ b/crates/daemon/src/agent/datagram.rs
@@ -58,7 +58,7 @@
 }
 
 /// Takes in encapsulated datagrams until the task is stopped.
-pub(crate) async fn run(node: Arc<Node>) -> anyhow::Result<()> {
+pub(crate) async fn run(node: Arc<Node>) {
     let size = DATAGRAM * node.data.segments();
     let mut memory = vec![0; size * BUFFERS];
     let mut metas = [RecvMeta::default(); BUFFERS];
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -23,7 +23,7 @@
 
 const NOT_RUN: &str = "camphorwinch-not-run";
 /// A request that still streams its body or its answer after this long is no longer counted against the slots.
-const LONG: Duration = Duration::from_secs(1);
+const LONG: Duration = Duration::from_millis(100);
 const PARTS: usize = 2;
 
 type Parts = mpsc::Sender<Result<Bytes, io::Error>>;
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -8,9 +8,15 @@
 mod node;
 mod quic;
 mod request;
+mod run;
 mod service;
 mod socket;
+#[cfg(test)]
+mod tests;
 mod upstream;
 mod work;
 
-pub(crate) use self::node::{Node, Settings};
+pub(crate) use self::{
+    node::{Node, Settings},
+    run::Running,
+};
