--- a/crates/daemon/src/agent/body.rs
+++ b/crates/daemon/src/agent/body.rs
@@ -1,17 +1,26 @@
 //! Request bodies on their way in and answers on their way out, over a flow or over a link from another agent.
 
+use std::time::Duration;
+
 use bytes::{Buf, Bytes};
 use camphorwinch_core::claims::{Answer, MAX_ANSWER};
 use futures::FutureExt;
 use h3::{error::Code, server::RequestStream};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use thiserror::Error;
+use tokio::time;
 
-use super::quic::{RecvStream, SendStream};
+use super::{
+    link::{LinkInlet, LinkOutlet},
+    quic::{RecvStream, SendStream},
+};
 
 /// Part of a body that is kept, so that a request refused by one upstream can be sent to another.
 const KEPT: usize = 64 << 10;
 
+/// Longest wait for the rest of a body that nobody reads any more.
+const REST_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The caller's side broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the caller gave up")]
@@ -19,21 +28,21 @@
 
 /// Where a body comes from.
 pub(crate) enum Inlet {
-    /// No body. The caller's stream is kept, so that it is not asked to stop.
-    Empty(Option<RequestStream<RecvStream, Bytes>>),
     /// A caller's stream.
     Flow(RequestStream<RecvStream, Bytes>),
+    /// A link from another agent.
+    Link(LinkInlet),
 }
 
 impl Inlet {
     async fn next(&mut self) -> Result<Option<Bytes>, GivenUp> {
         match self {
-            Inlet::Empty(_) => Ok(None),
             Inlet::Flow(stream) => match stream.recv_data().await {
                 Ok(Some(mut data)) => Ok(Some(data.copy_to_bytes(data.remaining()))),
                 Ok(None) => Ok(None),
                 Err(_) => Err(GivenUp),
             },
+            Inlet::Link(link) => link.next().await,
         }
     }
 }
@@ -49,9 +58,8 @@
 }
 
 impl Body {
-    /// A body read from `inlet`.
-    pub(crate) fn new(inlet: Inlet) -> Body {
-        let expected = !matches!(inlet, Inlet::Empty(_));
+    /// A body read from `inlet`; nothing is read if none is expected.
+    pub(crate) fn new(inlet: Inlet, expected: bool) -> Body {
         Body { inlet, kept: Vec::new(), size: 0, at: 0, ended: !expected, expected }
     }
 
@@ -60,28 +68,51 @@
         self.expected
     }
 
-    /// Whether all of it was read.
-    pub(crate) fn is_ended(&self) -> bool {
-        self.ended
-    }
-
     /// Starts again from the beginning; false if that part is not kept any more.
     pub(crate) fn rewind(&mut self) -> bool {
         self.at = 0;
         self.size <= KEPT
     }
 
-    /// Reads what the caller may have sent beyond a body that nobody wanted, without waiting.
+    /// Ends reading. A caller that goes on sending is asked to stop.
     pub(crate) fn close(&mut self) {
-        let stream = match &mut self.inlet {
-            Inlet::Empty(Some(stream)) | Inlet::Flow(stream) => stream,
-            Inlet::Empty(None) => return,
+        let Inlet::Flow(stream) = &mut self.inlet else {
+            return;
         };
         if stream.recv_data().now_or_never().is_none() {
             stream.stop_sending(Code::H3_NO_ERROR);
         }
     }
 
+    /// Whether the agent that handed the request over was told to send the body.
+    pub(crate) fn is_begun(&self) -> bool {
+        matches!(&self.inlet, Inlet::Link(link) if link.is_ready())
+    }
+
+    /// The link over which a body would have come, had the request begun.
+    pub(crate) fn into_unread(self) -> Option<LinkInlet> {
+        match self.inlet {
+            Inlet::Link(link) => Some(link),
+            Inlet::Flow(_) => None,
+        }
+    }
+
+    /// The link that the body came over, if it is at rest. What is left of the body is read first: closing a link with
+    /// unread data could destroy the answer on its way.
+    pub(crate) async fn into_link(mut self) -> Option<LinkInlet> {
+        let rest = async {
+            while self.next().await?.is_some() {}
+            Ok::<_, GivenUp>(())
+        };
+        let Ok(Ok(())) = time::timeout(REST_TIMEOUT, rest).await else {
+            return None;
+        };
+        match self.inlet {
+            Inlet::Link(link) => Some(link),
+            Inlet::Flow(_) => None,
+        }
+    }
+
     /// The next part. Cancelling the wait loses nothing.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, GivenUp> {
         if let Some(part) = self.kept.get(self.at) {
@@ -111,14 +142,28 @@
 pub(crate) enum Outlet {
     /// A caller's stream.
     Flow(RequestStream<SendStream<Bytes>, Bytes>),
+    /// A link from another agent.
+    Link(LinkOutlet),
 }
 
 impl Outlet {
-    /// Sends the head.
+    /// Makes sure that the request may begin: an agent that handed it over must say so first.
+    pub(crate) async fn ready(&mut self, body: &mut Body, load: f64) -> Result<(), GivenUp> {
+        match (self, &mut body.inlet) {
+            (Outlet::Link(outlet), Inlet::Link(inlet)) if !inlet.is_ready() => {
+                outlet.taken(load).await?;
+                inlet.ready().await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Sends the head; `upstream` names the agent whose upstream answered.
     pub(crate) async fn head(
         &mut self,
         status: StatusCode,
         headers: &HeaderMap,
+        upstream: &str,
     ) -> Result<(), GivenUp> {
         match self {
             Outlet::Flow(stream) => {
@@ -127,6 +172,7 @@
                 *response.headers_mut() = headers.clone();
                 stream.send_response(response).await.map_err(|_| GivenUp)
             }
+            Outlet::Link(link) => link.head(status, headers, upstream).await,
         }
     }
 
@@ -134,6 +180,7 @@
     pub(crate) async fn data(&mut self, part: Bytes) -> Result<(), GivenUp> {
         match self {
             Outlet::Flow(stream) => stream.send_data(part).await.map_err(|_| GivenUp),
+            Outlet::Link(link) => link.data(part, false).await,
         }
     }
 
@@ -141,6 +188,7 @@
     pub(crate) async fn finish(&mut self) -> Result<(), GivenUp> {
         match self {
             Outlet::Flow(stream) => stream.finish().await.map_err(|_| GivenUp),
+            Outlet::Link(link) => link.data(Bytes::new(), true).await,
         }
     }
 
@@ -148,6 +196,7 @@
     pub(crate) fn reset(&mut self, code: Code) {
         match self {
             Outlet::Flow(stream) => stream.stop_stream(code),
+            Outlet::Link(link) => link.reset(),
         }
     }
 }
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -44,6 +44,10 @@
         node.gate.lock().dropped();
         return Some(Report::Consumed { retry_ms: 0 });
     }
+    if outlet.ready(body, node.work.load()).await.is_err() {
+        node.gate.lock().dropped();
+        return Some(Report::Cancelled);
+    }
     let mut conn = match node.upstream.connect(course.ask.is_idempotent()).await {
         Ok(it) => it,
         Err(e) => return Some(failed(course, &e)),
@@ -168,8 +172,9 @@
     let (parts, mut incoming) = response.into_parts();
     let mut headers = parts.headers;
     request::strip(&mut headers);
-    course.answer_headers(&mut headers, Some(&course.node.settings.name));
-    outlet.head(parts.status, &headers).await.map_err(|_| Broken::Caller)?;
+    let name = &course.node.settings.name;
+    course.answer_headers(&mut headers, Some(name));
+    outlet.head(parts.status, &headers, name).await.map_err(|_| Broken::Caller)?;
     loop {
         let frame = tokio::select! {
             frame = incoming.frame() => frame,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -3,6 +3,8 @@
 mod body;
 mod datagram;
 mod flow;
+mod handover;
+mod link;
 mod local;
 mod meter;
 mod node;
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -23,10 +23,18 @@
     snapshot::Snapshot,
 };
 use parking_lot::Mutex;
+use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use super::{meter, service::Service, socket::DataSocket, upstream::Upstream, work::Work};
+use super::{
+    link::{Dial, Links},
+    meter,
+    service::Service,
+    socket::DataSocket,
+    upstream::Upstream,
+    work::Work,
+};
 use crate::{
     clock,
     config::{AddressMode, AgentConfig},
@@ -84,6 +92,7 @@
     pub(crate) gate: Mutex<Gate>,
     pub(crate) hints: Mutex<Hints>,
     pub(crate) upstream: Upstream,
+    pub(crate) links: Links,
     /// Flows and requests in progress.
     pub(crate) tasks: TaskTracker,
     snapshot: ArcSwap<Snapshot>,
@@ -121,7 +130,7 @@
 
 impl Node {
     /// Binds the data socket.
-    pub(crate) fn new(settings: Settings) -> anyhow::Result<Arc<Node>> {
+    pub(crate) fn new(settings: Settings, dial: Arc<dyn Dial>) -> anyhow::Result<Arc<Node>> {
         let data = Arc::new(DataSocket::bind(settings.data)?);
         let home = seal::sealable(data.local()).context("the data address must be IPv4")?;
         Ok(Arc::new(Node {
@@ -132,6 +141,7 @@
             gate: Mutex::new(Gate::new()),
             hints: Mutex::new(Hints::new()),
             upstream: Upstream::new(settings.upstream),
+            links: Links::new(dial),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
@@ -279,6 +289,20 @@
         }
     }
 
+    /// State, for operators.
+    pub(crate) fn status(&self) -> Value {
+        let service = |it: &Arc<Service>| json!({ "name": it.name, "flows": it.flows(), "here": it.is_here(self) });
+        let services: Vec<Value> = self.services().iter().map(service).collect();
+        json!({
+            "state": self.state(),
+            "draining": self.drains(),
+            "flows": self.flows(),
+            "busy": self.work.busy(),
+            "slots": self.work.slots(),
+            "services": services,
+        })
+    }
+
     fn refresh(&self) {
         let it = &self.settings;
         let planned = self.snapshot.load().drains(&it.name, &it.vm, &it.zone);
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -17,7 +17,7 @@
 
 use super::{
     body::{Body, Inlet, Outlet},
-    local, meter,
+    handover, local, meter,
     node::Node,
     quic::{BidiStream, Connection, Ended, Ends},
     service::Service,
@@ -242,8 +242,7 @@
 ) {
     let (send, recv) = stream.split();
     let mut outlet = Outlet::Flow(send);
-    let inlet = if course.ask.has_body() { Inlet::Flow(recv) } else { Inlet::Empty(Some(recv)) };
-    let mut body = Body::new(inlet);
+    let mut body = Body::new(Inlet::Flow(recv), course.ask.has_body());
     let outcome = carry(&mut course, &mut body, &mut outlet, ended).await;
     if let Some(outcome) = outcome {
         answer(&course, &mut outlet, outcome).await;
@@ -277,7 +276,7 @@
                 Some(slot) => local::run(course, body, outlet, ended, slot).await?,
                 None => Report::Refused { retry_ms: 0 },
             },
-            Step::Offer { .. } => Report::Refused { retry_ms: 0 },
+            Step::Offer { to } => handover::offer(course, &to, body, outlet, ended).await?,
         };
         if report != Report::Slot {
             slot = None;
@@ -313,7 +312,7 @@
     put(&mut headers, header::RETRY_AFTER, &retry_ms.div_ceil(1_000).to_string());
     put(&mut headers, header::CONTENT_LENGTH, "0");
     // If the caller has gone meanwhile, nobody waits for the answer.
-    if outlet.head(status, &headers).await.is_ok() {
+    if outlet.head(status, &headers, "").await.is_ok() {
         let _ = outlet.finish().await;
     }
 }
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -6,13 +6,16 @@
 use camphorwinch_core::snapshot::Snapshot;
 use serde::Deserialize;
 use tokio::{
-    sync::watch,
+    sync::{mpsc, watch},
     task::JoinSet,
     time::{self, MissedTickBehavior},
 };
 
-use super::{datagram, node::Node};
-use crate::event::{self, About, Id};
+use super::{datagram, handover, node::Node};
+use crate::{
+    control::Accepted,
+    event::{self, About, Id},
+};
 
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,6 +48,31 @@
         Running { node, tasks }
     }
 
+    /// Serves links that other agents open, until no more come.
+    pub(crate) fn links(
+        &self,
+        accepted: Option<mpsc::Receiver<Accepted>>,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        let node = Arc::clone(&self.node);
+        async move {
+            let Some(mut accepted) = accepted else {
+                return;
+            };
+            let mut links = JoinSet::new();
+            loop {
+                tokio::select! {
+                    link = accepted.recv() => match link {
+                        Some(link) => {
+                            links.spawn(handover::serve(Arc::clone(&node), link));
+                        }
+                        None => return,
+                    },
+                    Some(_) = links.join_next() => {}
+                }
+            }
+        }
+    }
+
     /// Takes no new work, and waits until flows and requests have ended, at most for `limit`. False if some were left.
     pub(crate) async fn drain(&mut self, limit: Duration) -> bool {
         self.node.stop();
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Flows held.
+    pub(crate) fn flows(&self) -> u32 {
+        self.flows.load(Ordering::Relaxed)
+    }
+
     /// Turns true when the service's flows must leave this agent.
     pub(crate) fn leaving(&self) -> watch::Receiver<bool> {
         self.leaving.subscribe()
@@ -200,7 +205,7 @@
     fn admit(&self, node: &Node, next: Option<SocketAddrV4>) -> Placed {
         let entry = self.entry();
         let room = Room {
-            flows: self.flows.load(Ordering::Relaxed),
+            flows: self.flows(),
             flow_limit: entry.spec.connections,
             all_flows: node.flows(),
             all_limit: node.settings.connections,
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -74,3 +74,41 @@
     assert_eq!(late.header("camphorwinch-outcome"), "not-run");
     assert!(flow.closed_cleanly().await);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_handed_over_when_the_upstream_refuses() {
+    let bench = Bench::start(3).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    for method in [Method::GET, Method::POST] {
+        let path = if method == Method::GET { "/screen?echo=x" } else { "/transfer?echo=x" };
+        let reply = flow.call(Call::new(method, path)).await;
+        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+        assert_eq!(reply.header("camphorwinch-agent"), "agent-0");
+        assert_ne!(reply.header("camphorwinch-upstream"), "agent-0");
+    }
+    let reply = flow.call(Call::new(Method::PUT, "/upload").with_body(vec![1; 500_000])).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert!(reply.text().contains("\"size\":500000"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_agent_passes_flows_and_requests_on() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    assert_eq!(flow.call(Call::new(Method::GET, "/screen")).await.status, StatusCode::OK);
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=3000&every=100&echo=f")));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    bench.drain("agent-0");
+    // Requests on their way when the drain begins run at the peer.
+    let reply = flow.call(Call::new(Method::POST, "/transfer")).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(reply.header("camphorwinch-upstream"), "agent-1");
+    let other = bench.open().await;
+    let reply = other.call(Call::new(Method::GET, "/screen")).await;
+    assert_eq!(reply.header("camphorwinch-agent"), "agent-1");
+    let feed = feed.await.expect("the caller's task ends");
+    assert!(feed.text().contains("sum "), "the feed ended with its last line");
+    assert!(flow.closed_cleanly().await);
+    assert_eq!(bench.invariant_failures(), 0);
+}
--- a/crates/daemon/src/agent/tests/bench.rs
+++ b/crates/daemon/src/agent/tests/bench.rs
@@ -15,12 +15,18 @@
     candidates::Candidates,
     invariant::{self, Invariant},
     member::{Agent, AgentState, Place},
-    object::{Certificate, KeySpec, KeyUse, Keys, Policy, Service, ServiceId},
+    object::{
+        Action, Certificate, Change, KeySpec, KeyUse, Keys, Policy, Service, ServiceId, Target,
+    },
     seal::KeyRing,
     snapshot::{ServiceEntry, Snapshot},
 };
 use camphorwinch_standin::upstream::{Faults, Settings as UpstreamSettings, Upstream};
-use camphorwinch_wire::encap::{self, Header};
+use camphorwinch_wire::{
+    encap::{self, Header},
+    frame,
+};
+use futures::{SinkExt, StreamExt, future::BoxFuture};
 use h3::{
     client::SendRequest,
     error::{Code, StreamError},
@@ -29,11 +35,17 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use parking_lot::RwLock;
 use quinn::Endpoint;
-use tokio::{net::UdpSocket, sync::watch, time};
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::{mpsc, watch},
+    time,
+};
 
 use crate::{
-    agent::{Node, Running, Settings},
-    config::AddressMode,
+    agent::{Node, Running, Settings, link::Dial},
+    config::{AddressMode, FleetPem},
+    control::{Accepted, Stream},
+    tls::Tls,
 };
 
 pub(crate) const SERVICE: &str = "ledger";
@@ -55,6 +67,7 @@
     snapshot: watch::Sender<Arc<Snapshot>>,
     service: SocketAddr,
     endpoint: Endpoint,
+    tls: Tls,
     relay: tokio::task::JoinHandle<()>,
 }
 
@@ -104,6 +117,7 @@
             snapshot: sender,
             service: address,
             endpoint: endpoint(ip, issued.cert.der()),
+            tls: fleet(),
             relay: tokio::spawn(async {}),
         };
         for at in 0..agents {
@@ -126,18 +140,23 @@
         let name = format!("agent-{at}");
         let settings = UpstreamSettings::new(any(ip), any(ip), &name, POOL);
         let upstream = Upstream::start(settings, Faults::default()).await.expect("upstream");
-        let node = Node::new(Settings {
-            name: name.clone(),
-            vm: format!("vm-{at}"),
-            zone: "zone-a".to_owned(),
-            pool: POOL.to_owned(),
-            data: any(ip),
-            upstream: upstream.addr(),
-            slots: 7,
-            connections: 2_000,
-            reply: AddressMode::Own,
-        })
+        let listener = TcpListener::bind(any(ip)).await.expect("control");
+        let node = Node::new(
+            Settings {
+                name: name.clone(),
+                vm: format!("vm-{at}"),
+                zone: "zone-a".to_owned(),
+                pool: POOL.to_owned(),
+                data: any(ip),
+                upstream: upstream.addr(),
+                slots: 7,
+                connections: 2_000,
+                reply: AddressMode::Own,
+            },
+            Arc::new(Wire { tls: self.tls.clone(), name: name.clone() }),
+        )
         .expect("agent");
+        let control = listener.local_addr().expect("control address");
         let place = Place {
             vm: format!("vm-{at}"),
             zone: "zone-a".to_owned(),
@@ -148,7 +167,7 @@
             place,
             pool: POOL.to_owned(),
             data: node.home.into(),
-            control: any(ip),
+            control,
             weight: 1.0,
             slots: 7,
             connections: 2_000,
@@ -156,6 +175,9 @@
         };
         let (applied, _) = watch::channel(0);
         let running = Running::start(Arc::clone(&node), self.snapshot.subscribe(), applied);
+        let (sender, accepted) = mpsc::channel(16);
+        tokio::spawn(listen(listener, self.tls.clone(), sender));
+        tokio::spawn(running.links(Some(accepted)));
         Seat { node, upstream, running: Some(running), member }
     }
 
@@ -170,6 +192,14 @@
         self.snapshot.send_replace(Arc::new(snapshot));
     }
 
+    /// Plans a drain.
+    pub(crate) fn drain(&self, name: &str) {
+        let change = Change { action: Action::Drain, target: Target::Upstream(name.to_owned()) };
+        self.change(|it| {
+            it.changes.insert("drain".to_owned(), change);
+        });
+    }
+
     /// Sets faults of an upstream.
     pub(crate) async fn faults(&self, at: usize, json: &str) {
         let admin = self.seats[at].upstream.admin();
@@ -229,6 +259,54 @@
     endpoint
 }
 
+/// TLS of a fleet that trusts itself.
+fn fleet() -> Tls {
+    let key = rcgen::KeyPair::generate().expect("key");
+    let mut params =
+        rcgen::CertificateParams::new(vec!["fleet.camphorwinch".to_owned()]).expect("params");
+    params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+    let ca = params.self_signed(&key).expect("ca");
+    let issuer = rcgen::Issuer::new(params, key);
+    let own = rcgen::KeyPair::generate().expect("key");
+    let params =
+        rcgen::CertificateParams::new(vec!["fleet.camphorwinch".to_owned()]).expect("params");
+    let cert = params.signed_by(&own, &issuer).expect("certificate");
+    let pem = FleetPem { ca: ca.pem(), cert: cert.pem(), key: own.serialize_pem() };
+    Tls::new(&pem).expect("tls")
+}
+
+/// Links between the agents of the bench.
+struct Wire {
+    tls: Tls,
+    name: String,
+}
+
+impl Dial for Wire {
+    fn dial<'a>(
+        &'a self,
+        _peer: &'a str,
+        address: SocketAddr,
+    ) -> BoxFuture<'a, anyhow::Result<Stream>> {
+        Box::pin(async move {
+            let stream = self.tls.connect(TcpStream::connect(address).await?).await?;
+            let mut frames = frame::frames(stream);
+            frames.send(Bytes::copy_from_slice(self.name.as_bytes())).await?;
+            Ok(frames)
+        })
+    }
+}
+
+async fn listen(listener: TcpListener, tls: Tls, accepted: mpsc::Sender<Accepted>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut stream = frame::frames(tls.accept(stream).await.expect("handshake"));
+        let hello = stream.next().await.expect("greeting").expect("greeting");
+        let peer = String::from_utf8_lossy(&hello).into_owned();
+        if accepted.send(Accepted { peer, stream }).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Acts as fabric and balancer: one socket towards callers; answers of agents are passed back through it.
 async fn forward(callers: UdpSocket, snapshot: watch::Receiver<Arc<Snapshot>>) {
     let local = callers.local_addr().expect("address");
@@ -317,7 +395,7 @@
 }
 
 /// An answer, or how it broke.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
@@ -326,6 +404,15 @@
 }
 
 impl Reply {
+    fn none() -> Reply {
+        Reply {
+            status: StatusCode::IM_A_TEAPOT,
+            headers: HeaderMap::new(),
+            body: BytesMut::new(),
+            broken: None,
+        }
+    }
+
     pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default()
     }
@@ -348,7 +435,7 @@
         async move {
             match time::timeout(PATIENCE, exchange(sender, call)).await {
                 Ok(it) => it,
-                Err(_) => Reply { broken: Some("late".to_owned()), ..Reply::default() },
+                Err(_) => Reply { broken: Some("late".to_owned()), ..Reply::none() },
             }
         }
     }
@@ -365,7 +452,7 @@
 }
 
 async fn exchange(mut sender: SendRequest<OpenStreams, Bytes>, call: Call) -> Reply {
-    let mut reply = Reply::default();
+    let mut reply = Reply::none();
     if let Err(e) = attempt(&mut sender, call, &mut reply).await {
         reply.broken = Some(match e {
             StreamError::RemoteTerminate { code } => format!("{code}"),
--- a/crates/daemon/src/cmd/agent.rs
+++ b/crates/daemon/src/cmd/agent.rs
@@ -1,13 +1,24 @@
 //! `camphorwinchd agent`.
 
+use std::sync::Arc;
+
 use bpaf::Bpaf;
-use tokio::runtime::Builder;
+use camphorwinch_core::{
+    admit::Intake,
+    member::{self, AgentState},
+};
+use serde_json::{Value, json};
+use tokio::{runtime::Builder, sync::watch};
 
 use crate::{
+    agent::{Node, Running, Settings},
     cmd::Run,
     config::{AgentConfig, AgentFlags, agent_flags},
+    control::{Control, Load, Role},
     event::{self, About, Id},
-    log, signal,
+    log,
+    operator::{self, Inspect},
+    signal,
 };
 
 /// Serve flows for one upstream: run this beside it.
@@ -31,8 +42,86 @@
 
 async fn serve(config: AgentConfig) -> anyhow::Result<()> {
     let stop = signal::stop_token()?;
+    let control = Control::start(&config.common, Role::Agent(member(&config))).await?;
+    let node = Node::new(Settings::new(&config), Arc::new(control.clone()))?;
+    let (applied, in_force) = watch::channel(0);
+    let mut running = Running::start(Arc::clone(&node), control.watch(), applied);
+    let links = tokio::spawn(running.links(control.accepted()));
+    let announcing = tokio::spawn(announce(control.clone(), Arc::clone(&node), in_force));
+    let inspect = Inspected { control: control.clone(), node };
+    operator::serve(config.common.operator, Arc::new(inspect)).await?;
     event::emit(Id::ProcessStarted, About::new(), &format!("agent {}", config.common.name));
-    stop.cancelled().await;
+
+    let mut fenced = control.fenced();
+    tokio::select! {
+        () = stop.cancelled() => {}
+        _ = fenced.wait_for(|it| *it) => {}
+    }
+    event::emit(Id::ProcessStopping, About::new(), "waiting for flows to end");
+    running.drain(config.drain_timeout).await;
+    announcing.abort();
+    control.leave().await;
+    links.abort();
+    running.stop().await;
     event::emit(Id::ProcessStopped, About::new(), "stopped");
     Ok(())
 }
+
+fn member(config: &AgentConfig) -> member::Agent {
+    member::Agent {
+        name: config.common.name.clone(),
+        place: config.common.place.clone(),
+        pool: config.pool.clone(),
+        data: config.data,
+        control: config.common.control,
+        weight: config.weight,
+        slots: config.slots,
+        connections: config.connections,
+        state: AgentState::Starting,
+    }
+}
+
+/// Tells the fleet the agent's state and load whenever they change.
+async fn announce(control: Control, node: Arc<Node>, mut in_force: watch::Receiver<u64>) {
+    let mut changed = node.changed();
+    let mut state = AgentState::Starting;
+    loop {
+        tokio::select! {
+            it = changed.changed() => if it.is_err() {
+                return;
+            },
+            it = in_force.changed() => if it.is_err() {
+                return;
+            },
+        }
+        control.applied(*in_force.borrow_and_update());
+        control.set_load(Load { flows: node.flows(), busy: node.work.busy() });
+        let now = node.state();
+        if now != state {
+            state = now;
+            control.set_state(now);
+        }
+    }
+}
+
+struct Inspected {
+    control: Control,
+    node: Arc<Node>,
+}
+
+impl Inspect for Inspected {
+    fn health(&self) -> Result<(), String> {
+        if !self.control.synced() {
+            return Err("the configuration is not known yet".to_owned());
+        }
+        match self.node.intake() {
+            Intake::Open => Ok(()),
+            Intake::Closed => Err("the upstream takes no requests".to_owned()),
+            Intake::Draining => Err("draining".to_owned()),
+        }
+    }
+
+    fn status(&self) -> Value {
+        json!({ "control": self.control.status(), "agent": self.node.status() })
+    }
+}
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -72,9 +72,6 @@
     /// Time after which it may be asked again.
     #[prost(uint64, tag = "1")]
     pub retry_ms: u64,
-    /// Whether part of the body was read, so that the request can't be sent again.
-    #[prost(bool, tag = "2")]
-    pub consumed: bool,
 }
 
 /// The request may begin.
