--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod encap;
 pub mod frame;
 pub mod handover;
+pub mod message;
