--- a/crates/daemon/src/cmd/balance.rs
+++ b/crates/daemon/src/cmd/balance.rs
@@ -57,7 +57,7 @@
     stop.cancel();
     event::emit(Id::ProcessStopping, About::new(), "relaying until no more datagrams arrive");
     control.leave().await;
-    relay.finish().await;
+    relay.finish(&control).await;
     event::emit(Id::ProcessStopped, About::new(), "stopped");
     Ok(())
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -76,7 +76,7 @@
         Arc::clone(&self.shared)
     }
 
-    /// Follows the snapshots until `control` ends or this future is dropped.
+    /// Follows the snapshots until this future is dropped.
     pub(crate) async fn follow(&mut self, control: &Control) {
         let mut snapshots = control.watch();
         let mut tick = interval(TICK);
@@ -87,7 +87,8 @@
             tokio::select! {
                 changed = snapshots.changed() => {
                     if changed.is_err() {
-                        return;
+                        // The control plane has ended: what is in force stays so.
+                        return std::future::pending().await;
                     }
                     in_force = false;
                 }
@@ -140,27 +141,37 @@
     }
 
     /// Goes on relaying until no more datagrams arrive, then ends the workers.
-    pub(crate) async fn finish(mut self) {
-        let started = Instant::now();
-        let mut last = (started, self.received());
-        while started.elapsed() < LEAVE_TIMEOUT && last.0.elapsed() < QUIET {
-            sleep(QUIET / 20).await;
-            let received = self.received();
-            if received != last.1 {
-                last = (Instant::now(), received);
-            }
+    pub(crate) async fn finish(mut self, control: &Control) {
+        let shared = self.shared();
+        tokio::select! {
+            () = quiet(&shared.tally) => {}
+            () = self.follow(control) => {}
         }
         self.export();
         for worker in self.workers {
             worker.join();
         }
     }
+}
 
-    fn received(&self) -> u64 {
-        Outcome::ALL.into_iter().map(|it| self.shared.tally.get(it)).sum()
+/// Waits until no datagram has arrived for a while, or until the longest time a balancer that leaves goes on.
+async fn quiet(tally: &Tally) {
+    let started = Instant::now();
+    let mut changed = started;
+    let mut last = received(tally);
+    while started.elapsed() < LEAVE_TIMEOUT && changed.elapsed() < QUIET {
+        sleep(QUIET / 20).await;
+        let now = received(tally);
+        if now != last {
+            (changed, last) = (Instant::now(), now);
+        }
     }
 }
 
+fn received(tally: &Tally) -> u64 {
+    Outcome::ALL.into_iter().map(|it| tally.get(it)).sum()
+}
+
 /// State of the packet path, for operators.
 pub(crate) fn status(shared: &Shared) -> Value {
     let count = |it: Outcome| (it.as_str().to_owned(), json!(shared.tally.get(it)));
@@ -169,3 +180,6 @@
     let addresses: Vec<SocketAddr> = placer.listeners().keys().copied().collect();
     json!({ "packets": packets, "addresses": addresses, "table_bytes": placer.table_bytes() })
 }
+
+#[cfg(test)]
+mod tests;
