--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,24 @@
+//! The agent: ends callers' flows beside an upstream and runs their requests.
+
+mod body;
+mod datagram;
+mod flow;
+mod handover;
+mod link;
+mod local;
+mod meter;
+mod node;
+mod quic;
+mod request;
+mod run;
+mod service;
+mod socket;
+#[cfg(test)]
+mod tests;
+mod upstream;
+mod work;
+
+pub(crate) use self::{
+    node::{Node, Settings},
+    run::Running,
+};
