--- a/crates/standin/src/caller/ask.rs
+++ b/crates/standin/src/caller/ask.rs
@@ -78,12 +78,14 @@
 }
 
 impl Ask {
-    /// A small GET.
-    pub fn screen(rng: &mut StdRng) -> Ask {
-        Ask::new(Kind::Screen, rng)
+    /// A small GET that takes some work.
+    pub fn screen(rng: &mut StdRng, work: Duration) -> Ask {
+        let mut ask = Ask::new(Kind::Screen, rng);
+        ask.add_work(work);
+        ask
     }
 
-    /// A stream of `lines` lines, one every `every`.
+    /// A stream of lines for the time `span`, one every `every`.
     pub fn feed(rng: &mut StdRng, span: Duration, every: Duration) -> Ask {
         let mut ask = Ask::new(Kind::Feed, rng);
         ask.query = format!("&ms={}&every={}", span.as_millis(), every.as_millis());
@@ -92,15 +94,16 @@
     }
 
     /// A body in chunks.
-    pub fn upload(rng: &mut StdRng) -> Ask {
+    pub fn upload(rng: &mut StdRng, work: Duration) -> Ask {
         let mut ask = Ask::new(Kind::Upload, rng);
+        ask.add_work(work);
         for _ in 0..rng.random_range(CHUNK_COUNTS) {
             let mut chunk = vec![0; rng.random_range(CHUNK_SIZES)];
             rng.fill_bytes(&mut chunk);
             ask.chunks.push(Bytes::from(chunk));
         }
         ask.pause = Duration::from_millis(rng.random_range(1..40));
-        ask.span = ask.pause * (ask.chunks.len() as u32 - 1);
+        ask.span += ask.pause * (ask.chunks.len() as u32 - 1);
         ask
     }
 
@@ -108,9 +111,8 @@
     pub fn transfer(rng: &mut StdRng, work: Duration) -> Ask {
         let mut ask = Ask::new(Kind::Transfer, rng);
         ask.key = Some(token(rng));
-        ask.query = format!("&work_ms={}", work.as_millis());
+        ask.add_work(work);
         ask.chunks.push(Bytes::from(format!("amount={}", rng.random_range(1..10_000))));
-        ask.span = work;
         ask
     }
 
@@ -127,6 +129,11 @@
         }
     }
 
+    fn add_work(&mut self, work: Duration) {
+        self.query = format!("&work_ms={}", work.as_millis());
+        self.span += work;
+    }
+
     /// The same request for a further attempt, under a new token.
     pub fn again(&self, rng: &mut StdRng) -> Ask {
         let mut ask = Ask { token: token(rng), ..self.clone() };
--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -25,7 +25,7 @@
 const FEED_SPAN_MS: std::ops::Range<u64> = 1_000..8_000;
 const FEED_EVERY: Duration = Duration::from_millis(100);
 const MIN_FEED: Duration = Duration::from_millis(200);
-const WORK_MS: std::ops::Range<u64> = 1..20;
+const WORK_MS: std::ops::Range<u64> = 2..50;
 const THINK_MS: std::ops::Range<u64> = 20..400;
 const REOPEN_JITTER_MS: u64 = 500;
 const BURST_CHANCE: f64 = 0.1;
@@ -264,7 +264,7 @@
             Kind::Screen => self.screen(session).await,
             Kind::Feed => self.feed(session).await,
             Kind::Upload => {
-                let ask = Ask::upload(session.rng());
+                let ask = upload(session.rng());
                 session.ask(ask).await;
             }
             Kind::Transfer => {
@@ -291,8 +291,8 @@
         for _ in 0..session.rng().random_range(BURST) {
             let rng = session.rng();
             let ask = match self.share.mix.draw(rng) {
-                Kind::Screen | Kind::Feed => Ask::screen(rng),
-                Kind::Upload => Ask::upload(rng),
+                Kind::Screen | Kind::Feed => screen(rng),
+                Kind::Upload => upload(rng),
                 Kind::Transfer => transfer(rng),
             };
             asks.push(ask);
@@ -301,7 +301,7 @@
     }
 
     async fn screen(&self, session: &mut Session) {
-        let ask = Ask::screen(session.rng());
+        let ask = screen(session.rng());
         session.ask(ask).await;
     }
 
@@ -334,11 +334,25 @@
     }
 }
 
+fn screen(rng: &mut StdRng) -> Ask {
+    let work = work(rng);
+    Ask::screen(rng, work)
+}
+
+fn upload(rng: &mut StdRng) -> Ask {
+    let work = work(rng);
+    Ask::upload(rng, work)
+}
+
 fn transfer(rng: &mut StdRng) -> Ask {
-    let work = Duration::from_millis(rng.random_range(WORK_MS));
+    let work = work(rng);
     Ask::transfer(rng, work)
 }
 
+fn work(rng: &mut StdRng) -> Duration {
+    Duration::from_millis(rng.random_range(WORK_MS))
+}
+
 fn period(held: usize, rate: f64) -> Duration {
     if rate <= 0.0 {
         return Duration::from_secs(3_600);
--- a/crates/standin/src/cmd/site.rs
+++ b/crates/standin/src/cmd/site.rs
@@ -35,13 +35,13 @@
     #[bpaf(argument("N"), fallback(3))]
     balancers: usize,
     /// Flows held open for the whole run
-    #[bpaf(argument("N"), fallback(120))]
+    #[bpaf(argument("N"), fallback(200))]
     flows: usize,
     /// New short flows per second
-    #[bpaf(argument("N"), fallback(15.0))]
+    #[bpaf(argument("N"), fallback(20.0))]
     opens: f64,
     /// Requests per second on the held flows
-    #[bpaf(argument("N"), fallback(80.0))]
+    #[bpaf(argument("N"), fallback(150.0))]
     requests: f64,
     /// Faults to place: all, or some of kill,freeze,cut,outage,lost-answer,race,drain,replace,config,lie
     #[bpaf(argument("KINDS"), optional)]
--- a/crates/standin/tests/caller.rs
+++ b/crates/standin/tests/caller.rs
@@ -42,9 +42,9 @@
 fn asks() -> [Ask; 4] {
     let rng = &mut StdRng::seed_from_u64(7);
     [
-        Ask::screen(rng),
+        Ask::screen(rng, Duration::ZERO),
         Ask::feed(rng, Duration::from_millis(10), Duration::from_millis(10)),
-        Ask::upload(rng),
+        Ask::upload(rng, Duration::ZERO),
         Ask::transfer(rng, Duration::from_millis(1)),
     ]
 }
