--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -22,6 +22,8 @@
     pause_ms: u16,
     /// Between the decision to write and its effect: a pause of the process, or a slow network.
     delay_ms: u16,
+    /// Between the effect and the arrival of the answer.
+    answer_ms: u16,
     fate: Fate,
 }
 
@@ -37,6 +39,7 @@
             keeper: u8::arbitrary(g) % KEEPERS as u8,
             pause_ms: u16::arbitrary(g) % if long { 15_000 } else { 1_000 },
             delay_ms: u16::arbitrary(g) % if long { 15_000 } else { 200 },
+            answer_ms: u16::arbitrary(g) % if long { 15_000 } else { 200 },
             fate,
         }
     }
@@ -54,7 +57,10 @@
     keeper: usize,
     attempt: Attempt,
     due_ms: u64,
+    answer_ms: u64,
     fate: Fate,
+    /// Set once it took effect or failed: whether it was accepted, and what is stored then.
+    answer: Option<(bool, Stored)>,
 }
 
 struct World {
@@ -95,25 +101,31 @@
         due.min_by_key(|(_, it)| it.due_ms).map(|(index, _)| index)
     }
 
-    fn land(&mut self, flight: Flight) {
+    fn land(&mut self, mut flight: Flight) {
+        let number = flight.attempt.number;
+        if let Some((accepted, stored)) = flight.answer {
+            let keeper = &mut self.keepers[flight.keeper];
+            let intact = if accepted {
+                keeper.written(self.now_ms, &flight.attempt, stored.version)
+            } else {
+                keeper.observe(self.now_ms, number, stored.version, stored.term)
+            };
+            assert!(intact || !self.checked, "a former holder wrote");
+            return;
+        }
         if matches!(flight.fate, Fate::CallLost) {
             return;
         }
-        let number = flight.attempt.number;
         let stored = &mut self.stored[usize::from(number)];
         let accepted = !self.checked || stored.version == flight.attempt.base;
         if accepted {
             self.revision += 1;
             *stored = Stored { version: self.revision, term: flight.attempt.term.clone() };
         }
-        if matches!(flight.fate, Fate::AnswerLost) {
-            return;
-        }
-        let keeper = &mut self.keepers[flight.keeper];
-        if accepted {
-            keeper.written(self.now_ms, &flight.attempt, self.revision);
-        } else {
-            keeper.observe(self.now_ms, number, stored.version, stored.term.clone());
+        if matches!(flight.fate, Fate::Answered) {
+            flight.answer = Some((accepted, stored.clone()));
+            flight.due_ms += flight.answer_ms;
+            self.flights.push(flight);
         }
     }
 
@@ -139,7 +151,10 @@
         });
         if let Some(attempt) = attempt {
             let due_ms = self.now_ms + u64::from(turn.delay_ms);
-            self.flights.push(Flight { keeper: index, attempt, due_ms, fate: turn.fate });
+            let answer_ms = u64::from(turn.answer_ms);
+            let fate = turn.fate;
+            let flight = Flight { keeper: index, attempt, due_ms, answer_ms, fate, answer: None };
+            self.flights.push(flight);
         }
     }
 
@@ -158,10 +173,10 @@
         for turn in turns {
             world.turn(turn);
         }
-        world.pass(world.now_ms + 20_000);
+        world.pass(world.now_ms + 60_000);
         for _ in 0..60 {
             for keeper in 0..KEEPERS as u8 {
-                let calm = Turn { keeper, pause_ms: 100, delay_ms: 5, fate: Fate::Answered };
+                let calm = Turn { keeper, pause_ms: 100, delay_ms: 5, answer_ms: 0, fate: Fate::Answered };
                 world.turn(calm);
             }
         }
@@ -200,7 +215,7 @@
         let stored = &world.stored[0];
         observer.observe(world.now_ms, 0, stored.version, stored.term.clone())
     };
-    let first = Turn { keeper: 0, pause_ms: 0, delay_ms: 5, fate: Fate::Answered };
+    let first = Turn { keeper: 0, pause_ms: 0, delay_ms: 5, answer_ms: 0, fate: Fate::Answered };
     world.turn(first);
     world.pass(1_000);
     assert!(look(&world));
