--- a/crates/daemon/src/control/link.rs
+++ b/crates/daemon/src/control/link.rs
@@ -1,6 +1,13 @@
 //! Links to other processes: accepting, opening, greeting, and the tasks that read and write frames.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, LazyLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
@@ -10,6 +17,7 @@
     message::{Body, Frame, Hello, PROTOCOL, Purpose},
 };
 use futures::{SinkExt, StreamExt, stream::SplitSink, stream::SplitStream};
+use prometheus::IntCounterVec;
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -36,6 +44,8 @@
 const HANDSHAKES: usize = 256;
 /// A link that was heard of more recently goes before a second one that the peer opens, in milliseconds.
 const FRESH_MS: u64 = 1_500;
+/// Least time between two events about refused connections, in milliseconds.
+const REFUSED_GAP_MS: u64 = 10_000;
 /// Bytes that a frame adds on the wire: its length and what TLS puts around it.
 const FRAME_OVERHEAD: u64 = 4 + 22;
 
@@ -67,7 +77,19 @@
     }
 }
 
+static REFUSED: LazyLock<IntCounterVec> =
+    LazyLock::new(|| metrics::counter("links_refused_total", "Links refused", "at"));
+static REFUSED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// Counts a refused connection; an event tells of one from time to time, since anybody can open connections.
 fn refused(address: SocketAddr, why: &str) {
+    REFUSED.with_label_values(&["greeting"]).inc();
+    let now = now_ms();
+    let last = REFUSED_MS.load(Ordering::Relaxed);
+    if last != 0 && now.saturating_sub(last) < REFUSED_GAP_MS {
+        return;
+    }
+    REFUSED_MS.store(now.max(1), Ordering::Relaxed);
     event::emit(Id::LinkRefused, About::new(), &format!("{address}: {why}"));
 }
 
--- a/crates/daemon/src/lease.rs
+++ b/crates/daemon/src/lease.rs
@@ -65,7 +65,7 @@
     /// Ends the watch of the platform.
     watch: Option<CancellationToken>,
     timeline: Option<TimelineWriter>,
-    written: Report,
+    written: Option<Report>,
 }
 
 impl Holder {
@@ -80,7 +80,7 @@
             looked_ms: None,
             watch: None,
             timeline: None,
-            written: Report::default(),
+            written: None,
         }
     }
 
@@ -98,12 +98,12 @@
     async fn renew(&mut self, attempt: Attempt) {
         let since = now_ms().saturating_sub(self.written_ms);
         let report = report::current(&self.inner);
-        let changed = since >= WRITE_MS && differs(&report, &self.written);
+        let changed = since >= WRITE_MS && differs(report.as_ref(), self.written.as_ref());
         if since < RENEW_MS && !changed {
             return;
         }
-        self.written = report.clone();
-        self.write(attempt, Some(report)).await;
+        self.written.clone_from(&report);
+        self.write(attempt, report).await;
     }
 
     async fn write(&mut self, attempt: Attempt, report: Option<Report>) {
@@ -193,7 +193,7 @@
         let before = self.inner.set_lease(held);
         match (before, held) {
             (None, Some(n)) => {
-                self.written = Report::default();
+                self.written = None;
                 event::emit(Id::SeedTaken, About::new(), &Lease::name(&self.zone, n));
             }
             (Some(n), None) => {
@@ -247,9 +247,12 @@
     }
 }
 
-fn differs(new: &Report, old: &Report) -> bool {
-    let at_ms = old.at_ms;
-    Report { at_ms, ..new.clone() } != *old
+/// Whether two reports differ in more than their time.
+fn differs(new: Option<&Report>, old: Option<&Report>) -> bool {
+    match (new, old) {
+        (Some(new), Some(old)) => Report { at_ms: old.at_ms, ..new.clone() } != *old,
+        (new, old) => new.is_some() != old.is_some(),
+    }
 }
 
 /// Writes the zone's timeline. The object is written once when the lease is taken: from then on a former holder's write,
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -29,6 +29,8 @@
 const STALE_MS: u64 = 15_000;
 /// For how long a member may be without a report before it counts as lagging, in milliseconds.
 const UNREPORTED_MS: u64 = 5_000;
+/// For how long the process that makes the zone's report listens first, in milliseconds.
+const WARM_MS: u64 = LOAD_MS + 1_000;
 /// Revisions whose times are kept.
 const CHANGES: usize = 64;
 /// Events sent with one report.
@@ -48,6 +50,8 @@
 pub(crate) struct Reports {
     processes: BTreeMap<String, Process>,
     changes: VecDeque<Applied>,
+    /// Since when this process is the one that makes the zone's report.
+    since_ms: Option<u64>,
 }
 
 impl Reports {
@@ -237,10 +241,18 @@
     report
 }
 
-/// The zone's report as of now.
-pub(crate) fn current(inner: &Inner) -> Report {
+/// The zone's report as of now; none while another process makes it, or while this one has not yet heard of all.
+pub(crate) fn current(inner: &Inner) -> Option<Report> {
     let snapshot = inner.snapshot.borrow().clone();
+    let mut reports = inner.reports.lock();
     let state = inner.state.lock();
     let zone = state.own.zone().to_owned();
-    inner.reports.lock().make(&zone, &state, &snapshot, now_ms(), wall_ms())
+    let now = now_ms();
+    if state.seed(&zone).is_none_or(|it| it.name != state.own.name()) {
+        reports.since_ms = None;
+        return None;
+    }
+    let since = *reports.since_ms.get_or_insert(now);
+    let warm = now.saturating_sub(since) >= WARM_MS;
+    warm.then(|| reports.make(&zone, &state, &snapshot, now, wall_ms()))
 }
