--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,4 +3,5 @@
 mod convert;
 pub mod encap;
 pub mod frame;
+pub mod handover;
 pub mod message;
