--- a/crates/daemon/src/cmd/balance.rs
+++ b/crates/daemon/src/cmd/balance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bpaf::Bpaf;
-use camphorwinch_relay::worker::Shared;
+use camphorwinch_relay::relay::Shared;
 use serde_json::{Value, json};
 use tokio::runtime::Builder;
 use tokio_util::sync::CancellationToken;
@@ -57,7 +57,7 @@
     stop.cancel();
     event::emit(Id::ProcessStopping, About::new(), "relaying until no more datagrams arrive");
     control.leave().await;
-    relay.finish().await;
+    relay.finish(&control).await;
     event::emit(Id::ProcessStopped, About::new(), "stopped");
     Ok(())
 }
