The zone's whole report is an object apart from its lease

A lease with a line for each upstream was written every second and read by every balancer of the zone.

The command-line tool reads both. Pruning keys waits for whole reports made after the revision was in force, as a whole report may be older than the brief one.

For the owners of control and command line: kind report is new; Report::brief and Report::with_members.

--- a/crates/cli/src/cmd/keys.rs
+++ b/crates/cli/src/cmd/keys.rs
@@ -103,7 +103,7 @@
 
 async fn prune(platform: &Platform, keep: usize, force: bool) -> Result<Applied, Error> {
     let (object, keys) = read(platform).await?;
-    let zones = rollout::wait(platform, object.version).await?;
+    let zones = rollout::wait_whole(platform, object.version).await?;
     let mut in_use = InUse::new(upstreams(zones.values()));
     if force {
         in_use = InUse::default();
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -31,12 +31,13 @@
 impl Status {
     pub(crate) async fn run(&self, settings: &Settings) -> Result<(), Error> {
         let platform = Platform::new(settings);
-        let leases = platform.list(Kind::Lease).await?.items;
+        let mut reports = platform.list(Kind::Lease).await?.items;
+        reports.extend(platform.list(Kind::Report).await?.items);
         let mut config = Vec::new();
         for kind in Kind::CONFIG {
             config.extend(platform.list(kind).await?.items);
         }
-        let mut status = status::Status::new(&leases, &config);
+        let mut status = status::Status::new(&reports, &config);
         if let Some(service) = &self.service {
             if !status.only(service) {
                 let at = format!("{}/{service}", Kind::Service);
--- a/crates/cli/src/manifest.rs
+++ b/crates/cli/src/manifest.rs
@@ -89,6 +89,6 @@
         Kind::Certificate => 1,
         Kind::Service => 2,
         Kind::Change => 3,
-        Kind::Lease | Kind::Timeline => 4,
+        Kind::Lease | Kind::Report | Kind::Timeline => 4,
     }
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -157,9 +157,9 @@
 }
 
 impl Status {
-    /// Works the status out from lists of leases and of configuration objects.
-    pub fn new(leases: &[Object], config: &[Object]) -> Status {
-        let zones = reports(leases);
+    /// Works the status out from lists of leases and reports, and of configuration objects.
+    pub fn new(states: &[Object], config: &[Object]) -> Status {
+        let zones = reports(states);
         let upstreams = upstreams(&zones);
         Status {
             in_force: in_force(&zones),
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -29,14 +29,23 @@
     Keys,
     /// A lease held by a balancer.
     Lease,
+    /// State of a zone's upstreams and balancers.
+    Report,
     /// Events of a zone's processes.
     Timeline,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Kind; 6] =
-        [Kind::Service, Kind::Change, Kind::Certificate, Kind::Keys, Kind::Lease, Kind::Timeline];
+    pub const ALL: [Kind; 7] = [
+        Kind::Service,
+        Kind::Change,
+        Kind::Certificate,
+        Kind::Keys,
+        Kind::Lease,
+        Kind::Report,
+        Kind::Timeline,
+    ];
     /// Kinds that are configuration: written by operators, in force at every daemon.
     pub const CONFIG: [Kind; 4] = [Kind::Service, Kind::Change, Kind::Certificate, Kind::Keys];
 
@@ -48,6 +57,7 @@
             Kind::Certificate => "certificate",
             Kind::Keys => "keys",
             Kind::Lease => "lease",
+            Kind::Report => "report",
             Kind::Timeline => "timeline",
         }
     }
@@ -305,7 +315,7 @@
                 check_keys(&at, &object.name, &spec)?;
                 Ok(Spec::Keys(spec))
             }
-            Kind::Lease | Kind::Timeline => {
+            Kind::Lease | Kind::Report | Kind::Timeline => {
                 Err(SpecError::new(&path, "this kind is written by the system, not by operators"))
             }
         }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -1,6 +1,8 @@
 //! What the holders of leases report about their zones.
 //!
-//! A lease and its zone's report are one object, so that a write by a former holder fails on its version.
+//! A lease and the brief report of its zone are one object, so that a write by a former holder fails on its version. The
+//! lease is written and read often, so what grows with the zone is kept out of it: the whole report, with a line for each
+//! upstream, is an object of its own, which the holder writes more rarely the larger it is.
 
 use std::collections::BTreeMap;
 
@@ -9,6 +11,9 @@
 /// Prefix of the names of lease objects.
 pub const LEASE_PREFIX: &str = "seed-";
 
+/// Most names of lagging processes in a brief report.
+pub const BRIEF_BEHIND: usize = 32;
+
 /// Spec of a lease object.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -20,7 +25,7 @@
     /// When the holder took it, in milliseconds since 1970.
     #[serde(rename = "taken_at_ms")]
     pub taken_ms: u64,
-    /// The holder's newest report, absent until it has one.
+    /// The holder's newest report in brief, absent until it has one.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
 }
@@ -46,7 +51,9 @@
     pub known: u64,
     /// Number of the zone's processes.
     pub processes: u32,
-    /// Processes that lag behind `known`.
+    /// Number of processes that lag behind `known`.
+    pub lagging: u32,
+    /// Processes that lag behind `known`; the first ones only in a brief report.
     pub behind: Vec<Behind>,
     /// Newest revisions, with the times that they took.
     pub changes: Vec<Applied>,
@@ -56,6 +63,20 @@
     pub balancers: Vec<BalancerStatus>,
 }
 
+impl Report {
+    /// The report without what grows with the zone.
+    pub fn brief(&self) -> Report {
+        let mut it = Report { upstreams: Vec::new(), balancers: Vec::new(), ..self.clone() };
+        it.behind.truncate(BRIEF_BEHIND);
+        it
+    }
+
+    /// This brief report with the upstreams and balancers of a whole one.
+    pub fn with_members(self, whole: Report) -> Report {
+        Report { upstreams: whole.upstreams, balancers: whole.balancers, ..self }
+    }
+}
+
 /// A process that lags behind.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/daemon/src/lease.rs
+++ b/crates/daemon/src/lease.rs
@@ -21,6 +21,7 @@
     event::{self, About, Id},
     platform::{PlatformError, Put},
     report, seed,
+    whole::WholeWriter,
 };
 
 /// Time between two looks at what is to be done.
@@ -65,6 +66,7 @@
     /// Ends the watch of the platform.
     watch: Option<CancellationToken>,
     timeline: Option<TimelineWriter>,
+    whole: Option<WholeWriter>,
     written: Option<Report>,
 }
 
@@ -80,6 +82,7 @@
             looked_ms: None,
             watch: None,
             timeline: None,
+            whole: None,
             written: None,
         }
     }
@@ -92,12 +95,13 @@
         self.settle();
         if self.keeper.holds(now_ms()).is_some() {
             self.write_timeline().await;
+            self.write_whole().await;
         }
     }
 
     async fn renew(&mut self, attempt: Attempt) {
         let since = now_ms().saturating_sub(self.written_ms);
-        let report = report::current(&self.inner);
+        let report = report::current(&self.inner).map(|it| it.brief());
         let changed = since >= WRITE_MS && differs(report.as_ref(), self.written.as_ref());
         if since < RENEW_MS && !changed {
             return;
@@ -198,6 +202,7 @@
             }
             (Some(n), None) => {
                 self.timeline = None;
+                self.whole = None;
                 event::emit(Id::SeedLost, About::new(), &Lease::name(&self.zone, n));
             }
             _ => {}
@@ -237,6 +242,27 @@
         self.timeline = writer.write(&inner, || self.keeper.holds(now_ms()).is_some()).await;
     }
 
+    async fn write_whole(&mut self) {
+        let writer = self.whole.take();
+        if writer.as_ref().is_some_and(|it| !it.due()) {
+            self.whole = writer;
+            return;
+        }
+        let Some(report) = report::current(&self.inner) else {
+            return;
+        };
+        let writer = match writer {
+            Some(it) => it,
+            None => match WholeWriter::open(&self.inner, &self.zone).await {
+                Ok(it) => it,
+                Err(e) => return self.inner.platform_lost(&e),
+            },
+        };
+        if self.keeper.holds(now_ms()).is_some() {
+            self.whole = writer.write(&self.inner, report).await;
+        }
+    }
+
     async fn release(&mut self) {
         if let Some(token) = self.watch.take() {
             token.cancel();
@@ -248,7 +274,7 @@
 }
 
 /// Whether two reports differ in more than their time.
-fn differs(new: Option<&Report>, old: Option<&Report>) -> bool {
+pub(crate) fn differs(new: Option<&Report>, old: Option<&Report>) -> bool {
     match (new, old) {
         (Some(new), Some(old)) => Report { at_ms: old.at_ms, ..new.clone() } != *old,
         (new, old) => new.is_some() != old.is_some(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod seed;
 mod signal;
 mod tls;
+mod whole;
 
 use std::process::ExitCode;
 
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -97,6 +97,7 @@
             }
         }
         report.in_force = in_force;
+        report.lagging = report.behind.len() as u32;
         self.note(known, in_force, wall);
         report.changes = self.changes.iter().cloned().collect();
         report
