--- a/crates/cli/tests/runs/fake.rs
+++ b/crates/cli/tests/runs/fake.rs
@@ -40,6 +40,8 @@
     Delete(&'static str, &'static str),
     /// The platform drops its history.
     Forget,
+    /// The last write whose connection broke before it took effect takes effect now.
+    Late,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +53,7 @@
     pub(crate) faults: VecDeque<Fault>,
     pub(crate) outage: bool,
     pub(crate) puts: usize,
+    late: Option<(Method, String, Value)>,
 }
 
 impl Store {
@@ -74,6 +77,11 @@
             Step::Put(kind, name, spec) => drop(self.put(kind, name, "other", spec)),
             Step::Delete(kind, name) => self.delete(kind, name),
             Step::Forget => self.forget(),
+            Step::Late => {
+                let (method, path, body) = self.late.take().unwrap();
+                let path: Vec<&str> = path.split('/').collect();
+                self.write(&method, &path, "", &body);
+            }
         }
     }
 
@@ -262,6 +270,7 @@
             }
             return Ok(response(status, &value));
         }
+        store.late = Some((head.method, path.join("/"), body));
         fault
     };
     match fault {
--- a/crates/cli/tests/runs/view.rs
+++ b/crates/cli/tests/runs/view.rs
@@ -1,13 +1,33 @@
 //! What the commands that only read show, and the fleet's keys.
 
 use std::{
-    io::{BufRead as _, BufReader},
+    io::{BufRead as _, BufReader, Read},
     process::Stdio,
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
 };
 
 use crate::fake::{Fake, service};
 use serde_json::{Value, json};
 
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn lines<R>(from: R) -> Receiver<String>
+where
+    R: Read + Send + 'static,
+{
+    let (tx, rx) = channel();
+    thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            if tx.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    rx
+}
+
 fn lease(zone: &str, at_ms: u64, in_force: u64, upstreams: Value) -> Value {
     json!({"holder": "bal-1", "control": "127.0.0.1:7000", "taken_at_ms": 1, "report": {
         "zone": zone, "at_ms": at_ms, "in_force": in_force, "known": 9, "processes": 3,
@@ -102,17 +122,17 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
-    let mut next = || -> (String, String) {
-        let event: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
+    let lines = lines(child.stdout.take().unwrap());
+    let next = || -> (String, String) {
+        let event: Value = serde_json::from_str(&lines.recv_timeout(PATIENCE).unwrap()).unwrap();
         let text = |it: &Value| it.as_str().unwrap().to_owned();
         (text(&event["type"]), text(&event["object"]["name"]))
     };
     assert_eq!(next(), ("put".into(), "first".into()));
 
     fake.store.lock().unwrap().outage = true;
-    let mut errors = BufReader::new(child.stderr.take().unwrap()).lines();
-    assert!(errors.next().unwrap().unwrap().contains("outage"));
+    let errors = self::lines(child.stderr.take().unwrap());
+    assert!(errors.recv_timeout(PATIENCE).unwrap().contains("outage"));
     {
         let mut store = fake.store.lock().unwrap();
         store.objects.clear();
--- a/crates/cli/tests/runs/write.rs
+++ b/crates/cli/tests/runs/write.rs
@@ -71,7 +71,7 @@
 
 #[test]
 fn answer_lost_after_the_write_is_found_by_its_mark() {
-    let fake = Fake::with_faults([Fault::LoseAfter(vec![])]);
+    let fake = Fake::with_faults([Fault::LoseAfter(vec![Step::Forget])]);
     let run = fake.apply(&ledger("a"));
     assert_eq!((run.code, run.json()[0]["version"].as_u64()), (0, Some(1)), "{run:?}");
     let store = fake.store.lock().unwrap();
@@ -87,6 +87,18 @@
     assert_eq!((store.puts, store.revision), (4, 1));
 }
 
+#[test]
+fn lost_write_that_takes_effect_late_is_found() {
+    let fake = Fake::with_faults([Fault::LoseBefore, Fault::Race(vec![Step::Late])]);
+    let run = fake.apply(&ledger("mine"));
+    assert_eq!((run.code, run.json()[0]["version"].as_u64()), (0, Some(1)), "{run:?}");
+
+    let theirs = Step::Put("service", "ledger", service("127.0.9.1:4433", "theirs"));
+    let fake = Fake::with_faults([Fault::LoseBefore, Fault::Race(vec![Step::Late, theirs])]);
+    let run = fake.apply(&ledger("mine"));
+    assert_eq!((run.code, run.json()[0]["version"].as_u64()), (0, Some(1)), "{run:?}");
+}
+
 #[test]
 fn lost_write_that_was_replaced_since_is_found_in_the_history() {
     let theirs = Step::Put("service", "ledger", service("127.0.9.1:4433", "theirs"));
