--- a/crates/cli/tests/runs/fake.rs
+++ b/crates/cli/tests/runs/fake.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Fault {
     /// The write takes effect, then others do, then the connection breaks.
     LoseAfter(Vec<Step>),
+    /// The write takes effect, then others do, then the answer is 503.
+    FailAfter(Vec<Step>),
     /// The connection breaks before the write takes effect.
     LoseBefore,
     /// Others write first.
@@ -262,12 +264,17 @@
         if let Some(Fault::Race(steps)) = &fault {
             steps.iter().for_each(|it| store.step(it));
         }
-        if matches!(fault, None | Some(Fault::Race(_) | Fault::LoseAfter(_))) {
+        if matches!(fault, None | Some(Fault::Race(_) | Fault::LoseAfter(_) | Fault::FailAfter(_)))
+        {
             let (status, value) = store.write(&head.method, &path, query, &body);
             if let Some(Fault::LoseAfter(steps)) = &fault {
                 steps.iter().for_each(|it| store.step(it));
                 return Err(broken());
             }
+            if let Some(Fault::FailAfter(steps)) = &fault {
+                steps.iter().for_each(|it| store.step(it));
+                return Ok(response(503, &json!({"error": "outage"})));
+            }
             return Ok(response(status, &value));
         }
         store.late = Some((head.method, path.join("/"), body));
--- a/crates/cli/tests/runs/write.rs
+++ b/crates/cli/tests/runs/write.rs
@@ -102,9 +102,11 @@
 #[test]
 fn lost_write_that_was_replaced_since_is_found_in_the_history() {
     let theirs = Step::Put("service", "ledger", service("127.0.9.1:4433", "theirs"));
-    let fake = Fake::with_faults([Fault::LoseAfter(vec![theirs])]);
-    let run = fake.apply(&ledger("mine"));
-    assert_eq!((run.code, run.json()[0]["version"].as_u64()), (0, Some(1)), "{run:?}");
+    for fault in [Fault::LoseAfter(vec![theirs.clone()]), Fault::FailAfter(vec![theirs])] {
+        let fake = Fake::with_faults([fault]);
+        let run = fake.apply(&ledger("mine"));
+        assert_eq!((run.code, run.json()[0]["version"].as_u64()), (0, Some(1)), "{run:?}");
+    }
 }
 
 #[test]
