--- /dev/null
+++ b/crates/daemon/src/agent/tests.rs
@@ -0,0 +1,122 @@
+//! Agents driven by real HTTP/3 callers through a relay that encapsulates as a balancer does.
+
+mod bench;
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+
+use self::bench::{Bench, Call};
+
+/// What the library says of a request that it did not send because of GOAWAY.
+const LEAVING: &str = "Remote is closing the connection";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_come_straight_back() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    let reply = flow.call(Call::new(Method::GET, "/screen?echo=a")).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.header("camphorwinch-upstream"), "agent-0");
+    assert!(reply.text().contains("\"echo\":\"a\""));
+    let reply = flow.call(Call::new(Method::POST, "/transfer?echo=b")).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    let body = vec![7; 300_000];
+    let reply = flow.call(Call::new(Method::PUT, "/upload").with_body(body)).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(reply.text().contains("\"size\":300000"));
+    assert_eq!(bench.invariant_failures(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_refuses_is_told_as_not_run() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    let reply = flow.call(Call::new(Method::POST, "/transfer")).await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reply.header("camphorwinch-outcome"), "not-run");
+    assert_eq!(reply.header("retry-after"), "1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_transfer_is_told_as_unknown() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"lost":1.0}"#).await;
+    let reply = flow.call(Call::new(Method::POST, "/transfer")).await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(reply.header("camphorwinch-outcome"), "unknown");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_resets_the_stream() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"cut":1.0}"#).await;
+    let reply = flow.call(Call::new(Method::GET, "/feed?ms=1000&every=50")).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.broken.as_deref(), Some("H3_INTERNAL_ERROR"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_lets_requests_finish() {
+    let mut bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    let feed = flow.call(Call::new(Method::GET, "/feed?ms=2500&every=100&echo=f"));
+    let feed = tokio::spawn(feed);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let stopped = bench.stop(0);
+    let late = flow.call(Call::new(Method::GET, "/screen?echo=late"));
+    let (stopped, feed, late) = tokio::join!(stopped, feed, late);
+    assert!(stopped, "all flows ended");
+    let feed = feed.expect("the caller's task ends");
+    assert_eq!(feed.status, StatusCode::OK);
+    assert!(feed.text().contains("sum "), "the feed ended with its last line");
+    // The only upstream drains: what comes late is refused as not run.
+    assert_eq!(late.header("camphorwinch-outcome"), "not-run");
+    assert!(flow.closed_cleanly().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_handed_over_when_the_upstream_refuses() {
+    let bench = Bench::start(3).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    for method in [Method::GET, Method::POST] {
+        let path = if method == Method::GET { "/screen?echo=x" } else { "/transfer?echo=x" };
+        let reply = flow.call(Call::new(method, path)).await;
+        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+        assert_eq!(reply.header("camphorwinch-agent"), "agent-0");
+        assert_ne!(reply.header("camphorwinch-upstream"), "agent-0");
+    }
+    let reply = flow.call(Call::new(Method::PUT, "/upload").with_body(vec![1; 500_000])).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert!(reply.text().contains("\"size\":500000"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_agent_passes_flows_and_requests_on() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    assert_eq!(flow.call(Call::new(Method::GET, "/screen")).await.status, StatusCode::OK);
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=3000&every=100&echo=f")));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    bench.drain(0).await;
+    // Requests that set out before the caller hears of it run at the peer.
+    loop {
+        let reply = flow.call(Call::new(Method::POST, "/transfer")).await;
+        if reply.broken.as_deref() == Some(LEAVING) {
+            break;
+        }
+        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+        assert_eq!(reply.header("camphorwinch-upstream"), "agent-1");
+    }
+    let other = bench.open().await;
+    let reply = other.call(Call::new(Method::GET, "/screen")).await;
+    assert_eq!(reply.header("camphorwinch-agent"), "agent-1");
+    let feed = feed.await.expect("the caller's task ends");
+    assert!(feed.text().contains("sum "), "the feed ended with its last line");
+    assert!(flow.closed_cleanly().await);
+    assert_eq!(bench.invariant_failures(), 0);
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,14 +1,20 @@
 //! The camphorwinch daemon: `balance` on an entry VM, `agent` beside an upstream.
 
+mod agent;
 mod clock;
 mod cmd;
 mod config;
 #[allow(dead_code, reason = "the data paths are being built on it")]
 mod control;
 mod event;
+mod lease;
 mod log;
 mod metrics;
 mod operator;
+mod platform;
+mod relay;
+mod report;
+mod seed;
 mod signal;
 mod tls;
 
