Command-line tool: watch lists again every 30 s; since when only when the report says it

A watch that leaves out an event can't be noticed from its answers. A report keeps 64 revisions, so an older object took its time from a later revision; now it shows none.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -379,8 +379,13 @@
 }
 
 /// The report's entry for a revision, or for the first one after it, which covers it.
+///
+/// `None` when it is not in force yet, or so old that the report no longer says.
 fn applied(report: &Report, revision: u64) -> Option<&Applied> {
-    report.changes.iter().filter(|it| it.revision >= revision).min_by_key(|it| it.revision)
+    let older = report.changes.iter().any(|it| it.revision < revision);
+    let entry = report.changes.iter().filter(|it| it.revision >= revision);
+    let entry = entry.min_by_key(|it| it.revision)?;
+    (entry.done_ms > 0 && (older || entry.revision == revision)).then_some(entry)
 }
 
 fn service_rows(config: &[Object], upstreams: &[UpstreamStatus]) -> Vec<ServiceRow> {
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -1,17 +1,27 @@
 //! Following the platform's objects through its watch, across outages and lost history.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use camphorwinch_core::object::{Kind, Object};
 use http::StatusCode;
+use tokio::time::Instant;
 
 use crate::{
     error::Error,
     platform::{Events, Platform, Seen, WatchEvent, is_passing},
 };
 
+/// Time between lists, which find what the watch left out.
+const RELIST: Duration = Duration::from_secs(30);
+
 type Key = (String, String);
 
+/// What one call came to.
+enum Step {
+    Events(Vec<WatchEvent>),
+    Retry(Option<Duration>, String),
+}
+
 /// A watch on some kinds. It never returns an older state of an object after a newer one.
 #[derive(Debug)]
 pub struct Watcher<'a> {
@@ -19,6 +29,7 @@
     kinds: &'a [Kind],
     since: u64,
     known: BTreeMap<Key, Object>,
+    listed: Instant,
 }
 
 impl<'a> Watcher<'a> {
@@ -27,7 +38,8 @@
         platform: &'a Platform,
         kinds: &'a [Kind],
     ) -> Result<(Watcher<'a>, Vec<WatchEvent>), Error> {
-        let mut watcher = Watcher { platform, kinds, since: 0, known: BTreeMap::new() };
+        let (known, listed) = (BTreeMap::new(), Instant::now());
+        let mut watcher = Watcher { platform, kinds, since: 0, known, listed };
         let first = watcher.relist().await?;
         Ok((watcher, first))
     }
@@ -37,24 +49,16 @@
         let mut retry = self.platform.retry();
         let mut told = false;
         loop {
-            let (after, reason) = match self.platform.wait(self.kinds, self.since).await {
-                Ok(it) if it.status == StatusCode::OK => {
-                    let events: Events = self.platform.parse("watch", &it.body)?;
-                    let fresh = self.take(events);
-                    if !fresh.is_empty() {
-                        return Ok(fresh);
-                    }
+            let (after, reason) = match self.step().await {
+                Ok(Step::Events(events)) if events.is_empty() => {
                     retry = self.platform.retry();
                     told = false;
                     continue;
                 }
-                Ok(it) if it.status == StatusCode::GONE => match self.relist().await {
-                    Err(Error::Unavailable { reason, .. }) => (None, reason),
-                    result => return result,
-                },
-                Ok(it) if is_passing(it.status) => (it.after, it.reason()),
-                Ok(it) => return Err(self.platform.refused("watch", &it)),
-                Err(lost) => (None, lost.reason()),
+                Ok(Step::Events(events)) => return Ok(events),
+                Ok(Step::Retry(after, reason)) => (after, reason),
+                Err(Error::Unavailable { reason, .. }) => (None, reason),
+                Err(error) => return Err(error),
             };
             if !told {
                 eprintln!("watch: {}: {reason}; trying again", self.platform.peer());
@@ -66,6 +70,22 @@
         }
     }
 
+    async fn step(&mut self) -> Result<Step, Error> {
+        if self.listed.elapsed() >= RELIST {
+            return self.relist().await.map(Step::Events);
+        }
+        match self.platform.wait(self.kinds, self.since).await {
+            Ok(it) if it.status == StatusCode::OK => {
+                let events: Events = self.platform.parse("watch", &it.body)?;
+                Ok(Step::Events(self.take(events)))
+            }
+            Ok(it) if it.status == StatusCode::GONE => self.relist().await.map(Step::Events),
+            Ok(it) if is_passing(it.status) => Ok(Step::Retry(it.after, it.reason())),
+            Ok(it) => Err(self.platform.refused("watch", &it)),
+            Err(lost) => Ok(Step::Retry(None, lost.reason())),
+        }
+    }
+
     async fn relist(&mut self) -> Result<Vec<WatchEvent>, Error> {
         let mut since = u64::MAX;
         let mut current = BTreeMap::new();
@@ -91,6 +111,7 @@
         events.sort_by_key(|it| it.object.version);
         self.since = since;
         self.known = current;
+        self.listed = Instant::now();
         Ok(events)
     }
 
