--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -14,6 +14,8 @@
 use rustls_pki_types::{CertificateDer, pem::PemObject};
 
 const IDLE_TIMEOUT_MS: u32 = 60_000;
+/// A caller that only waits for an answer sends nothing, and would learn late that its agent died.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
 const ALPN: &[u8] = b"h3";
 
 /// Settings of a caller that trusts the certificates in `pem`.
@@ -41,6 +43,7 @@
     let mut transport = TransportConfig::default();
     let idle = IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS));
     transport.max_idle_timeout(Some(idle));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.initial_rtt(Duration::from_millis(100));
     transport
 }
