--- a/crates/relay/benches/relay.rs
+++ b/crates/relay/benches/relay/main.rs
@@ -1,108 +1,38 @@
 //! The packet path against a bare relay that hands on what it receives without looking at it.
 //!
-//! Each round sends a burst into the relay's socket, lets the relay take and send all of it (only this is timed, in
-//! the thread's own time on the processor) and empties the agents' sockets. Both relays take turns within one run.
+//! Each round sends a burst into the relay's socket, lets the relay take and send all of it (only this is timed) and
+//! empties the agents' sockets. Both relays take turns within one run, of which the medians are printed.
 //! Figures are nanoseconds of one core per datagram, system calls and the delivery over loopback included.
 
-#[path = "../tests/common/mod.rs"]
+#[path = "../../tests/common/mod.rs"]
 mod common;
+mod load;
+mod paths;
 
 use std::{
     fs,
     io::IoSliceMut,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
-use camphorwinch_core::place::{MIN_INITIAL, Placer};
+use camphorwinch_core::place::Placer;
 use camphorwinch_relay::{
     outcome::Tally,
     relay::{Relay, Shared},
-    socket::{self, Socket},
+    socket::Socket,
 };
 use criterion::{Criterion, Throughput};
 use quinn_udp::{BATCH_SIZE, RecvMeta, Transmit};
 use tokio::runtime::{Builder, Runtime};
 
-const AGENTS: usize = 7;
+use crate::paths::{AGENTS, Bare, FLOWS, Path, TRAFFIC, Traffic, address, buffers, open};
+
 const CALLERS: usize = 16;
-const BUFFER: usize = 65_535;
 /// Rounds of the comparison, each with both relays.
 const ROUNDS: usize = 4_000;
-const FLOWS: usize = 1_000_000;
-
-/// What callers send.
-#[derive(Clone, Copy, Debug)]
-struct Traffic {
-    name: &'static str,
-    size: usize,
-    /// Datagrams of one flow that callers hand to the system at once, and that it hands on merged.
-    merged: usize,
-    /// Messages in a burst.
-    messages: usize,
-    /// Bytes by which each message is larger than the one before, so that none can be sent merged.
-    growth: usize,
-    new: bool,
-}
-
-const TRAFFIC: [Traffic; 5] = [
-    Traffic { name: "small", size: 100, merged: 1, messages: 32, growth: 0, new: false },
-    Traffic { name: "full", size: 1_200, merged: 1, messages: 32, growth: 0, new: false },
-    Traffic { name: "mixed", size: 100, merged: 1, messages: 32, growth: 37, new: false },
-    Traffic { name: "upload", size: 1_200, merged: 10, messages: 16, growth: 0, new: false },
-    Traffic { name: "new", size: MIN_INITIAL, merged: 1, messages: 32, growth: 0, new: true },
-];
-
-impl Traffic {
-    fn datagrams(self) -> u64 {
-        (self.merged * self.messages) as u64
-    }
-}
-
-/// The bare relay: receives and sends with the batching that `quinn-udp` offers.
-struct Bare {
-    data: Socket,
-    agents: Vec<SocketAddr>,
-    received: Vec<Box<[u8]>>,
-}
-
-impl Bare {
-    fn turn(&mut self, socket: &Socket) -> bool {
-        let mut metas = [RecvMeta::default(); BATCH_SIZE];
-        let mut slices: Vec<IoSliceMut<'_>> =
-            self.received.iter_mut().map(|it| IoSliceMut::new(it)).collect();
-        let Ok(count) = socket.recv(&mut slices, &mut metas) else {
-            return false;
-        };
-        for (at, meta) in metas[..count].iter().enumerate() {
-            let transmit = Transmit {
-                destination: self.agents[usize::from(meta.addr.port()) % self.agents.len()],
-                ecn: meta.ecn,
-                contents: &self.received[at][..meta.len],
-                segment_size: (meta.len > meta.stride).then_some(meta.stride),
-                src_ip: None,
-            };
-            self.data.send(&transmit).expect("the bare relay sends");
-        }
-        true
-    }
-}
-
-enum Path {
-    Bare(Bare),
-    Placed(Relay),
-}
-
-impl Path {
-    fn turn(&mut self, address: SocketAddr, socket: &Socket) -> bool {
-        match self {
-            Path::Bare(it) => it.turn(socket),
-            Path::Placed(it) => it.turn(address, socket),
-        }
-    }
-}
 
 /// Callers, a socket to relay from, and agents, all in one thread.
 struct Rig {
@@ -116,22 +46,6 @@
     flow: usize,
 }
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
-fn open() -> Socket {
-    Socket::new(socket::bind(loopback()).expect("bind")).expect("register")
-}
-
-fn address(socket: &Socket) -> SocketAddr {
-    socket.local_addr().expect("bound sockets have an address")
-}
-
-fn buffers() -> Vec<Box<[u8]>> {
-    (0..BATCH_SIZE).map(|_| vec![0; BUFFER].into_boxed_slice()).collect()
-}
-
 impl Rig {
     fn new() -> Rig {
         let runtime = Builder::new_current_thread().enable_io().build().expect("a runtime");
@@ -152,7 +66,7 @@
     fn bare(&self) -> Path {
         let _guard = self.runtime.enter();
         let agents = self.agents.iter().map(address).collect();
-        Path::Bare(Bare { data: open(), agents, received: buffers() })
+        Path::Bare(Bare::new(open(), agents))
     }
 
     fn placed(&self) -> Path {
@@ -163,23 +77,12 @@
     fn burst(&mut self, traffic: Traffic) {
         let mut contents = Vec::new();
         for message in 0..traffic.messages {
-            let size = traffic.size + message * traffic.growth;
             self.flow = (self.flow + 1) % FLOWS;
             let caller = &self.callers[message % self.callers.len()];
-            contents.clear();
-            if traffic.new {
-                contents.extend_from_slice(&[0xc0, 0, 0, 0, 1, 8]);
-                contents.extend_from_slice(&self.flow.to_be_bytes());
-                contents.resize(size, 0);
-            } else {
-                let SocketAddr::V4(agent) = address(&self.agents[message % AGENTS]) else {
-                    continue;
-                };
-                let packet = packet(agent, self.flow, size);
-                for _ in 0..traffic.merged {
-                    contents.extend_from_slice(&packet);
-                }
-            }
+            let SocketAddr::V4(agent) = address(&self.agents[message % AGENTS]) else {
+                continue;
+            };
+            let size = traffic.fill(message, self.flow, agent, &mut contents);
             let transmit = Transmit {
                 destination: self.address,
                 ecn: None,
@@ -230,10 +133,6 @@
     }
 }
 
-fn packet(agent: SocketAddrV4, flow: usize, size: usize) -> Vec<u8> {
-    common::established(agent, flow as u32, size)
-}
-
 fn median(mut it: Vec<f64>) -> f64 {
     it.sort_by(f64::total_cmp);
     it[it.len() / 2]
@@ -291,6 +190,7 @@
 fn main() {
     let mut rig = Rig::new();
     compare(&mut rig);
+    load::compare();
     memory(&mut rig);
     let mut criterion = Criterion::default().configure_from_args();
     measure(&mut criterion, &mut rig);
--- /dev/null
+++ b/crates/relay/benches/relay/paths.rs
@@ -0,0 +1,138 @@
+//! The two relays that are compared, and what callers send through them.
+
+use std::{
+    io::IoSliceMut,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+};
+
+use camphorwinch_core::place::MIN_INITIAL;
+use camphorwinch_relay::{
+    relay::Relay,
+    socket::{self, Socket},
+};
+use quinn_udp::{BATCH_SIZE, RecvMeta, Transmit};
+
+use crate::common;
+
+pub(crate) const AGENTS: usize = 7;
+pub(crate) const FLOWS: usize = 1_000_000;
+const BUFFER: usize = 65_535;
+
+/// What callers send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Traffic {
+    pub(crate) name: &'static str,
+    size: usize,
+    /// Datagrams of one flow that callers hand to the system at once, and that it hands on merged.
+    pub(crate) merged: usize,
+    /// Messages in a burst.
+    pub(crate) messages: usize,
+    /// Bytes by which each message is larger than the one before, so that none can be sent merged.
+    growth: usize,
+    new: bool,
+}
+
+pub(crate) const TRAFFIC: [Traffic; 5] = [
+    Traffic { name: "small", size: 100, merged: 1, messages: 32, growth: 0, new: false },
+    Traffic { name: "full", size: 1_200, merged: 1, messages: 32, growth: 0, new: false },
+    Traffic { name: "mixed", size: 100, merged: 1, messages: 32, growth: 37, new: false },
+    Traffic { name: "upload", size: 1_200, merged: 10, messages: 16, growth: 0, new: false },
+    Traffic { name: "new", size: MIN_INITIAL, merged: 1, messages: 32, growth: 0, new: true },
+];
+
+impl Traffic {
+    /// Datagrams in a burst.
+    pub(crate) fn datagrams(self) -> u64 {
+        (self.merged * self.messages) as u64
+    }
+
+    /// Writes a message of a burst and returns the size of its datagrams.
+    pub(crate) fn fill(
+        self,
+        message: usize,
+        flow: usize,
+        agent: SocketAddrV4,
+        contents: &mut Vec<u8>,
+    ) -> usize {
+        let size = self.size + message % self.messages * self.growth;
+        contents.clear();
+        if self.new {
+            contents.extend_from_slice(&[0xc0, 0, 0, 0, 1, 8]);
+            contents.extend_from_slice(&flow.to_be_bytes());
+            contents.resize(size, 0);
+            return size;
+        }
+        let packet = common::established(agent, flow as u32, size);
+        for _ in 0..self.merged {
+            contents.extend_from_slice(&packet);
+        }
+        size
+    }
+}
+
+/// The bare relay: receives and sends with the batching that `quinn-udp` offers.
+pub(crate) struct Bare {
+    data: Socket,
+    agents: Vec<SocketAddr>,
+    received: Vec<Box<[u8]>>,
+    /// Datagrams sent.
+    pub(crate) sent: u64,
+}
+
+impl Bare {
+    pub(crate) fn new(data: Socket, agents: Vec<SocketAddr>) -> Bare {
+        Bare { data, agents, received: buffers(), sent: 0 }
+    }
+
+    fn turn(&mut self, socket: &Socket) -> bool {
+        let mut metas = [RecvMeta::default(); BATCH_SIZE];
+        let mut slices: Vec<IoSliceMut<'_>> =
+            self.received.iter_mut().map(|it| IoSliceMut::new(it)).collect();
+        let Ok(count) = socket.recv(&mut slices, &mut metas) else {
+            return false;
+        };
+        for (at, meta) in metas[..count].iter().enumerate() {
+            let transmit = Transmit {
+                destination: self.agents[at % self.agents.len()],
+                ecn: meta.ecn,
+                contents: &self.received[at][..meta.len],
+                segment_size: (meta.len > meta.stride).then_some(meta.stride),
+                src_ip: None,
+            };
+            if self.data.send(&transmit).is_ok() {
+                self.sent += meta.len.div_ceil(meta.stride) as u64;
+            }
+        }
+        true
+    }
+}
+
+pub(crate) enum Path {
+    Bare(Bare),
+    Placed(Relay),
+}
+
+impl Path {
+    pub(crate) fn turn(&mut self, address: SocketAddr, socket: &Socket) -> bool {
+        match self {
+            Path::Bare(it) => it.turn(socket),
+            Path::Placed(it) => it.turn(address, socket),
+        }
+    }
+}
+
+pub(crate) fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+pub(crate) fn open() -> Socket {
+    Socket::new(socket::bind(loopback()).expect("bind")).expect("register")
+}
+
+pub(crate) fn address(socket: &Socket) -> SocketAddr {
+    socket.local_addr().expect("bound sockets have an address")
+}
+
+pub(crate) fn buffers() -> Vec<Box<[u8]>> {
+    (0..BATCH_SIZE).map(|_| vec![0; BUFFER].into_boxed_slice()).collect()
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A small fleet for the tests of the packet path.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::LazyLock,
+};
 
 use camphorwinch_core::{
     member::{Agent, AgentState, Place},
@@ -16,6 +19,8 @@
     Keys { reset: [2; 32], keys: vec![key] }
 }
 
+static RING: LazyLock<KeyRing> = LazyLock::new(ring);
+
 pub(crate) fn ring() -> KeyRing {
     KeyRing::new(&keys()).expect("a key seals")
 }
@@ -57,7 +62,7 @@
 pub(crate) fn established(agent: SocketAddrV4, flow: u32, len: usize) -> Vec<u8> {
     let [_, nonce @ ..] = flow.to_be_bytes();
     let home = Home { agent, service: ServiceId::new(SERVICE) };
-    let cid = ring().seal(home, nonce);
+    let cid = RING.seal(home, nonce);
     let mut datagram = [&[0x40], &cid[..]].concat();
     datagram.resize(len, 0x5a);
     datagram
