--- a/crates/daemon/src/agent/body.rs
+++ b/crates/daemon/src/agent/body.rs
@@ -159,19 +159,46 @@
     }
 }
 
-/// Where an answer goes to.
-pub(crate) enum Outlet {
+/// Way on which an answer goes.
+pub(crate) enum Way {
     /// A caller's stream.
     Flow(RequestStream<SendStream<Bytes>, Bytes>),
     /// A link from another agent.
     Link(LinkOutlet),
 }
 
+/// Where an answer goes to. With a capture it is also kept, and taken to its end though the caller has gone.
+pub(crate) struct Outlet {
+    way: Way,
+    capture: Option<Capture>,
+    gone: bool,
+}
+
 impl Outlet {
+    /// An answer that is passed on only.
+    pub(crate) fn new(way: Way) -> Outlet {
+        Outlet { way, capture: None, gone: false }
+    }
+
+    /// Keeps the answer too.
+    pub(crate) fn keep(&mut self) {
+        self.capture = Some(Capture::default());
+    }
+
+    /// The whole answer, if it was kept and came to its end.
+    pub(crate) fn kept(&mut self) -> Option<Answer> {
+        self.capture.take()?.answer()
+    }
+
+    /// The way on which the answer went.
+    pub(crate) fn into_way(self) -> Way {
+        self.way
+    }
+
     /// Makes sure that the request may begin: an agent that handed it over must say so first.
     pub(crate) async fn ready(&mut self, body: &mut Body, load: f64) -> Result<(), GivenUp> {
-        match (self, &mut body.inlet) {
-            (Outlet::Link(outlet), Inlet::Link(inlet)) if !inlet.is_ready() => {
+        match (&mut self.way, &mut body.inlet) {
+            (Way::Link(outlet), Inlet::Link(inlet)) if !inlet.is_ready() => {
                 outlet.taken(load).await?;
                 inlet.ready().await
             }
@@ -181,7 +208,7 @@
 
     /// Says that the upstream wants the body.
     pub(crate) async fn resume(&mut self) {
-        if let Outlet::Link(link) = self {
+        if let Way::Link(link) = &mut self.way {
             // If the other side has gone, the body will end.
             let _ = link.send(Kind::Resume(Resume {})).await;
         }
@@ -194,39 +221,68 @@
         headers: &HeaderMap,
         upstream: &str,
     ) -> Result<(), GivenUp> {
-        match self {
-            Outlet::Flow(stream) => {
+        if let Some(capture) = &mut self.capture {
+            capture.head(status, headers);
+        }
+        if self.gone {
+            return Ok(());
+        }
+        let sent = match &mut self.way {
+            Way::Flow(stream) => {
                 let mut response = Response::new(());
                 *response.status_mut() = status;
                 *response.headers_mut() = headers.clone();
                 stream.send_response(response).await.map_err(|_| GivenUp)
             }
-            Outlet::Link(link) => link.head(status, headers, upstream).await,
-        }
+            Way::Link(link) => link.head(status, headers, upstream).await,
+        };
+        self.settle(sent)
     }
 
     /// Sends a part of the body.
     pub(crate) async fn data(&mut self, part: Bytes) -> Result<(), GivenUp> {
-        match self {
-            Outlet::Flow(stream) => stream.send_data(part).await.map_err(|_| GivenUp),
-            Outlet::Link(link) => link.data(part, false).await,
+        if let Some(capture) = &mut self.capture {
+            capture.data(&part);
         }
+        if self.gone {
+            return Ok(());
+        }
+        let sent = match &mut self.way {
+            Way::Flow(stream) => stream.send_data(part).await.map_err(|_| GivenUp),
+            Way::Link(link) => link.data(part, false).await,
+        };
+        self.settle(sent)
     }
 
     /// Ends the answer.
     pub(crate) async fn finish(&mut self) -> Result<(), GivenUp> {
-        match self {
-            Outlet::Flow(stream) => stream.finish().await.map_err(|_| GivenUp),
-            Outlet::Link(link) => link.data(Bytes::new(), true).await,
+        if let Some(capture) = &mut self.capture {
+            capture.finish();
+        }
+        if self.gone {
+            return Ok(());
         }
+        let sent = match &mut self.way {
+            Way::Flow(stream) => stream.finish().await.map_err(|_| GivenUp),
+            Way::Link(link) => link.data(Bytes::new(), true).await,
+        };
+        self.settle(sent)
     }
 
     /// Breaks the answer off, so that nobody takes the part for the whole.
     pub(crate) fn reset(&mut self, code: Code) {
-        match self {
-            Outlet::Flow(stream) => stream.stop_stream(code),
-            Outlet::Link(link) => link.reset(),
+        match &mut self.way {
+            Way::Flow(stream) => stream.stop_stream(code),
+            Way::Link(link) => link.reset(),
+        }
+    }
+
+    fn settle(&mut self, sent: Result<(), GivenUp>) -> Result<(), GivenUp> {
+        if self.capture.is_none() {
+            return sent;
         }
+        self.gone |= sent.is_err();
+        Ok(())
     }
 }
 
@@ -237,6 +293,7 @@
     headers: HeaderMap,
     body: Vec<u8>,
     overflow: bool,
+    whole: bool,
 }
 
 impl Capture {
@@ -256,9 +313,14 @@
         }
     }
 
-    /// The answer, unless it is too large to be kept.
+    /// Notes that the answer is whole.
+    pub(crate) fn finish(&mut self) {
+        self.whole = true;
+    }
+
+    /// The answer, unless it broke off or is too large to be kept.
     pub(crate) fn answer(self) -> Option<Answer> {
-        if self.overflow {
+        if self.overflow || !self.whole {
             return None;
         }
         let field = |(name, value): (&HeaderName, &HeaderValue)| {
--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -15,7 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    body::{Body, GivenUp, Inlet, Outlet},
+    body::{Body, GivenUp, Inlet, Outlet, Way},
+    claim,
     link::{self, Link, LinkInlet, LinkOutlet, Sink},
     meter,
     node::Node,
@@ -274,6 +275,16 @@
                 let mut ended = link::ended(&closed);
                 run(&node, offer, inlet, outlet, &mut ended).await
             }
+            Some(Kind::Claim(call)) => match claim::answer(&node, &call) {
+                Ok(reply) => {
+                    let sent = outlet.send(Kind::Reply(reply)).await;
+                    sent.is_ok().then_some((inlet, outlet))
+                }
+                Err(e) => {
+                    event::emit(Id::LinkRefused, About::new(), &format!("{peer}: {e}"));
+                    None
+                }
+            },
             Some(_) => {
                 event::emit(Id::LinkRefused, About::new(), &format!("{peer}: out of turn"));
                 None
@@ -302,9 +313,9 @@
     };
     let mut course = Course::new(Arc::clone(node), service, ask);
     let mut body = Body::new(Inlet::Link(inlet), offer.body);
-    let mut outlet = Outlet::Link(outlet);
+    let mut outlet = Outlet::new(Way::Link(outlet));
     let outcome = request::carry(&mut course, &mut body, &mut outlet, ended).await;
-    let Outlet::Link(mut outlet) = outlet else {
+    let Way::Link(mut outlet) = outlet.into_way() else {
         return None;
     };
     match outcome {
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: ends callers' flows beside an upstream and runs their requests.
 
 mod body;
+mod claim;
 mod datagram;
 mod flow;
 mod handover;
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -1,6 +1,6 @@
 //! State of the agent that all its parts share.
 //!
-//! Lock order: `services` before a service's own locks; `gate`, `hints` and a service's locks are never held together.
+//! Lock order: `services` before a service's own locks; `gate`, `hints`, `claims` and a service's locks are never held together.
 
 use std::{
     collections::BTreeMap,
@@ -15,6 +15,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use camphorwinch_core::{
     admit::Intake,
+    claims::Claims,
     gate::Gate,
     member::AgentState,
     object::ServiceId,
@@ -28,6 +29,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    claim,
     link::{Dial, Links},
     meter,
     service::Service,
@@ -93,6 +95,7 @@
     pub(crate) hints: Mutex<Hints>,
     pub(crate) upstream: Upstream,
     pub(crate) links: Links,
+    pub(crate) claims: Mutex<Claims>,
     /// Flows and requests in progress.
     pub(crate) tasks: TaskTracker,
     snapshot: ArcSwap<Snapshot>,
@@ -142,6 +145,7 @@
             hints: Mutex::new(Hints::new()),
             upstream: Upstream::new(settings.upstream),
             links: Links::new(dial),
+            claims: Mutex::new(Claims::new()),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
@@ -160,9 +164,11 @@
     }
 
     /// Puts a snapshot in force.
-    pub(crate) fn apply(&self, snapshot: Arc<Snapshot>) {
+    pub(crate) fn apply(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
         self.apply_keys(&snapshot);
-        self.snapshot.store(Arc::clone(&snapshot));
+        let before = self.snapshot.swap(Arc::clone(&snapshot));
+        claim::copy(self, &before, &snapshot);
+        self.hints.lock().retain(|it| snapshot.agents.contains_key(it));
         self.refresh();
         for service in self.services() {
             service.apply(&snapshot, self);
--- a/crates/daemon/src/agent/quic.rs
+++ b/crates/daemon/src/agent/quic.rs
@@ -38,6 +38,11 @@
         Ended { waiting: Box::pin(waiting), end: None }
     }
 
+    /// An end that does not come: for a request that is run whatever its caller does.
+    pub(crate) fn never() -> Ended {
+        Ended::new(std::future::pending())
+    }
+
     /// Waits for the end. Can be cancelled and repeated.
     pub(crate) async fn wait(&mut self) -> End {
         if let Some(end) = self.end {
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use camphorwinch_core::{
     admit::Intake,
-    claims::RequestId,
+    claims::{Answer, ClaimKey, RequestId, State},
     dispatch::{Dispatch, Outcome, Report, Request, Step, View},
     peers::Peer,
 };
@@ -16,7 +16,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, request::Parts};
 
 use super::{
-    body::{Body, Inlet, Outlet},
+    body::{Body, Inlet, Outlet, Way},
+    claim::{self, Verdict},
     handover, local, meter,
     node::Node,
     quic::{BidiStream, Connection, Ended, Ends},
@@ -44,6 +45,8 @@
     "transfer-encoding",
     "upgrade",
 ];
+/// Time after which a request may be asked again whose key is in use.
+const REPEAT_MS: u64 = 1_000;
 const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
 
 /// What is asked for.
@@ -201,6 +204,11 @@
         }
     }
 
+    /// Whether an upstream may have begun the request.
+    fn may_have_begun(&self) -> bool {
+        self.dispatch.may_have_begun()
+    }
+
     /// Header fields of an answer to the caller.
     pub(crate) fn answer_headers(&self, headers: &mut HeaderMap, upstream: Option<&str>) {
         put(headers, SERVICE, &self.service.name);
@@ -247,11 +255,14 @@
     ended: &mut Ended,
 ) {
     let (send, recv) = stream.split();
-    let mut outlet = Outlet::Flow(send);
+    let mut outlet = Outlet::new(Way::Flow(send));
     let mut body = Body::new(Inlet::Flow(recv), course.ask.has_body());
-    let outcome = carry(&mut course, &mut body, &mut outlet, ended).await;
-    if let Some(outcome) = outcome {
-        answer(&course, &mut outlet, outcome).await;
+    match claim::key(&course.ask, course.service.id) {
+        None => {
+            let outcome = carry(&mut course, &mut body, &mut outlet, ended).await;
+            answer(&course, &mut outlet, outcome.unwrap_or(Outcome::Relay)).await;
+        }
+        Some(key) => run_once(&mut course, key, &mut body, &mut outlet).await,
     }
     body.close();
     drop(outlet);
@@ -259,6 +270,74 @@
     ended.wait().await;
 }
 
+/// Runs a request under an idempotency key, unless one has run under it before. It runs to its end whatever its caller
+/// does, since the caller may ask again.
+async fn run_once(course: &mut Course, key: ClaimKey, body: &mut Body, outlet: &mut Outlet) {
+    let held = match claim::claim(course, key).await {
+        Verdict::Run(held) => held,
+        other => {
+            repeat(course, outlet, other).await;
+            return;
+        }
+    };
+    outlet.keep();
+    let outcome = carry(course, body, outlet, &mut Ended::never()).await;
+    let state = match outcome {
+        Some(Outcome::NotRun { .. }) => None,
+        Some(Outcome::Cancelled) if !course.may_have_begun() => None,
+        Some(_) => Some(State::Unknown),
+        None => Some(outlet.kept().map_or(State::Unknown, |it| State::Done(Arc::new(it)))),
+    };
+    held.settle(&course.node, state);
+    answer(course, outlet, outcome.unwrap_or(Outcome::Relay)).await;
+}
+
+/// Answers a request whose key another request has.
+async fn repeat(course: &Course, outlet: &mut Outlet, verdict: Verdict) {
+    let about =
+        || About::new().with_service(&course.service.name).with_request(&course.ask.id_text());
+    let mut headers = HeaderMap::new();
+    let (status, body) = match verdict {
+        Verdict::Repeat(kept) => {
+            event::emit(Id::ClaimRepeated, about(), "answered as before");
+            meter::count(&meter::REQUESTS, "repeated");
+            headers = kept_headers(&kept);
+            (StatusCode::from_u16(kept.status), kept.body.clone())
+        }
+        Verdict::Mismatch => {
+            event::emit(Id::ClaimRepeated, about(), "the key was used for something else");
+            meter::count(&meter::REQUESTS, "key-mismatch");
+            course.answer_headers(&mut headers, None);
+            put(&mut headers, OUTCOME, "not-run");
+            (Ok(StatusCode::UNPROCESSABLE_ENTITY), Vec::new())
+        }
+        Verdict::Unknown => {
+            event::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
+            return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
+        }
+        Verdict::Run(_) | Verdict::Running | Verdict::Unavailable => {
+            return answer(course, outlet, Outcome::NotRun { retry_ms: REPEAT_MS }).await;
+        }
+    };
+    put(&mut headers, header::CONTENT_LENGTH, &body.len().to_string());
+    let status = status.unwrap_or(StatusCode::OK);
+    // If the caller has gone meanwhile, nobody waits for the answer.
+    if outlet.head(status, &headers, "").await.is_ok() && outlet.data(body.into()).await.is_ok() {
+        let _ = outlet.finish().await;
+    }
+}
+
+fn kept_headers(kept: &Answer) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &kept.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
 /// Carries out steps until the answer is passed on (none) or there is another outcome.
 pub(crate) async fn carry(
     course: &mut Course,
