Agent: claims on idempotency keys kept by owner agents

A keyed request runs to its end though its caller leaves, so that a repeat gets the answer. An owner that refuses connections is dead and holds nothing; a silent one makes the request refused as not run.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -297,6 +297,7 @@
         };
         let outcome =
             if invariant::check(Invariant::OneAnswer, once) { outcome } else { Outcome::Cancelled };
+        self.begun = self.may_have_begun();
         self.stage = Stage::Done;
         Step::Answer(outcome)
     }
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -26,7 +26,7 @@
 /// Longest wait for an owner's word on a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Waits before what came of a claim is sent again to an owner that did not take it.
-const SETTLE_WAITS_MS: [u64; 5] = [0, 100, 500, 2_000, 5_000];
+const SETTLE_WAITS_MS: [u64; 8] = [0, 100, 500, 2_000, 5_000, 10_000, 20_000, 20_000];
 
 /// What a request under an idempotency key may do.
 pub(crate) enum Verdict {
@@ -116,7 +116,11 @@
             Word::Dead => {}
             Word::Taken(claim) => refusal = Some(taken(&node.snapshot(), claim)),
             Word::Mismatch => refusal = Some(Verdict::Mismatch),
-            Word::Unavailable => refusal = refusal.or(Some(Verdict::Unavailable)),
+            Word::Unavailable => {
+                // It may have recorded the claim although its word is lost.
+                held.owners.push(owner);
+                refusal = refusal.or(Some(Verdict::Unavailable));
+            }
         }
     }
     if refusal.is_none() && held.owners.is_empty() {
@@ -219,6 +223,10 @@
     }
     for wait in SETTLE_WAITS_MS {
         time::sleep(Duration::from_millis(wait)).await;
+        let lives = node.snapshot().agents.get(owner).is_some_and(|it| it.state.answers());
+        if !lives {
+            return;
+        }
         let asked = ask(node, owner, purpose, record.clone());
         match time::timeout(CLAIM_TIMEOUT, asked).await {
             Ok(Ok(_)) => return,
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -173,6 +173,7 @@
         for service in self.services() {
             service.apply(&snapshot, self);
         }
+        self.bump();
     }
 
     fn apply_keys(&self, snapshot: &Snapshot) {
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -120,3 +120,140 @@
     assert!(flow.closed_cleanly().await);
     assert_eq!(bench.invariant_failures(), 0);
 }
+
+fn transfer(key: &str, echo: &str) -> Call {
+    let path = format!("/transfer?work_ms=50&echo={echo}");
+    Call::new(Method::POST, &path).with_header("idempotency-key", key)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_gets_the_first_answer() {
+    let bench = Bench::start(4).await;
+    let flow = bench.open().await;
+    let first = flow.call(transfer("k", "one")).await;
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    bench.prefer(1);
+    let other = bench.open().await;
+    let second = loop {
+        let reply = other.call(transfer("k", "two")).await;
+        // The owners may hear of the first answer a moment later.
+        if reply.status != StatusCode::SERVICE_UNAVAILABLE {
+            break reply;
+        }
+        assert_eq!(reply.header("camphorwinch-outcome"), "not-run");
+    };
+    assert_eq!(second.text(), first.text());
+    assert_eq!(second.header("camphorwinch-upstream"), "agent-0");
+    let mismatch = Call::new(Method::POST, "/other").with_header("idempotency-key", "k");
+    let reply = other.call(mismatch).await;
+    assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(bench.starts("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_of_a_lost_request_is_unknown() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"lost":1.0}"#).await;
+    let reply = flow.call(transfer("k", "one")).await;
+    assert_eq!(reply.header("camphorwinch-outcome"), "unknown");
+    bench.prefer(1);
+    let other = bench.open().await;
+    loop {
+        let reply = other.call(transfer("k", "two")).await;
+        if reply.header("camphorwinch-outcome") == "unknown" {
+            break;
+        }
+        assert_eq!(reply.header("camphorwinch-outcome"), "not-run");
+    }
+    assert_eq!(bench.starts("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_request_may_run_later_under_its_key() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    let reply = flow.call(transfer("k", "one")).await;
+    assert_eq!(reply.header("camphorwinch-outcome"), "not-run");
+    bench.faults(0, r#"{"shed":0.0}"#).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let reply = flow.call(transfer("k", "two")).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(bench.starts("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_once_runs_once() {
+    let bench = Bench::start(4).await;
+    let mut flows = Vec::new();
+    for at in 0..4 {
+        bench.prefer(at);
+        flows.push(bench.open().await);
+    }
+    for round in 0..10 {
+        let key = format!("key-{round}");
+        let calls = flows
+            .iter()
+            .flat_map(|flow| [flow.call(transfer(&key, "a")), flow.call(transfer(&key, "b"))]);
+        for reply in futures::future::join_all(calls).await {
+            let refused = reply.header("camphorwinch-outcome") == "not-run";
+            assert!(refused || reply.status == StatusCode::OK, "{reply:?}");
+        }
+        assert!(bench.starts(&key) <= 1, "{key} ran {} times", bench.starts(&key));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_goes_on_when_its_caller_has_gone() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    let call = tokio::spawn(flow.call(transfer("k", "one")));
+    tokio::time::sleep(Duration::from_millis(25)).await;
+    flow.conn.close(0_u32.into(), b"");
+    call.await.expect("the caller's task ends");
+    let other = bench.open().await;
+    let reply = loop {
+        let reply = other.call(transfer("k", "two")).await;
+        if reply.status != StatusCode::SERVICE_UNAVAILABLE {
+            break reply;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    assert!(reply.text().contains("\"echo\":\"one\""), "{reply:?}");
+    assert_eq!(bench.starts("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_and_certificates_rotate_under_open_flows() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=1500&every=50&echo=f")));
+    bench.rotate(2);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = flow.call(Call::new(Method::GET, "/screen")).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    let other = bench.open().await;
+    assert_eq!(other.call(Call::new(Method::GET, "/screen")).await.status, StatusCode::OK);
+    let feed = feed.await.expect("the caller's task ends");
+    assert!(feed.text().contains("sum "), "{feed:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn swapped_pool_hands_requests_to_the_new_agents() {
+    let bench = Bench::with_pools(&["ledger", "other"]).await;
+    let flow = bench.open().await;
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=1000&every=50&echo=f")));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    bench.swap_pool("other").await;
+    loop {
+        let reply = flow.call(Call::new(Method::POST, "/transfer")).await;
+        if reply.broken.as_deref() == Some(LEAVING) {
+            break;
+        }
+        assert_eq!(reply.header("camphorwinch-upstream"), "agent-1", "{reply:?}");
+    }
+    let feed = feed.await.expect("the caller's task ends");
+    assert!(feed.text().contains("sum "), "{feed:?}");
+    assert_eq!(bench.invariant_failures(), 0);
+}
--- a/crates/daemon/src/agent/tests/bench.rs
+++ b/crates/daemon/src/agent/tests/bench.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -68,6 +68,7 @@
     service: SocketAddr,
     endpoint: Endpoint,
     tls: Tls,
+    first: Arc<AtomicUsize>,
     relay: tokio::task::JoinHandle<()>,
 }
 
@@ -89,13 +90,18 @@
 impl Bench {
     /// Agents `agent-0`, `agent-1` and so on, all of one service.
     pub(crate) async fn start(agents: usize) -> Bench {
+        Bench::with_pools(&vec![POOL; agents]).await
+    }
+
+    /// An agent in each of these pools; the service has the first.
+    pub(crate) async fn with_pools(pools: &[&str]) -> Bench {
         let ip = Ipv4Addr::new(127, 90, NEXT.fetch_add(1, Ordering::Relaxed), 1);
         let issued = rcgen::generate_simple_self_signed([SERVICE.to_owned()]).expect("certificate");
         let relay = UdpSocket::bind(any(ip)).await.expect("relay");
         let address = relay.local_addr().expect("relay address");
         let service = Service {
             address,
-            pool: POOL.to_owned(),
+            pool: pools[0].to_owned(),
             certificate: "cert".to_owned(),
             policy: Policy::Steady,
             weights: BTreeMap::new(),
@@ -118,14 +124,16 @@
             service: address,
             endpoint: endpoint(ip, issued.cert.der()),
             tls: fleet(),
+            first: Arc::default(),
             relay: tokio::spawn(async {}),
         };
-        for at in 0..agents {
-            let seat = bench.seat(ip, at).await;
+        for (at, pool) in pools.iter().enumerate() {
+            let seat = bench.seat(ip, at, pool).await;
             snapshot.agents.insert(seat.member.name.clone(), seat.member.clone());
             bench.seats.push(seat);
         }
-        bench.relay = tokio::spawn(forward(relay, bench.snapshot.subscribe()));
+        bench.relay =
+            tokio::spawn(forward(relay, bench.snapshot.subscribe(), Arc::clone(&bench.first)));
         bench.snapshot.send_replace(Arc::new(snapshot));
         for seat in &bench.seats {
             let mut changed = seat.node.changed();
@@ -136,9 +144,9 @@
         bench
     }
 
-    async fn seat(&self, ip: Ipv4Addr, at: usize) -> Seat {
+    async fn seat(&self, ip: Ipv4Addr, at: usize, pool: &str) -> Seat {
         let name = format!("agent-{at}");
-        let settings = UpstreamSettings::new(any(ip), any(ip), &name, POOL);
+        let settings = UpstreamSettings::new(any(ip), any(ip), &name, pool);
         let upstream = Upstream::start(settings, Faults::default()).await.expect("upstream");
         let listener = TcpListener::bind(any(ip)).await.expect("control");
         let node = Node::new(
@@ -146,7 +154,7 @@
                 name: name.clone(),
                 vm: format!("vm-{at}"),
                 zone: "zone-a".to_owned(),
-                pool: POOL.to_owned(),
+                pool: pool.to_owned(),
                 data: any(ip),
                 upstream: upstream.addr(),
                 slots: 7,
@@ -165,7 +173,7 @@
         let member = Agent {
             name,
             place,
-            pool: POOL.to_owned(),
+            pool: pool.to_owned(),
             data: node.home.into(),
             control,
             weight: 1.0,
@@ -192,6 +200,44 @@
         self.snapshot.send_replace(Arc::new(snapshot));
     }
 
+    /// Makes the agent the first candidate of new flows.
+    pub(crate) fn prefer(&self, at: usize) {
+        self.first.store(at, Ordering::Relaxed);
+    }
+
+    /// How often requests under this idempotency key were started, over all upstreams.
+    pub(crate) fn starts(&self, key: &str) -> u64 {
+        let records = self.seats.iter().map(|it| it.upstream.record());
+        records.filter_map(|it| it.keys.get(key).map(|it| it.started)).sum()
+    }
+
+    /// Makes a new key seal; the former ones still open.
+    pub(crate) fn rotate(&self, epoch: u8) {
+        self.change(|it| {
+            let keys = it.keys.as_mut().expect("there are keys");
+            for key in &mut keys.keys {
+                key.usage = KeyUse::Open;
+            }
+            let secret = [epoch; 32];
+            keys.keys.push(KeySpec { epoch, secret, usage: KeyUse::Seal });
+        });
+    }
+
+    /// Gives the service another pool; waits until the agents know.
+    pub(crate) async fn swap_pool(&self, pool: &str) {
+        self.change(|it| {
+            let entry = it.services.get_mut(&ServiceId::new(SERVICE)).expect("the service");
+            entry.spec.pool = pool.to_owned();
+        });
+        let revision = self.snapshot.borrow().revision;
+        for seat in &self.seats {
+            let mut changed = seat.node.changed();
+            while seat.node.snapshot().revision < revision {
+                changed.changed().await.expect("the agent lives");
+            }
+        }
+    }
+
     /// Plans a drain, and waits until the agent knows.
     pub(crate) async fn drain(&self, at: usize) {
         let name = self.seats[at].member.name.clone();
@@ -314,7 +360,11 @@
 }
 
 /// Acts as fabric and balancer: one socket towards callers; answers of agents are passed back through it.
-async fn forward(callers: UdpSocket, snapshot: watch::Receiver<Arc<Snapshot>>) {
+async fn forward(
+    callers: UdpSocket,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    first: Arc<AtomicUsize>,
+) {
     let local = callers.local_addr().expect("address");
     let callers = Arc::new(callers);
     // One socket per caller stands for the caller towards the agents.
@@ -355,7 +405,8 @@
         let to = match ring.open(cid) {
             Some(home) => home.agent,
             None => {
-                for agent in now.agents.values() {
+                let first = first.load(Ordering::Relaxed);
+                for agent in now.agents.values().skip(first) {
                     let SocketAddr::V4(data) = agent.data else {
                         continue;
                     };
