--- a/crates/relay/tests/quic.rs
+++ b/crates/relay/tests/quic.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, hash_map::Entry},
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::{
         Arc,
@@ -122,10 +122,10 @@
     let mut buffer = vec![0; 2_000];
     loop {
         let (len, caller) = service.recv_from(&mut buffer).await.expect("the service's socket");
-        if !callers.contains_key(&caller) {
+        if let Entry::Vacant(entry) = callers.entry(caller) {
             let socket = Arc::new(UdpSocket::bind(loopback()).await.expect("bind"));
             tokio::spawn(back(Arc::clone(&socket), Arc::clone(&service), caller));
-            callers.insert(caller, socket);
+            entry.insert(socket);
         }
         let agents: Vec<SocketAddrV4> = {
             let placers = placers.borrow();
