standin: tokens of attempts under one key share a group

Two callers that submit one transfer at once each repeat it under new tokens, so either may get the answer to any attempt of both. It is as strict as before towards other keys: the group is drawn at random for each request.

--- a/crates/standin/src/caller/ask.rs
+++ b/crates/standin/src/caller/ask.rs
@@ -61,10 +61,10 @@
 pub struct Ask {
     /// Kind.
     pub kind: Kind,
-    /// Token that the answer must echo; new for each attempt.
+    /// Token that the answer must echo; new for each attempt. It begins with the group.
     pub token: String,
-    /// Tokens of earlier attempts under the same key: the answer may be that of one of them.
-    pub earlier: Vec<String>,
+    /// Group of the tokens of all attempts under one key.
+    pub group: String,
     /// Idempotency key; the same for each attempt.
     pub key: Option<String>,
     /// Query beyond the token.
@@ -110,17 +110,18 @@
     /// A small POST under a key of its own.
     pub fn transfer(rng: &mut StdRng, work: Duration) -> Ask {
         let mut ask = Ask::new(Kind::Transfer, rng);
-        ask.key = Some(token(rng));
+        ask.key = Some(random(rng));
         ask.add_work(work);
         ask.chunks.push(Bytes::from(format!("amount={}", rng.random_range(1..10_000))));
         ask
     }
 
     fn new(kind: Kind, rng: &mut StdRng) -> Ask {
+        let group = random(rng);
         Ask {
             kind,
-            token: token(rng),
-            earlier: Vec::new(),
+            token: token(&group, rng),
+            group,
             key: None,
             query: String::new(),
             chunks: Vec::new(),
@@ -134,22 +135,14 @@
         self.span += work;
     }
 
-    /// The same request for a further attempt, under a new token.
+    /// The same request for a further attempt, under a new token of the same group.
     pub fn again(&self, rng: &mut StdRng) -> Ask {
-        let mut ask = Ask { token: token(rng), ..self.clone() };
-        if self.key.is_some() {
-            ask.earlier.push(self.token.clone());
-        }
-        ask
+        Ask { token: token(&self.group, rng), ..self.clone() }
     }
 
-    /// Two requests under one key, as when a caller submits twice: the answer to either may be that of the other.
-    pub fn twins(&self, rng: &mut StdRng) -> [Ask; 2] {
-        let mut first = self.clone();
-        let mut second = Ask { token: token(rng), ..self.clone() };
-        first.earlier.push(second.token.clone());
-        second.earlier.push(first.token.clone());
-        [first, second]
+    /// Whether a token is this attempt's, or that of another attempt under the same key, whose answer may stand for it.
+    pub fn accepts(&self, token: &str) -> bool {
+        token == self.token || (self.key.is_some() && token.starts_with(&self.group))
     }
 
     /// The request's head, as sent to the service with this name.
@@ -178,6 +171,10 @@
     }
 }
 
-fn token(rng: &mut StdRng) -> String {
-    format!("{:032x}", rng.random::<u128>())
+fn token(group: &str, rng: &mut StdRng) -> String {
+    format!("{group}-{}", random(rng))
+}
+
+fn random(rng: &mut StdRng) -> String {
+    format!("{:016x}", rng.random::<u64>())
 }
--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -279,9 +279,9 @@
 
     /// One transfer submitted twice at once, on two flows.
     async fn twins(&self, session: &mut Session, ask: &Ask) {
-        let [first, second] = ask.twins(session.rng());
+        let twin = ask.again(session.rng());
         let mut other = self.session(session.rng());
-        tokio::join!(session.ask(first), other.ask(second));
+        tokio::join!(session.ask(ask.clone()), other.ask(twin));
         other.close();
     }
 
--- a/crates/standin/src/caller/verify.rs
+++ b/crates/standin/src/caller/verify.rs
@@ -52,7 +52,7 @@
         let text = format!("{} of pool {} at {}", head.service, head.pool, head.upstream);
         return Err(Flaw::WrongService(text));
     }
-    if head.echo != ask.token && !ask.earlier.contains(&head.echo) {
+    if !ask.accepts(&head.echo) {
         return Err(Flaw::Crossed(format!("token {} for {}", head.echo, ask.token)));
     }
     let key = ask.key.as_deref().unwrap_or_default();
--- a/crates/standin/tests/caller.rs
+++ b/crates/standin/tests/caller.rs
@@ -202,8 +202,7 @@
     let check = |ask: &Ask| verify::check(ask, &target, &headers, body.as_bytes());
     assert_eq!(check(&first), Ok(()));
     assert_eq!(check(&first.again(rng)), Ok(()));
-    assert_eq!(check(&first.twins(rng)[1]), Ok(()));
-    let stranger = Ask { token: "t".into(), ..first.clone() };
+    let stranger = Ask { group: "g".into(), token: "g-1".into(), ..first.clone() };
     assert!(matches!(check(&stranger), Err(Flaw::Crossed(_))));
     let keyless = Ask { key: None, ..first }.again(rng);
     assert!(matches!(check(&keyless), Err(Flaw::Crossed(_))));
