--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,14 +2,21 @@
 
 use std::{env, error::Error as _, process::ExitCode};
 
+use bpaf::ParseFailure;
 use camphorwinch_cli::{app, config::Settings, error::Error};
 
+/// Columns of help texts.
+const WIDTH: usize = 100;
+
 fn main() -> ExitCode {
     let app = match app::app().run_inner(bpaf::Args::current_args()) {
         Ok(app) => app,
         Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::from(failure.exit_code().clamp(0, 1) as u8 * app::USAGE);
+            failure.print_message(WIDTH);
+            return match failure {
+                ParseFailure::Stderr(_) => ExitCode::from(app::USAGE),
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+            };
         }
     };
     match run(&app) {
--- a/crates/cli/tests/runs/view.rs
+++ b/crates/cli/tests/runs/view.rs
@@ -41,6 +41,19 @@
         "flows": flows, "busy": 1, "slots": 7, "since_ms": 5, "epochs": epochs})
 }
 
+#[test]
+fn help_and_completion_are_no_errors() {
+    let fake = Fake::new();
+    let help = fake.run(&["--help"]);
+    assert!(help.code == 0 && help.out.contains("Exit codes"), "{help:?}");
+    for shell in ["bash", "zsh", "fish", "elvish"] {
+        let script = fake.run(&[&format!("--bpaf-complete-style-{shell}")]);
+        assert!(script.code == 0 && script.out.contains("camphorwinch"), "{script:?}");
+    }
+    let words = fake.run(&["--bpaf-complete-rev=8", "un"]);
+    assert!(words.out.contains("undrain"), "{words:?}");
+}
+
 #[test]
 fn status_shows_what_is_in_force_and_drain_progress() {
     let fake = Fake::new();
