A silent agent gets no new work, but keeps its flows for 25 s

Now only an agent whose process closed its link counts as dead within seconds; one that fell silent is taken out of new work after 2.5 s and counts as dead after 25 s more. New state Silent in core::member. A lone balancer, which knows no other, may judge too: before, it never did once its only link was gone.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -27,6 +27,8 @@
     Draining,
     /// About to stop; nothing may be sent to it but packets of its own flows.
     Leaving,
+    /// Not heard of for some seconds. It may be paused: it gets no new work, but packets of its flows still go to it.
+    Silent,
     /// Found dead by the balancers it announced itself to.
     Down,
 }
@@ -39,6 +41,7 @@
             AgentState::Starting
             | AgentState::Draining
             | AgentState::Leaving
+            | AgentState::Silent
             | AgentState::Down => false,
         }
     }
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    /// The announcement, by another process, that this member has not been heard of. A balancer holds no flows that a
+    /// wrong verdict could break, and counts as dead at once.
+    pub fn silent(&self, wall_ms: u64) -> Member {
+        let mut it = self.clone();
+        let Role::Agent { agent, .. } = &mut it.role else {
+            return self.down(wall_ms);
+        };
+        agent.state = AgentState::Silent;
+        it.version = self.version.next();
+        it.since_ms = wall_ms;
+        it
+    }
+
     /// The announcement, by another process, that this member was found dead.
     pub fn down(&self, wall_ms: u64) -> Member {
         let mut it = self.clone();
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,25 +1,39 @@
-//! Members whose link was lost: when one counts as dead.
+//! Members whose link was lost: when one counts as silent or dead.
 //!
 //! A member that lives announces itself again within the grace period, through another link or the same one once it is
-//! back; its version then differs from the one at the loss. One that does not is dead.
+//! back; its version then differs from the one at the loss. One that does not is dead if its process closed the link, as
+//! a kernel does for a process that ended. If the link just fell silent, the process may be paused: its flows would
+//! break for nothing if others reset them, so an agent counts as silent first, and as dead much later.
 
 use std::collections::BTreeMap;
 
 use crate::record::Version;
 
-/// For how long an agent may be without a link before it counts as dead, in milliseconds.
+/// For how long an agent that closed its link may be without one before it counts as dead, in milliseconds.
 pub const AGENT_GRACE_MS: u64 = 2_000;
-/// The same for a balancer.
+/// For how long an agent may be silent before it counts as dead, in milliseconds.
+pub const SILENT_GRACE_MS: u64 = 25_000;
+/// For how long a balancer may be without a link before it counts as dead, in milliseconds.
 pub const BALANCER_GRACE_MS: u64 = 4_000;
 /// The same for an agent all of whose balancers are dead.
 pub const ORPHAN_GRACE_MS: u64 = 8_000;
 /// A gap between two ticks that shows that the process itself was paused, in milliseconds.
 pub const PAUSE_MS: u64 = 1_500;
 
+/// What a member counts as once the grace period is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// Not heard of; it may be paused.
+    Silent,
+    /// Dead.
+    Dead,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     version: Version,
     due_ms: u64,
+    verdict: Verdict,
 }
 
 /// Members under suspicion.
@@ -36,10 +50,10 @@
     }
 
     /// Suspects a member that was last heard of with `version`. An earlier suspicion of the same version stays.
-    pub fn suspect(&mut self, name: &str, version: Version, due_ms: u64) {
+    pub fn suspect(&mut self, name: &str, version: Version, due_ms: u64, verdict: Verdict) {
         let known = self.entries.get(name).is_some_and(|it| it.version == version);
         if !known {
-            self.entries.insert(name.to_owned(), Suspect { version, due_ms });
+            self.entries.insert(name.to_owned(), Suspect { version, due_ms, verdict });
         }
     }
 
@@ -63,11 +77,11 @@
         self.entries.is_empty()
     }
 
-    /// Members that count as dead now. `version` gives the version at which a member is known at present.
+    /// Members that count as silent or dead now. `version` gives the version at which a member is known at present.
     ///
     /// After a pause of this process every suspicion starts anew: it was this process that did not listen. `connected`
     /// says whether this process hears of the others at all; while it does not, nobody counts as dead.
-    pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<String>
+    pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<(String, Verdict)>
     where
         F: Fn(&str) -> Option<Version>,
     {
@@ -81,9 +95,9 @@
             return Vec::new();
         }
         let due = |it: &Suspect| it.due_ms <= now_ms;
-        let dead: Vec<String> =
-            self.entries.iter().filter(|(_, it)| due(it)).map(|(name, _)| name.clone()).collect();
+        let over = self.entries.iter().filter(|(_, it)| due(it));
+        let found = over.map(|(name, it)| (name.clone(), it.verdict)).collect();
         self.entries.retain(|_, it| !due(it));
-        dead
+        found
     }
 }
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -2,7 +2,7 @@
 
 use camphorwinch_core::{
     record::Version,
-    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, PAUSE_MS, Suspects},
+    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, PAUSE_MS, Suspects, Verdict},
 };
 
 const OLD: Version = Version { major: 1, minor: 0 };
@@ -11,7 +11,10 @@
     let mut dead = Vec::new();
     let mut now = from;
     while now <= until {
-        dead.extend(suspects.due(now, true, |_| Some(version)));
+        for (name, verdict) in suspects.due(now, true, |_| Some(version)) {
+            assert_eq!(verdict, Verdict::Dead);
+            dead.push(name);
+        }
         now += 250;
     }
     dead
@@ -20,7 +23,7 @@
 #[test]
 fn silence_is_death_after_the_grace() {
     let mut suspects = Suspects::new();
-    suspects.suspect("a", OLD, AGENT_GRACE_MS);
+    suspects.suspect("a", OLD, AGENT_GRACE_MS, Verdict::Dead);
     assert!(tick_until(&mut suspects, 0, AGENT_GRACE_MS - 1, OLD).is_empty());
     assert_eq!(tick_until(&mut suspects, AGENT_GRACE_MS, AGENT_GRACE_MS, OLD), ["a"]);
     assert!(suspects.is_empty());
@@ -29,9 +32,9 @@
 #[test]
 fn a_new_announcement_or_link_is_life() {
     let mut suspects = Suspects::new();
-    suspects.suspect("a", OLD, AGENT_GRACE_MS);
+    suspects.suspect("a", OLD, AGENT_GRACE_MS, Verdict::Dead);
     assert!(tick_until(&mut suspects, 0, 60_000, OLD.next()).is_empty());
-    suspects.suspect("b", OLD, AGENT_GRACE_MS);
+    suspects.suspect("b", OLD, AGENT_GRACE_MS, Verdict::Dead);
     suspects.clear("b");
     assert!(tick_until(&mut suspects, 0, 60_000, OLD).is_empty());
 }
@@ -40,7 +43,7 @@
 fn a_process_that_slept_or_is_alone_declares_nobody_dead() {
     let mut suspects = Suspects::new();
     assert!(suspects.due(0, true, |_| Some(OLD)).is_empty());
-    suspects.suspect("a", OLD, 2_000);
+    suspects.suspect("a", OLD, 2_000, Verdict::Dead);
     let woken = 5_000 + PAUSE_MS;
     assert!(suspects.due(woken, true, |_| Some(OLD)).is_empty());
     assert!(
@@ -54,7 +57,7 @@
 #[test]
 fn asking_again_does_not_prolong() {
     let mut suspects = Suspects::new();
-    suspects.suspect("a", OLD, 1_000);
-    suspects.suspect("a", OLD, 9_000);
+    suspects.suspect("a", OLD, 1_000, Verdict::Dead);
+    suspects.suspect("a", OLD, 9_000, Verdict::Dead);
     assert_eq!(tick_until(&mut suspects, 0, 1_000, OLD), ["a"]);
 }
--- a/crates/daemon/src/control/join.rs
+++ b/crates/daemon/src/control/join.rs
@@ -191,7 +191,8 @@
         state.homed.remove(peer);
         let version = state.view.member(peer).filter(|it| !it.is_down()).map(|it| it.version);
         if let Some(version) = version.filter(|_| !link.ended) {
-            state.suspects.suspect(peer, version, now_ms() + tick::grace(link.kind));
+            let (grace, verdict) = tick::sentence(link.kind, link.silent);
+            state.suspects.suspect(peer, version, now_ms() + grace, verdict);
         }
         drop(state);
         self.update_homes();
@@ -269,7 +270,8 @@
         }
         let version = state.view.member(name).filter(|it| !it.is_down()).map(|it| it.version);
         if let Some(version) = version {
-            state.suspects.suspect(name, version, now_ms() + tick::grace(LinkKind::Mesh));
+            let (grace, verdict) = tick::sentence(LinkKind::Mesh, false);
+            state.suspects.suspect(name, version, now_ms() + grace, verdict);
         }
     }
 }
--- a/crates/daemon/src/control/link.rs
+++ b/crates/daemon/src/control/link.rs
@@ -189,6 +189,7 @@
         opened,
         scope,
         ended: false,
+        silent: false,
         heard_ms: now_ms(),
         digest_ms: now_ms(),
         outbox,
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -62,6 +62,8 @@
     pub(crate) scope: Scope,
     /// Whether either side ends it because it is no longer needed.
     pub(crate) ended: bool,
+    /// Whether it was ended because nothing arrived.
+    pub(crate) silent: bool,
     /// When something last arrived.
     pub(crate) heard_ms: u64,
     /// When a digest was last sent because of a difference.
@@ -432,6 +434,7 @@
             AgentState::Ready => "ready",
             AgentState::Draining => "draining",
             AgentState::Leaving => "leaving",
+            AgentState::Silent => "silent",
             AgentState::Down => "down",
         },
         MemberRole::Balancer { balancer, .. } => match balancer.state {
--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -6,8 +6,11 @@
     invariant::{Invariant, violations},
     member::{BalancerState, Place},
     object::ServiceId,
+    record::{Member, Record, Version},
     report::{Lease, Report},
 };
+use camphorwinch_wire::message::{Body, Frame, Hello, PROTOCOL, RecordPart, Update};
+use prost::Message;
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 
 use super::*;
@@ -298,6 +301,64 @@
     intact();
 }
 
+/// Speaks for an agent by hand, so that it can fall silent without closing its link.
+async fn speak(fleet: &Fleet, home: &Control, agent: &Member) -> Stream {
+    use futures::SinkExt;
+
+    let tls = Tls::new(&fleet.pem).unwrap();
+    let stream = TcpStream::connect(home.inner.common.control).await.unwrap();
+    let mut frames = frame::frames(tls.connect(stream).await.unwrap());
+    let hello = Hello {
+        protocol: PROTOCOL,
+        purpose: Purpose::Agent as i32,
+        name: agent.name().to_owned(),
+        incarnation: agent.version.major,
+        pools: vec!["p".to_owned()],
+    };
+    let part = RecordPart::from(&Record::Member(agent.clone()));
+    let update = Update { records: vec![part], ..Update::default() };
+    for body in [Body::Hello(hello), Body::Update(update)] {
+        frames.send(bytes::Bytes::from(Frame::new(body).encode_to_vec())).await.unwrap();
+    }
+    frames
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_agent_keeps_its_flows_for_a_while() {
+    let fleet = Fleet::new().await;
+    let b1 = fleet.balancer("b1", "z1").await;
+    let common = fleet.common("a1", "z1", &[]);
+    let agent = Agent {
+        name: "a1".to_owned(),
+        place: common.place,
+        pool: "p".to_owned(),
+        data: free_address(),
+        control: common.control,
+        weight: 1.0,
+        slots: 4,
+        connections: 100,
+        state: AgentState::Ready,
+    };
+    let role = MemberRole::Agent { agent, homes: vec!["b1".to_owned()] };
+    let mut member = Member { version: Version::member(7, 0), since_ms: 0, role };
+    let first = speak(&fleet, &b1, &member).await;
+    until("ready", || state_in(&b1, "a1") == Some(AgentState::Ready)).await;
+    until("silent", || state_in(&b1, "a1") == Some(AgentState::Silent)).await;
+    assert!(AgentState::Silent.answers() && !AgentState::Silent.takes_work());
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(state_in(&b1, "a1"), Some(AgentState::Silent), "its flows are not given up yet");
+    member.version = Version::member(7, 2);
+    let second = speak(&fleet, &b1, &member).await;
+    until("back", || state_in(&b1, "a1") == Some(AgentState::Ready)).await;
+    drop(second);
+    until("dead once its process closed the link", || {
+        state_in(&b1, "a1") == Some(AgentState::Down)
+    })
+    .await;
+    drop(first);
+    intact();
+}
+
 #[tokio::test]
 async fn a_stranger_and_a_faulty_frame_are_refused() {
     use futures::{SinkExt, StreamExt};
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -5,7 +5,9 @@
 use camphorwinch_core::{
     mesh,
     record::{Member, Record, Role},
-    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, ORPHAN_GRACE_MS, PAUSE_MS},
+    suspect::{
+        AGENT_GRACE_MS, BALANCER_GRACE_MS, ORPHAN_GRACE_MS, PAUSE_MS, SILENT_GRACE_MS, Verdict,
+    },
 };
 use camphorwinch_wire::message::{Beat, Body};
 use tokio::time::{MissedTickBehavior, interval};
@@ -30,7 +32,7 @@
 /// Without anything heard for so long, a link between balancers is down.
 const MESH_SILENCE_MS: u64 = 4_000;
 /// The same for a link between an agent and a balancer.
-const AGENT_SILENCE_MS: u64 = 3_000;
+const AGENT_SILENCE_MS: u64 = 2_500;
 /// How much longer each further balancer waits before it declares an agent dead whose own balancers are dead.
 const ORPHAN_STEP_MS: u64 = 1_000;
 /// Events that an agent sends with one sign of life.
@@ -78,7 +80,7 @@
             return;
         }
         if count.is_multiple_of(BEAT_TICKS) {
-            suspect_orphans(state, now);
+            suspect_lost(state, now);
         }
         let dead = find_dead(state, now);
         if dead.is_empty() {
@@ -101,6 +103,7 @@
                 LinkKind::Home | LinkKind::Agent => AGENT_SILENCE_MS,
             };
             if now.saturating_sub(link.heard_ms) > limit {
+                link.silent = true;
                 link.stop.cancel();
             }
         }
@@ -147,25 +150,31 @@
 }
 
 fn find_dead(state: &mut State, now: u64) -> Vec<Member> {
-    let connected = !state.links.is_empty();
+    let own = state.own.name();
+    let alone = state.balancers().iter().all(|it| it.name == own);
+    let connected = alone || !state.links.is_empty();
     let view = &state.view;
-    let names = state.suspects.due(now, connected, |name| view.member(name).map(|it| it.version));
-    let mut dead = Vec::new();
-    for name in names {
+    let found = state.suspects.due(now, connected, |name| view.member(name).map(|it| it.version));
+    let mut news = Vec::new();
+    for (name, verdict) in found {
         let Some(member) = view.member(&name).filter(|it| !it.is_down()) else {
             continue;
         };
-        report_dead(member);
-        dead.push(member.down(wall_ms()));
+        report_loss(member, verdict);
+        news.push(match verdict {
+            Verdict::Silent => member.silent(wall_ms()),
+            Verdict::Dead => member.down(wall_ms()),
+        });
     }
-    dead
+    news
 }
 
-fn report_dead(member: &Member) {
+fn report_loss(member: &Member, verdict: Verdict) {
     let leaving = state_of(&member.role) == "leaving";
-    let (id, what) = match leaving {
-        true => (Id::MemberChanged, "left"),
-        false => (Id::MemberDown, "was found dead"),
+    let (id, what) = match verdict {
+        Verdict::Dead if leaving => (Id::MemberChanged, "left"),
+        Verdict::Dead => (Id::MemberDown, "was found dead"),
+        Verdict::Silent => (Id::MemberChanged, "is silent and gets no new work"),
     };
     let about = match &member.role {
         Role::Agent { agent, .. } => About::new().with_upstream(&agent.name),
@@ -174,37 +183,44 @@
     event::emit(id, about, &format!("{} {what}", member.name()));
 }
 
-/// Suspects agents all of whose balancers are dead: nobody else will miss them. A balancer that sees only a minority of
-/// the balancers leaves them alone, because it may be the one that is cut off.
-fn suspect_orphans(state: &mut State, now: u64) {
+/// Suspects agents that stay silent under this balancer's watch, and agents all of whose balancers are dead: nobody else
+/// will miss them. A balancer that sees only a minority of the balancers leaves the latter alone, because it may be the
+/// one that is cut off.
+fn suspect_lost(state: &mut State, now: u64) {
     let alive = state.balancers();
     let known = state.view.members().filter(|it| matches!(it.role, Role::Balancer { .. })).count();
-    if alive.len() * 2 <= known && known > 1 {
-        return;
-    }
+    let minority = alive.len() * 2 <= known && known > 1;
     let peers = as_peers(&alive);
-    let mut orphans = Vec::new();
+    let mut lost = Vec::new();
     for member in state.view.members() {
         let Role::Agent { homes, .. } = &member.role else {
             continue;
         };
+        if member.is_down() || state.linked(member.name()) {
+            continue;
+        }
+        if state_of(&member.role) == "silent" && homes.iter().any(|it| it == state.own.name()) {
+            lost.push((member.name().to_owned(), member.version, now + SILENT_GRACE_MS));
+            continue;
+        }
         let watched = homes.iter().any(|home| alive.iter().any(|it| it.name == *home));
-        if member.is_down() || watched || state.linked(member.name()) {
+        if watched || minority {
             continue;
         }
         let rank = mesh::rank(member.name(), state.own.name(), &peers) as u64;
         let due = now + ORPHAN_GRACE_MS + rank * ORPHAN_STEP_MS;
-        orphans.push((member.name().to_owned(), member.version, due));
+        lost.push((member.name().to_owned(), member.version, due));
     }
-    for (name, version, due) in orphans {
-        state.suspects.suspect(&name, version, due);
+    for (name, version, due) in lost {
+        state.suspects.suspect(&name, version, due, Verdict::Dead);
     }
 }
 
-/// For how long a peer of this kind of link may be without one before it counts as dead.
-pub(crate) fn grace(kind: LinkKind) -> u64 {
+/// What becomes of the peer of a link that was lost, and after how long, unless it is heard of again.
+pub(crate) fn sentence(kind: LinkKind, silent: bool) -> (u64, Verdict) {
     match kind {
-        LinkKind::Mesh | LinkKind::Home => BALANCER_GRACE_MS,
-        LinkKind::Agent => AGENT_GRACE_MS,
+        LinkKind::Mesh | LinkKind::Home => (BALANCER_GRACE_MS, Verdict::Dead),
+        LinkKind::Agent if silent => (0, Verdict::Silent),
+        LinkKind::Agent => (AGENT_GRACE_MS, Verdict::Dead),
     }
 }
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -167,7 +167,7 @@
         AgentState::Ready => Status::Ready,
         AgentState::Draining => Status::Draining,
         AgentState::Leaving => Status::Leaving,
-        AgentState::Down => Status::Down,
+        AgentState::Silent | AgentState::Down => Status::Down,
         AgentState::Starting => Status::Other,
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -210,6 +210,7 @@
         StatePart::Ready => AgentState::Ready,
         StatePart::Draining => AgentState::Draining,
         StatePart::Leaving => AgentState::Leaving,
+        StatePart::Silent => AgentState::Silent,
         StatePart::Down => AgentState::Down,
         StatePart::Unspecified => return Err(MessageError::new("agent.state", part.state)),
     };
@@ -237,7 +238,7 @@
         StatePart::Ready => BalancerState::Ready,
         StatePart::Leaving => BalancerState::Leaving,
         StatePart::Down => BalancerState::Down,
-        StatePart::Unspecified | StatePart::Starting | StatePart::Draining => {
+        StatePart::Unspecified | StatePart::Starting | StatePart::Draining | StatePart::Silent => {
             return Err(MessageError::new("balancer.state", part.state));
         }
     };
@@ -259,6 +260,7 @@
         AgentState::Ready => StatePart::Ready,
         AgentState::Draining => StatePart::Draining,
         AgentState::Leaving => StatePart::Leaving,
+        AgentState::Silent => StatePart::Silent,
         AgentState::Down => StatePart::Down,
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -315,6 +315,8 @@
     Leaving = 4,
     /// Down.
     Down = 5,
+    /// Silent.
+    Silent = 6,
 }
 
 /// An agent.
