--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -128,6 +128,7 @@
             Launcher::new(settings.deployment, settings.bin_dir.clone(), settings.seed)?;
         let mut fleet = Fleet::new(folder);
         launcher.fill(&mut fleet, settings.balancers)?;
+        println!("platform at http://{}", launcher.platform);
         let http = Http::new();
         let shared = Shared {
             deployment: settings.deployment,
