--- a/crates/standin/tests/server/mod.rs
+++ b/crates/standin/tests/server/mod.rs
@@ -127,6 +127,7 @@
         data.copy_to_slice(&mut bytes);
         body.extend(bytes);
     }
+    tokio::time::sleep(work(&request)).await;
     let text = text(&request, &body, behaviour);
     let bytes = Bytes::from(text);
     let head = Response::builder().header("content-length", bytes.len());
@@ -161,6 +162,12 @@
     stream.finish().await.unwrap();
 }
 
+fn work(request: &Request<()>) -> Duration {
+    let query = request.uri().query().unwrap_or_default();
+    let work = query.split('&').find_map(|it| it.strip_prefix("work_ms="));
+    Duration::from_millis(work.map_or(0, |it| it.parse().unwrap()))
+}
+
 fn text(request: &Request<()>, body: &[u8], behaviour: Behaviour) -> String {
     let query = request.uri().query().unwrap_or_default();
     let echo = query.split('&').find_map(|it| it.strip_prefix("echo=")).unwrap_or_default();
