Command-line tool: pruning keys needs a whole report of every zone

Since whole reports are objects of their own, a zone without one was passed over, and its flows with it. An upstream that is not heard of may still hold flows, so it stops the pruning as well.

--- a/crates/cli/src/cmd/get.rs
+++ b/crates/cli/src/cmd/get.rs
@@ -17,7 +17,7 @@
 /// Shows the objects of a kind, or one of them
 ///
 ///
-/// Kinds: service, change, certificate, keys, lease, timeline. Secrets are hidden unless --secrets is given.
+/// Kinds: service, change, certificate, keys, lease, report, timeline. Secrets are hidden unless --secrets is given.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command)]
 pub struct Get {
--- a/crates/cli/src/cmd/keys.rs
+++ b/crates/cli/src/cmd/keys.rs
@@ -110,8 +110,9 @@
     }
     if !in_use.silent.is_empty() {
         let names = in_use.silent.join(", ");
-        let reason =
-            format!("these upstreams have flows and do not say which keys they need: {names}");
+        let reason = format!(
+            "these upstreams have flows, or are not heard of, and do not say which keys they need: {names}"
+        );
         return Err(Error::NotAllowed { step: "prune keys".to_owned(), reason });
     }
     let pruned = fleet::prune(&keys, keep, &in_use.epochs).map_err(refuse)?;
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -6,7 +6,7 @@
 
 use camphorwinch_core::{
     object::{KeySpec, KeyUse, Keys},
-    report::UpstreamStatus,
+    report::{State, UpstreamStatus},
 };
 use rand::Rng as _;
 use thiserror::Error;
@@ -70,7 +70,7 @@
 pub struct InUse {
     /// Epochs that seal connection IDs of flows.
     pub epochs: BTreeSet<u8>,
-    /// Upstreams that have flows and do not say which epochs seal them.
+    /// Upstreams that may have flows and do not say which epochs seal them.
     pub silent: Vec<String>,
 }
 
@@ -82,7 +82,8 @@
     {
         let mut in_use = InUse::default();
         for it in upstreams {
-            if it.flows > 0 && it.epochs.is_empty() {
+            let unheard = matches!(it.state, State::Down | State::Other);
+            if unheard || (it.flows > 0 && it.epochs.is_empty()) {
                 in_use.silent.push(it.name.clone());
             }
             in_use.epochs.extend(&it.epochs);
--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -68,8 +68,13 @@
     platform: &Platform,
     revision: u64,
 ) -> Result<BTreeMap<String, Report>, Error> {
-    wait(platform, revision).await?;
-    wait_by(platform, revision, Kind::Report, whole_reports).await
+    let brief = wait(platform, revision).await?;
+    let whole = wait_by(platform, revision, Kind::Report, whole_reports).await?;
+    if let Some(zone) = brief.keys().find(|it| !whole.contains_key(*it)) {
+        let reason = format!("zone {zone} has no whole report");
+        return Err(Error::Pending { revision, reason });
+    }
+    Ok(whole)
 }
 
 async fn wait_by(
--- a/crates/cli/tests/runs/view.rs
+++ b/crates/cli/tests/runs/view.rs
@@ -83,6 +83,16 @@
     assert_eq!(status["drains"][0]["progress"], "draining");
     assert_eq!(status["drains"][0]["flows"], 3);
 
+    fake.put(
+        "report",
+        "rvk-b",
+        lease("rvk-b", 1, 0, json!([upstream("ledger-9", "ready", 5, json!([]))]))["report"]
+            .clone(),
+    );
+    let status = fake.run(&["status", "--output", "json"]).json();
+    assert_eq!(status["in_force"], 2);
+    assert_eq!(status["services"][0]["flows"], 12);
+
     let table = fake.run(&["status", "--service", "ledger"]);
     assert!(table.out.contains("IN FORCE") && table.out.contains("ledger-2"), "{table:?}");
     assert_eq!(fake.run(&["status", "--service", "none"]).code, 4);
@@ -180,18 +190,30 @@
     assert_eq!(stopped.code, 1, "{stopped:?}");
     assert_eq!(uses(), ["seal", "open"]);
 
-    let holds = |flows, epochs| json!([upstream("ledger-1", "ready", flows, epochs)]);
-    fake.put("lease", "seed-rvk-a-0", lease("rvk-a", 1, 99, holds(1, json!([]))));
+    fake.put("lease", "seed-rvk-a-0", lease("rvk-a", 1, 99, json!([])));
     assert_eq!(fake.run(&["keys", "rotate"]).code, 0);
     assert_eq!(uses(), ["open", "seal"]);
 
-    let silent = fake.run(&["keys", "prune"]);
-    assert_eq!(silent.code, 1);
-    assert!(silent.err.contains("ledger-1"), "{silent:?}");
-    fake.put("lease", "seed-rvk-a-0", lease("rvk-a", 2, 99, holds(1, json!([1, 2]))));
+    let unseen = fake.run(&["keys", "prune", "--timeout", "0.3"]);
+    assert_eq!(unseen.code, 1, "{unseen:?}");
+    let whole = |zone: &str, state: &str, flows: u32, epochs: Value| {
+        let upstreams = json!([upstream("ledger-1", state, flows, epochs)]);
+        fake.put("report", zone, lease(zone, 2, 99, upstreams)["report"].clone());
+    };
+    for (state, flows) in [("ready", 1), ("down", 0)] {
+        whole("rvk-a", state, flows, json!([]));
+        let silent = fake.run(&["keys", "prune"]);
+        assert_eq!(silent.code, 1);
+        assert!(silent.err.contains("ledger-1"), "{silent:?}");
+    }
+    whole("rvk-a", "ready", 1, json!([1, 2]));
     assert_eq!(fake.run(&["keys", "prune"]).code, 0);
     assert_eq!(uses(), ["open", "seal"]);
-    fake.put("lease", "seed-rvk-a-0", lease("rvk-a", 3, 99, holds(1, json!([2]))));
+    whole("rvk-a", "ready", 1, json!([2]));
+    fake.put("lease", "seed-rvk-b-0", lease("rvk-b", 1, 99, json!([])));
+    let missing = fake.run(&["keys", "prune"]);
+    assert!(missing.code == 1 && missing.err.contains("rvk-b"), "{missing:?}");
+    whole("rvk-b", "ready", 0, json!([]));
     assert_eq!(fake.run(&["keys", "prune"]).code, 0);
     assert_eq!(uses(), ["seal"]);
 }
