--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -87,7 +87,7 @@
 pub(crate) enum Control {
     Beat(Member),
     Records(Vec<Record>, Option<Mark>),
-    Digest([u64; BUCKETS]),
+    Digest(Box<[u64; BUCKETS]>),
     Summary(Summary),
 }
 
@@ -388,7 +388,7 @@
             let peer = self.rng.random_range(0..peers);
             if peer != index {
                 let digest = self.processes[index].view.digest(&Scope::All);
-                self.send(index, peer, Control::Digest(digest));
+                self.send(index, peer, Control::Digest(Box::new(digest)));
             }
         }
         if index < BALANCERS {
@@ -514,7 +514,7 @@
             Control::Beat(member) => {
                 let now = self.now;
                 self.processes[to].heard.insert(from, now);
-                self.processes[to].suspects.clear(&member.name().to_owned());
+                self.processes[to].suspects.clear(member.name());
                 self.take(to, &[Record::Member(member)], None, Some(from));
             }
             Control::Records(records, mark) => self.take(to, &records, mark, Some(from)),
@@ -549,7 +549,7 @@
             if now - it.asked >= 500 && self.plan.mutant != Some(Mutant::SkipsComparing) {
                 it.asked = now;
                 let digest = it.view.digest(&Scope::All);
-                self.send(index, from, Control::Digest(digest));
+                self.send(index, from, Control::Digest(Box::new(digest)));
             }
         }
         let it = &mut self.processes[index];
@@ -710,7 +710,7 @@
             for (from, to) in [(peer, index), (index, peer)] {
                 let digest = self.processes[from].view.digest(&Scope::All);
                 if !self.mutant(Mutant::SkipsComparing) {
-                    self.send(from, to, Control::Digest(digest));
+                    self.send(from, to, Control::Digest(Box::new(digest)));
                 }
             }
         }
