--- a/crates/cli/src/cmd/keys.rs
+++ b/crates/cli/src/cmd/keys.rs
@@ -103,15 +103,16 @@
 
 async fn prune(platform: &Platform, keep: usize, force: bool) -> Result<Applied, Error> {
     let (object, keys) = read(platform).await?;
-    let zones = rollout::wait(platform, object.version).await?;
+    let zones = rollout::wait_whole(platform, object.version).await?;
     let mut in_use = InUse::new(upstreams(zones.values()));
     if force {
         in_use = InUse::default();
     }
     if !in_use.silent.is_empty() {
         let names = in_use.silent.join(", ");
-        let reason =
-            format!("these upstreams have flows and do not say which keys they need: {names}");
+        let reason = format!(
+            "these upstreams have flows, or are not heard of, and do not say which keys they need: {names}"
+        );
         return Err(Error::NotAllowed { step: "prune keys".to_owned(), reason });
     }
     let pruned = fleet::prune(&keys, keep, &in_use.epochs).map_err(refuse)?;
