--- a/crates/daemon/src/agent/body.rs
+++ b/crates/daemon/src/agent/body.rs
@@ -162,7 +162,7 @@
 /// Way on which an answer goes.
 pub(crate) enum Way {
     /// A caller's stream.
-    Flow(RequestStream<SendStream<Bytes>, Bytes>),
+    Flow(Box<RequestStream<SendStream<Bytes>, Bytes>>),
     /// A link from another agent.
     Link(LinkOutlet),
 }
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -255,7 +255,7 @@
     ended: &mut Ended,
 ) {
     let (send, recv) = stream.split();
-    let mut outlet = Outlet::new(Way::Flow(send));
+    let mut outlet = Outlet::new(Way::Flow(Box::new(send)));
     let mut body = Body::new(Inlet::Flow(recv), course.ask.has_body());
     match claim::key(&course.ask, course.service.id) {
         None => {
