agent: every flow of a dead agent is reset at once

quinn sends at most one stateless reset per 20 ms and endpoint. When an agent dies, its flows retransmit in step with exponential back-off, so most resets were held back and some callers waited out their 30 s.

--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -324,6 +324,8 @@
     let reset = hmac::Key::new(hmac::HMAC_SHA256, ring.reset_key());
     let mut config = EndpointConfig::new(Arc::new(reset));
     config.max_udp_payload_size(MAX_UDP_PAYLOAD).context("set the largest UDP payload")?;
+    // When an agent dies, all its flows ask at once, and each must learn of it. A reset is smaller than what it answers.
+    config.min_reset_interval(Duration::ZERO);
     let ring = Arc::clone(&node.ring);
     let home = Home { agent: node.home, service: id };
     config.cid_generator(move || Box::new(SealedIds { ring: Arc::clone(&ring), home }));
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -257,3 +257,19 @@
     assert!(feed.text().contains("sum "), "{feed:?}");
     assert_eq!(bench.invariant_failures(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_of_a_dead_agent_are_reset() {
+    let mut bench = Bench::start(2).await;
+    let mut flows = Vec::new();
+    for _ in 0..60 {
+        flows.push(bench.open().await);
+    }
+    bench.kill(0).await;
+    let calls = flows.iter().map(|flow| flow.call(Call::new(Method::GET, "/screen")));
+    let replies = futures::future::join_all(calls).await;
+    for (flow, reply) in flows.iter().zip(replies) {
+        assert_ne!(reply.broken.as_deref(), Some("late"));
+        assert_eq!(flow.conn.close_reason(), Some(quinn::ConnectionError::Reset));
+    }
+}
--- a/crates/daemon/src/agent/tests/bench.rs
+++ b/crates/daemon/src/agent/tests/bench.rs
@@ -211,6 +211,16 @@
         records.filter_map(|it| it.keys.get(key).map(|it| it.started)).sum()
     }
 
+    /// Stops an agent at once, and tells everyone that it is down.
+    pub(crate) async fn kill(&mut self, at: usize) {
+        let running = self.seats[at].running.take().expect("the agent runs");
+        running.stop().await;
+        let name = self.seats[at].member.name.clone();
+        self.change(|it| {
+            it.agents.get_mut(&name).expect("the agent is a member").state = AgentState::Down;
+        });
+    }
+
     /// Makes a new key seal; the former ones still open.
     pub(crate) fn rotate(&self, epoch: u8) {
         self.change(|it| {
@@ -403,7 +413,15 @@
             candidates: Candidates::NONE,
         };
         let to = match ring.open(cid) {
-            Some(home) => home.agent,
+            Some(home) => {
+                let down = |it: &&Agent| it.data == home.agent.into() && !it.state.answers();
+                let dead = now.agents.values().any(|it| down(&it));
+                let live = now.agents.values().find(|it| it.state.answers());
+                match live.map(|it| it.data) {
+                    Some(SocketAddr::V4(data)) if dead => data,
+                    _ => home.agent,
+                }
+            }
             None => {
                 let first = first.load(Ordering::Relaxed);
                 for agent in now.agents.values().skip(first) {
