agent: repeats wait for the first answer; proof of address; limits on events and heads

A repeat under a key in use waits up to 1 s for what comes of the first request instead of being refused; if the agent that claimed has died or was started anew, the outcome is unknown instead of 'in progress' for the key's window. With 256 handshakes under way callers must prove their address (QUIC Retry).

--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -25,6 +25,8 @@
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Longest wait for an owner's word on a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+/// Waits between attempts to claim a key that another request has.
+const REPEAT_WAITS_MS: [u64; 8] = [0, 10, 20, 40, 80, 150, 300, 400];
 /// Waits before what came of a claim is sent again to an owner that did not take it.
 const SETTLE_WAITS_MS: [u64; 8] = [0, 100, 500, 2_000, 5_000, 10_000, 20_000, 20_000];
 
@@ -49,6 +51,7 @@
     key: ClaimKey,
     request: RequestId,
     owners: Vec<String>,
+    open: Open,
 }
 
 /// The key under which a request must run once. Methods that are idempotent need none.
@@ -81,8 +84,21 @@
     Unavailable,
 }
 
-/// Claims `key` for a request.
+/// Claims `key` for a request. While another request has the key, it waits for what comes of that one, but not for long.
 pub(crate) async fn claim(course: &Course, key: ClaimKey) -> Verdict {
+    let mut verdict = Verdict::Running;
+    for wait in REPEAT_WAITS_MS {
+        time::sleep(Duration::from_millis(wait)).await;
+        verdict = claim_now(course, key.clone()).await;
+        let late = course.ask.deadline.is_some_and(|it| clock::now_ms() >= it);
+        if late || !matches!(verdict, Verdict::Running) {
+            break;
+        }
+    }
+    verdict
+}
+
+async fn claim_now(course: &Course, key: ClaimKey) -> Verdict {
     let node = &course.node;
     let claim = Claim {
         request: course.ask.id,
@@ -94,7 +110,8 @@
     let members = members(&node.snapshot(), course.service.id);
     let owners: Vec<String> =
         key.owners(members.iter().map(String::as_str)).into_iter().map(str::to_owned).collect();
-    let mut held = Held { key, request: claim.request, owners: Vec::new() };
+    let open = Open::new(node, claim.request);
+    let mut held = Held { key, request: claim.request, owners: Vec::new(), open };
     // The first owner alone decides between two requests that come at once; the others then agree.
     let mut words = Vec::new();
     for (at, owner) in owners.iter().enumerate() {
@@ -110,11 +127,12 @@
         break;
     }
     let mut refusal = None;
+    let mut holder: Option<Claim> = None;
     for (owner, word) in words {
         match word {
             Word::Granted => held.owners.push(owner),
             Word::Dead => {}
-            Word::Taken(claim) => refusal = Some(taken(&node.snapshot(), claim)),
+            Word::Taken(claim) => holder = Some(claim),
             Word::Mismatch => refusal = Some(Verdict::Mismatch),
             Word::Unavailable => {
                 // It may have recorded the claim although its word is lost.
@@ -126,6 +144,9 @@
     if refusal.is_none() && held.owners.is_empty() {
         refusal = Some(Verdict::Unavailable);
     }
+    if let Some(holder) = holder {
+        refusal = Some(taken(node, holder).await);
+    }
     match refusal {
         None => Verdict::Run(held),
         Some(verdict) => {
@@ -135,14 +156,49 @@
     }
 }
 
-fn taken(snapshot: &Snapshot, claim: Claim) -> Verdict {
-    match claim.state {
-        State::Done(answer) => Verdict::Repeat(answer),
+async fn taken(node: &Arc<Node>, claim: Claim) -> Verdict {
+    match &claim.state {
+        State::Done(answer) => Verdict::Repeat(Arc::clone(answer)),
         State::Unknown => Verdict::Unknown,
-        State::Running => {
-            let lives = snapshot.agents.get(&claim.by).is_some_and(|it| it.state.answers());
-            if lives { Verdict::Running } else { Verdict::Unknown }
-        }
+        State::Running if is_open(node, &claim).await => Verdict::Running,
+        State::Running => Verdict::Unknown,
+    }
+}
+
+/// Whether the agent that claimed still has the request. One that died, or was started anew, has not.
+async fn is_open(node: &Arc<Node>, claim: &Claim) -> bool {
+    if claim.by == node.settings.name {
+        return node.open.lock().contains(&claim.request);
+    }
+    let lives = node.snapshot().agents.get(&claim.by).is_some_and(|it| it.state.answers());
+    if !lives {
+        return false;
+    }
+    let key = ClaimKey { service: ServiceId(0), key: "-".to_owned() };
+    let record = ClaimRecord::new(&key, claim);
+    match time::timeout(CLAIM_TIMEOUT, ask(node, &claim.by, ClaimPurpose::Probe, record)).await {
+        Ok(Ok(reply)) => reply.verdict == ClaimVerdict::Granted as i32,
+        Ok(Err(e)) => !is_refused(&e),
+        Err(_) => true,
+    }
+}
+
+/// A keyed request that this agent has in hand, until its owners were told what came of it.
+struct Open {
+    node: Arc<Node>,
+    request: RequestId,
+}
+
+impl Open {
+    fn new(node: &Arc<Node>, request: RequestId) -> Open {
+        node.open.lock().insert(request);
+        Open { node: Arc::clone(node), request }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.node.open.lock().remove(&self.request);
     }
 }
 
@@ -152,7 +208,7 @@
         let node = Arc::clone(node);
         let tasks = node.tasks.clone();
         tasks.spawn(async move {
-            let Held { key, request, owners } = self;
+            let Held { key, request, owners, open } = self;
             let claim = Claim {
                 request,
                 digest: 0,
@@ -164,6 +220,7 @@
             let record = if state.is_none() { record.with_release() } else { record };
             let told = owners.iter().map(|it| tell(&node, it, ClaimPurpose::Settle, &record));
             future::join_all(told).await;
+            drop(open);
         });
     }
 }
@@ -278,8 +335,9 @@
         return Err(HandoverError("idempotency key"));
     }
     let now = clock::now_ms();
+    let claim = record.claim()?;
     let mut claims = node.claims.lock();
-    let claimed = match (purpose, record.claim()?) {
+    let claimed = match (purpose, claim) {
         (ClaimPurpose::Claim, Some(claim)) => claims.claim(&key, claim, now),
         (ClaimPurpose::Settle, Some(claim)) => {
             claims.settle(&key, claim.request, claim.state, now);
@@ -293,6 +351,10 @@
             claims.adopt(&key, claim, now);
             Claimed::Granted
         }
+        (ClaimPurpose::Probe, _) => {
+            let open = node.open.lock().contains(&request_id(&record.request)?);
+            if open { Claimed::Granted } else { Claimed::Mismatch }
+        }
         (ClaimPurpose::Claim | ClaimPurpose::Adopt, None) => {
             return Err(HandoverError("state of a claim"));
         }
--- a/crates/daemon/src/agent/flow.rs
+++ b/crates/daemon/src/agent/flow.rs
@@ -1,6 +1,12 @@
 //! Flows: accepting QUIC connections, reading requests from them, and leaving them gracefully.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use h3::server;
@@ -20,7 +26,9 @@
 };
 
 /// A handshake that is not done by then is given up.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request, in bytes.
+const MAX_HEAD: u64 = 64 << 10;
 /// Requests still taken between the first GOAWAY and the last; those on their way must not be cut.
 const GRACE_REQUESTS: usize = 1 << 20;
 const GRACE: Duration = Duration::from_secs(1);
@@ -34,8 +42,15 @@
         if let Some(count) = service.take_accepted(&first) {
             admit(&node, &service, incoming, count);
         } else if service.was_refused(&first) {
-            service::refused(&service, incoming.remote_address());
-            incoming.refuse();
+            refuse(&service, incoming);
+        } else if incoming.remote_address_validated() {
+            match service.admit_proven(&node) {
+                Some(count) => admit(&node, &service, incoming, count),
+                None => refuse(&service, incoming),
+            }
+        } else if service.was_accepted(&first) {
+            // It was asked to prove its address, and the question was lost.
+            retry(incoming);
         } else {
             // No balancer named candidates for it: a packet of a handshake that is over.
             incoming.ignore();
@@ -43,10 +58,27 @@
     }
 }
 
+fn retry(incoming: Incoming) {
+    meter::count(&meter::FLOWS, "retry");
+    // An error says that the address is proven already.
+    let _ = incoming.retry();
+}
+
+fn refuse(service: &Service, incoming: Incoming) {
+    service::refused(service, incoming.remote_address());
+    incoming.refuse();
+}
+
 fn admit(node: &Arc<Node>, service: &Arc<Service>, incoming: Incoming, count: FlowCount) {
+    let pending = service.pending.load(Ordering::Relaxed);
+    if pending >= node.settings.unproven && !incoming.remote_address_validated() {
+        retry(incoming);
+        return;
+    }
     match incoming.accept() {
         Ok(connecting) => {
-            let flow = serve(Arc::clone(node), Arc::clone(service), connecting, count);
+            let pending = Pending::new(&service.pending);
+            let flow = serve(Arc::clone(node), Arc::clone(service), connecting, pending, count);
             node.tasks.spawn(flow);
         }
         Err(e) => {
@@ -56,16 +88,39 @@
     }
 }
 
-async fn serve(node: Arc<Node>, service: Arc<Service>, connecting: Connecting, count: FlowCount) {
+/// Counts a flow whose handshake is not done.
+struct Pending(Arc<AtomicU32>);
+
+impl Pending {
+    fn new(count: &Arc<AtomicU32>) -> Pending {
+        count.fetch_add(1, Ordering::Relaxed);
+        Pending(Arc::clone(count))
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(
+    node: Arc<Node>,
+    service: Arc<Service>,
+    connecting: Connecting,
+    pending: Pending,
+    count: FlowCount,
+) {
     let _count = count;
     let Ok(Ok(conn)) = time::timeout(HANDSHAKE_TIMEOUT, connecting).await else {
         meter::count(&meter::FLOWS, "failed");
         return;
     };
+    drop(pending);
     meter::count(&meter::FLOWS, "accepted");
     let ends = Ends::default();
     let quic = Connection::new(conn, ends.clone());
-    let built = server::builder().build::<_, Bytes>(quic).await;
+    let built = server::builder().max_field_section_size(MAX_HEAD).build::<_, Bytes>(quic).await;
     let Ok(h3) = built else {
         meter::count(&meter::FLOWS, "failed");
         return;
--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -20,13 +20,14 @@
     link::{self, Link, LinkInlet, LinkOutlet, Sink},
     meter,
     node::Node,
+    notice,
     quic::Ended,
     request::{self, Ask, Course},
 };
 use crate::{
     clock,
     control::{Accepted, Stream},
-    event::{self, About, Id},
+    event::{About, Id},
 };
 
 /// Longest wait for a peer's word on an offer.
@@ -80,7 +81,7 @@
         return Some(Report::Lost);
     }
     let about = About::new().with_service(&course.service.name);
-    event::emit(Id::RequestHanded, about.with_request(&course.ask.id_text()), to);
+    notice::emit(Id::RequestHanded, about.with_request(&course.ask.id_text()), to);
     let exchange = exchange(course, &mut link, body, outlet, ended).await;
     match exchange {
         Exchange::Next(report) => {
@@ -281,12 +282,12 @@
                     sent.is_ok().then_some((inlet, outlet))
                 }
                 Err(e) => {
-                    event::emit(Id::LinkRefused, About::new(), &format!("{peer}: {e}"));
+                    notice::emit(Id::LinkRefused, About::new(), &format!("{peer}: {e}"));
                     None
                 }
             },
             Some(_) => {
-                event::emit(Id::LinkRefused, About::new(), &format!("{peer}: out of turn"));
+                notice::emit(Id::LinkRefused, About::new(), &format!("{peer}: out of turn"));
                 None
             }
             None => None,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod local;
 mod meter;
 mod node;
+mod notice;
 mod quic;
 mod request;
 mod run;
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -1,9 +1,10 @@
 //! State of the agent that all its parts share.
 //!
-//! Lock order: `services` before a service's own locks; `gate`, `hints`, `claims` and a service's locks are never held together.
+//! Lock order: `services` before a service's own locks; `claims` before `open`; otherwise no two locks are held
+//! together.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, SocketAddrV4},
     sync::{
         Arc,
@@ -15,7 +16,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use camphorwinch_core::{
     admit::Intake,
-    claims::Claims,
+    claims::{Claims, RequestId},
     gate::Gate,
     member::AgentState,
     object::ServiceId,
@@ -64,8 +65,12 @@
     pub(crate) connections: u32,
     /// Source address of answers.
     pub(crate) reply: AddressMode,
+    /// Handshakes under way at which callers must first prove their address.
+    pub(crate) unproven: u32,
 }
 
+const MAX_UNPROVEN: u32 = 256;
+
 impl Settings {
     /// The part of the configuration that concerns flows and requests.
     pub(crate) fn new(config: &AgentConfig) -> Settings {
@@ -79,6 +84,7 @@
             slots: config.slots,
             connections: config.connections,
             reply: config.reply,
+            unproven: MAX_UNPROVEN,
         }
     }
 }
@@ -96,6 +102,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) links: Links,
     pub(crate) claims: Mutex<Claims>,
+    /// Keyed requests in hand.
+    pub(crate) open: Mutex<BTreeSet<RequestId>>,
     /// Flows and requests in progress.
     pub(crate) tasks: TaskTracker,
     snapshot: ArcSwap<Snapshot>,
@@ -146,6 +154,7 @@
             upstream: Upstream::new(settings.upstream),
             links: Links::new(dial),
             claims: Mutex::new(Claims::new()),
+            open: Mutex::default(),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -20,12 +20,13 @@
     claim::{self, Verdict},
     handover, local, meter,
     node::Node,
+    notice,
     quic::{BidiStream, Connection, Ended, Ends},
     service::Service,
 };
 use crate::{
     clock,
-    event::{self, About, Id},
+    event::{About, Id},
 };
 
 const SERVICE: HeaderName = HeaderName::from_static("camphorwinch-service");
@@ -299,20 +300,20 @@
     let mut headers = HeaderMap::new();
     let (status, body) = match verdict {
         Verdict::Repeat(kept) => {
-            event::emit(Id::ClaimRepeated, about(), "answered as before");
+            notice::emit(Id::ClaimRepeated, about(), "answered as before");
             meter::count(&meter::REQUESTS, "repeated");
             headers = kept_headers(&kept);
             (StatusCode::from_u16(kept.status), kept.body.clone())
         }
         Verdict::Mismatch => {
-            event::emit(Id::ClaimRepeated, about(), "the key was used for something else");
+            notice::emit(Id::ClaimRepeated, about(), "the key was used for something else");
             meter::count(&meter::REQUESTS, "key-mismatch");
             course.answer_headers(&mut headers, None);
             put(&mut headers, OUTCOME, "not-run");
             (Ok(StatusCode::UNPROCESSABLE_ENTITY), Vec::new())
         }
         Verdict::Unknown => {
-            event::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
+            notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
         }
         Verdict::Run(_) | Verdict::Running | Verdict::Unavailable => {
@@ -377,12 +378,12 @@
         Outcome::Relay => return,
         Outcome::NotRun { retry_ms } => {
             meter::count(&meter::REQUESTS, "not-run");
-            event::emit(Id::RequestRefused, about(), "no upstream took it");
+            notice::emit(Id::RequestRefused, about(), "no upstream took it");
             (StatusCode::SERVICE_UNAVAILABLE, "not-run", retry_ms)
         }
         Outcome::Unknown { retry_ms } => {
             meter::count(&meter::REQUESTS, "unknown");
-            event::emit(Id::RequestUnknown, about(), "an upstream may have run it");
+            notice::emit(Id::RequestUnknown, about(), "an upstream may have run it");
             (StatusCode::BAD_GATEWAY, "unknown", retry_ms)
         }
         Outcome::Cancelled => {
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -35,6 +35,7 @@
 use super::{
     flow, meter,
     node::{FlowCount, Node},
+    notice,
     socket::{DataSocket, ServiceSocket},
 };
 use crate::{
@@ -96,6 +97,8 @@
     certs: Arc<Certs>,
     flows: Arc<AtomicU32>,
     decisions: Mutex<Decisions>,
+    /// Flows whose handshake is not done.
+    pub(crate) pending: Arc<AtomicU32>,
     leaving: watch::Sender<bool>,
 }
 
@@ -129,6 +132,7 @@
             certs,
             flows: Arc::default(),
             decisions: Mutex::default(),
+            pending: Arc::default(),
             leaving: watch::Sender::new(false),
         });
         tokio::spawn(flow::accept(Arc::clone(node), Arc::clone(&service), endpoint));
@@ -233,6 +237,19 @@
         }
     }
 
+    /// Takes a flow that was asked to prove its address and did.
+    pub(crate) fn admit_proven(&self, node: &Node) -> Option<FlowCount> {
+        match self.admit(node, None) {
+            Placed::Accepted(count) => count,
+            Placed::Passed(_) | Placed::Refused => None,
+        }
+    }
+
+    /// Whether the flow with this first packet was taken here.
+    pub(crate) fn was_accepted(&self, first: &First) -> bool {
+        matches!(self.decisions.lock().by_first.get(first), Some((_, Placed::Accepted(_))))
+    }
+
     /// Whether the flow with this first packet was refused.
     pub(crate) fn was_refused(&self, first: &First) -> bool {
         matches!(self.decisions.lock().by_first.get(first), Some((_, Placed::Refused)))
@@ -366,5 +383,5 @@
 pub(crate) fn refused(service: &Service, caller: SocketAddr) {
     meter::count(&meter::FLOWS, "refused");
     let about = About::new().with_service(&service.name);
-    event::emit(Id::FlowRefused, about, &format!("caller {caller}"));
+    notice::emit(Id::FlowRefused, about, &format!("caller {caller}"));
 }
--- a/crates/daemon/src/agent/tests/bench.rs
+++ b/crates/daemon/src/agent/tests/bench.rs
@@ -160,6 +160,7 @@
                 slots: 7,
                 connections: 2_000,
                 reply: AddressMode::Own,
+                unproven: 16,
             },
             Arc::new(Wire { tls: self.tls.clone(), name: name.clone() }),
         )
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -214,6 +214,8 @@
     Settle = 1,
     /// Keep a copy, as a new owner.
     Adopt = 2,
+    /// Say whether the request is still open at the agent that claimed: `Granted` if so, `Mismatch` if not.
+    Probe = 3,
 }
 
 /// One message.
