--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,7 +16,9 @@
 mod report;
 mod seed;
 mod signal;
+mod timeline;
 mod tls;
+mod whole;
 
 use std::process::ExitCode;
 
--- a/crates/standin/src/capacity/decisions.rs
+++ b/crates/standin/src/capacity/decisions.rs
@@ -33,7 +33,7 @@
 const BATCHES: usize = 7;
 const BATCH_NS: u64 = 20_000_000;
 const QUICK_BATCHES: usize = 3;
-const NOW_MS: u64 = 1_800_000_000_000;
+const NOW_MS: u64 = 1_790_000_000_000;
 const COPIES: usize = 4;
 const BALANCER_EVERY: usize = 12;
 
@@ -133,6 +133,28 @@
     Member { version: Version::member(NOW_MS, seq), since_ms: NOW_MS, role }
 }
 
+/// An agent that exists only as a record, homed at one balancer.
+pub fn made_up_agent(i: usize, zone: usize, home: &str) -> Member {
+    let place = Place {
+        vm: format!("vm-made-{i}"),
+        zone: format!("zone-{zone}"),
+        region: format!("region-{}", zone % 2),
+    };
+    let agent = Agent {
+        name: format!("made-{i}"),
+        place,
+        pool: format!("pool-{}", i / POOL),
+        data: SocketAddr::new(ip(3, i), 7_001),
+        control: SocketAddr::new(ip(3, i), 7_000),
+        weight: 1.0,
+        slots: 7,
+        connections: 2_000,
+        state: AgentState::Ready,
+    };
+    let role = Role::Agent { agent, homes: vec![home.to_owned()] };
+    Member { version: Version::member(NOW_MS, 1), since_ms: NOW_MS, role }
+}
+
 fn ip(block: u8, i: usize) -> IpAddr {
     let [_, _, high, low] = (i as u32).to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(10, block, high, low))
@@ -142,6 +164,8 @@
     const AXIS: &str = "members";
     let mut merge = decided("merge", "merge of a member's announcement into the view", "us", AXIS);
     let mut digest = decided("digest", "digest of the view for a peer", "us", AXIS);
+    let mut summary =
+        decided("summary", "answer to the digest of a peer that holds the same", "us", AXIS);
     let mut snapshot = decided("snapshot", "snapshot after one change, 680 services", "us", AXIS);
     let mut placer = decided("placer", "placing tables after one change, 680 services", "us", AXIS);
     let mut tables = decided("tables", "placing tables, 680 services", "MiB", AXIS);
@@ -156,6 +180,8 @@
         })?;
         merge.push(size as f64, cost);
         digest.push(size as f64, micros(batches, || view.digest(&Scope::All))?);
+        let same = view.digest(&Scope::All);
+        summary.push(size as f64, micros(batches, || view.summary(&Scope::All, &same))?);
         let mut assembler = Assembler::new();
         let (before, faults) = assembler.snapshot(&view);
         anyhow::ensure!(faults.is_empty(), "build a snapshot: {faults:?}");
@@ -168,7 +194,7 @@
         tables.push(size as f64, former.table_bytes() as f64 / (1024.0 * 1024.0));
         place.push(size as f64, placing(&former, batches)?);
     }
-    Ok(vec![merge, digest, snapshot, placer, tables, place])
+    Ok(vec![merge, digest, summary, snapshot, placer, tables, place])
 }
 
 fn placing(placer: &Placer, batches: usize) -> anyhow::Result<f64> {
