--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -6,7 +6,6 @@
     claims::{Answer, Claim, ClaimKey, Claimed, MAX_KEY, RequestId, State},
     object::ServiceId,
     roster::Lost,
-    snapshot::Snapshot,
 };
 use camphorwinch_wire::handover::{
     ClaimCall, ClaimPurpose, ClaimRecord, ClaimReply, ClaimVerdict, HandoverError, Kind, Loss,
@@ -28,6 +27,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Claims that are handed over at once when the agent leaves.
 const HANDED_AT_ONCE: usize = 16;
+/// Waits between attempts to claim a key that another request has.
+const REPEAT_WAITS_MS: [u64; 8] = [0, 10, 20, 40, 80, 150, 300, 400];
 /// Waits before what came of a claim is sent again to an agent that did not take it.
 const SETTLE_WAITS_MS: [u64; 8] = [0, 100, 500, 2_000, 5_000, 10_000, 20_000, 20_000];
 
@@ -52,6 +53,7 @@
     key: ClaimKey,
     request: RequestId,
     owners: Vec<String>,
+    open: Open,
 }
 
 /// The key under which a request must run once. Methods that are idempotent need none.
@@ -75,8 +77,21 @@
     Unavailable,
 }
 
-/// Claims `key` for a request.
+/// Claims `key` for a request. While another request has the key, it waits for what comes of that one, but not for long.
 pub(crate) async fn claim(course: &Course, key: ClaimKey) -> Verdict {
+    let mut verdict = Verdict::Running;
+    for wait in REPEAT_WAITS_MS {
+        time::sleep(Duration::from_millis(wait)).await;
+        verdict = claim_now(course, key.clone()).await;
+        let late = course.ask.deadline.is_some_and(|it| clock::now_ms() >= it);
+        if late || !matches!(verdict, Verdict::Running) {
+            break;
+        }
+    }
+    verdict
+}
+
+async fn claim_now(course: &Course, key: ClaimKey) -> Verdict {
     let node = &course.node;
     let claim = Claim {
         request: course.ask.id,
@@ -90,11 +105,11 @@
         let (held, verdict) = claim_at(node, &key, &claim, false).await;
         match verdict {
             Some(Word::Unsettled) => held.settle(node, None),
-            other => return conclude(node, held, other),
+            other => return conclude(node, held, other).await,
         }
     }
     let (held, verdict) = claim_at(node, &key, &claim, true).await;
-    conclude(node, held, verdict)
+    conclude(node, held, verdict).await
 }
 
 /// Asks those that must record a claim; returns what refused it, if something did.
@@ -108,7 +123,8 @@
         let rosters = node.rosters.lock();
         (rosters.ask(key, all), all.then(|| rosters.digest(key)))
     };
-    let mut held = Held { key: key.clone(), request: claim.request, owners: Vec::new() };
+    let open = Open::new(node, claim.request);
+    let mut held = Held { key: key.clone(), request: claim.request, owners: Vec::new(), open };
     let mut refusal = names.is_empty().then_some(Word::Unavailable);
     // The arbiter alone decides between two requests that come at once; the others then agree.
     let mut words = Vec::new();
@@ -133,10 +149,10 @@
     (held, refusal)
 }
 
-fn conclude(node: &Arc<Node>, held: Held, refusal: Option<Word>) -> Verdict {
+async fn conclude(node: &Arc<Node>, held: Held, refusal: Option<Word>) -> Verdict {
     let verdict = match refusal {
         None | Some(Word::Granted) => return Verdict::Run(held),
-        Some(Word::Taken(claim)) => taken(&node.snapshot(), claim),
+        Some(Word::Taken(claim)) => taken(node, claim).await,
         Some(Word::Mismatch) => Verdict::Mismatch,
         Some(Word::Doubtful) => Verdict::Unknown,
         Some(Word::Unsettled | Word::Unavailable) => Verdict::Unavailable,
@@ -159,14 +175,51 @@
     }
 }
 
-fn taken(snapshot: &Snapshot, claim: Claim) -> Verdict {
-    match claim.state {
-        State::Done(answer) => Verdict::Repeat(answer),
+async fn taken(node: &Arc<Node>, claim: Claim) -> Verdict {
+    match &claim.state {
+        State::Done(answer) => Verdict::Repeat(Arc::clone(answer)),
         State::Unknown => Verdict::Unknown,
-        State::Running => {
-            let lives = snapshot.agents.get(&claim.by).is_some_and(|it| it.state.answers());
-            if lives { Verdict::Running } else { Verdict::Unknown }
-        }
+        State::Running if is_open(node, &claim).await => Verdict::Running,
+        State::Running => Verdict::Unknown,
+    }
+}
+
+/// Whether the agent that claimed still has the request. One that died, or was started anew, has not.
+async fn is_open(node: &Arc<Node>, claim: &Claim) -> bool {
+    if claim.by == node.settings.name {
+        return node.open.lock().contains(&claim.request);
+    }
+    let lives = node.snapshot().agents.get(&claim.by).is_some_and(|it| it.state.answers());
+    if !lives {
+        return false;
+    }
+    let key = ClaimKey { service: ServiceId(0), key: "-".to_owned() };
+    let record = ClaimRecord::new(&key, claim);
+    let purpose = ClaimPurpose::Probe as i32;
+    let call = ClaimCall { record: Some(record), purpose, ..ClaimCall::default() };
+    match time::timeout(CLAIM_TIMEOUT, ask(node, &claim.by, call)).await {
+        Ok(Ok(reply)) => reply.verdict == ClaimVerdict::Granted as i32,
+        Ok(Err(e)) => !is_refused(&e),
+        Err(_) => true,
+    }
+}
+
+/// A keyed request that this agent has in hand, until its owners were told what came of it.
+struct Open {
+    node: Arc<Node>,
+    request: RequestId,
+}
+
+impl Open {
+    fn new(node: &Arc<Node>, request: RequestId) -> Open {
+        node.open.lock().insert(request);
+        Open { node: Arc::clone(node), request }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.node.open.lock().remove(&self.request);
     }
 }
 
@@ -176,7 +229,7 @@
         let node = Arc::clone(node);
         let tasks = node.tasks.clone();
         tasks.spawn(async move {
-            let Held { key, request, owners } = self;
+            let Held { key, request, owners, open } = self;
             let claim = Claim {
                 request,
                 digest: 0,
@@ -188,6 +241,7 @@
             let record = if state.is_none() { record.with_release() } else { record };
             let told = owners.iter().map(|it| tell(&node, it, ClaimPurpose::Settle, &record));
             future::join_all(told).await;
+            drop(open);
         });
     }
 }
@@ -359,6 +413,10 @@
             node.claims.lock().adopt(&key, claim, now);
             Claimed::Granted
         }
+        (ClaimPurpose::Probe, _) => {
+            let open = node.open.lock().contains(&request_id(&record.request)?);
+            if open { Claimed::Granted } else { Claimed::Mismatch }
+        }
         (ClaimPurpose::Claim | ClaimPurpose::Adopt, None) | (ClaimPurpose::Losses, _) => {
             return Err(HandoverError("state of a claim"));
         }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -246,6 +246,8 @@
     Adopt = 2,
     /// Take in what an agent that leaves knows of members that died.
     Losses = 3,
+    /// Say whether the request is still open at the agent that claimed: `Granted` if so, `Mismatch` if not.
+    Probe = 4,
 }
 
 /// One message.
