--- a/crates/core/tests/mutants/main.rs
+++ b/crates/core/tests/mutants/main.rs
@@ -3,6 +3,8 @@
 
 #[path = "../system/flows.rs"]
 mod flows;
+#[path = "../system/keys.rs"]
+mod keys;
 #[path = "../system/platform.rs"]
 mod platform;
 #[path = "../system/work.rs"]
@@ -14,7 +16,7 @@
 use world::{Mutant, Plan, Seen, World};
 
 const SPAN_MS: u64 = 120_000;
-const SEEDS: u64 = 12;
+const SEEDS: u64 = 40;
 
 fn run(seed: u64, mutant: Mutant) -> Seen {
     World::new(Plan { seed, span_ms: SPAN_MS, mutant: Some(mutant) }).run()
@@ -37,6 +39,26 @@
     breaks(Mutant::SendsAgain, "ran-twice");
 }
 
+#[test]
+fn requests_without_claims_run_twice() {
+    breaks(Mutant::SkipsClaims, "ran-twice");
+}
+
+#[test]
+fn claims_that_nobody_else_records_run_twice() {
+    breaks(Mutant::AsksNobody, "ran-twice");
+}
+
+#[test]
+fn a_member_that_forgot_lets_a_request_run_twice() {
+    breaks(Mutant::TrustsForgetters, "ran-twice");
+}
+
+#[test]
+fn a_restart_that_nobody_notices_lets_a_request_run_twice() {
+    breaks(Mutant::IgnoresRestarts, "ran-twice");
+}
+
 #[test]
 fn not_run_said_of_the_unknown_is_false() {
     breaks(Mutant::DeniesRuns, "false-not-run");
--- a/crates/core/tests/system/main.rs
+++ b/crates/core/tests/system/main.rs
@@ -2,6 +2,7 @@
 //! that the process-wide counts stay at zero.
 
 mod flows;
+mod keys;
 mod platform;
 mod work;
 mod world;
--- a/crates/core/tests/system/work.rs
+++ b/crates/core/tests/system/work.rs
@@ -11,7 +11,10 @@
 };
 use rand::Rng;
 
-use super::world::{AGENTS, ALL, BALANCERS, Event, Mutant, World, name};
+use super::{
+    keys::{Call, Claiming, Keys, WINDOW_MS},
+    world::{AGENTS, ALL, BALANCERS, Event, Mutant, World, name},
+};
 
 const SLOTS: u32 = 3;
 const OFFER_MS: u64 = 500;
@@ -31,14 +34,17 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
+    key: Option<String>,
+    since: u64,
     idempotent: bool,
     attempts: Vec<(u128, Option<Told>)>,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
-    caller: u64,
-    request: u128,
+    pub(crate) caller: u64,
+    pub(crate) request: u128,
+    pub(crate) key: Option<String>,
     idempotent: bool,
     hop: u8,
 }
@@ -46,8 +52,8 @@
 /// The other side of a link between agents.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Back {
-    agent: usize,
-    incarnation: u64,
+    pub(crate) agent: usize,
+    pub(crate) incarnation: u64,
     course: u64,
     turn: u64,
 }
@@ -65,6 +71,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Job {
     Arrivals,
+    Call(Call),
     Ask { agent: usize, incarnation: u64, ask: Ask },
     Slot { at: Back },
     Late { at: Back, report: Report },
@@ -82,6 +89,7 @@
     pub(crate) fn at(&self) -> Option<usize> {
         match self {
             Job::Arrivals | Job::Upstream { .. } | Job::Reply { .. } | Job::Again { .. } => None,
+            Job::Call(call) => Some(call.at()),
             Job::Ask { agent, .. } => Some(*agent),
             Job::Offer { at, .. } => Some(*at),
             Job::Slot { at }
@@ -107,10 +115,11 @@
 }
 
 #[derive(Clone, Debug)]
-struct Course {
-    ask: Ask,
+pub(crate) struct Course {
+    pub(crate) ask: Ask,
+    pub(crate) claiming: Claiming,
     origin: Option<Back>,
-    dispatch: Dispatch,
+    pub(crate) dispatch: Dispatch,
     stage: Stage,
     turn: u64,
     slot: bool,
@@ -119,6 +128,7 @@
 
 pub(crate) struct Work {
     pub(crate) busy: u32,
+    pub(crate) keys: Keys,
     courses: BTreeMap<u64, Course>,
     gate: Gate,
     budget: Budget,
@@ -126,10 +136,18 @@
     next: u64,
 }
 
+impl Course {
+    /// Whether its first step is still to be decided.
+    pub(crate) fn is_new(&self) -> bool {
+        matches!(self.stage, Stage::New)
+    }
+}
+
 impl Work {
     pub(crate) fn new(now: u64) -> Work {
         Work {
             busy: 0,
+            keys: Keys::default(),
             courses: BTreeMap::new(),
             gate: Gate::new(),
             budget: Budget::new(0.1, now),
@@ -144,19 +162,19 @@
 }
 
 impl World {
-    fn job_after(&mut self, job: Job) {
+    pub(crate) fn job_after(&mut self, job: Job) {
         let delay = self.delay();
         self.after(delay, Event::Job(job));
     }
 
-    fn is_there(&self, at: Back) -> bool {
+    pub(crate) fn is_there(&self, at: Back) -> bool {
         let it = &self.processes[at.agent];
         it.up
             && it.incarnation == at.incarnation
             && it.work.courses.get(&at.course).is_some_and(|it| it.turn == at.turn)
     }
 
-    fn course(&mut self, at: Back) -> &mut Course {
+    pub(crate) fn course(&mut self, at: Back) -> &mut Course {
         self.processes[at.agent].work.courses.get_mut(&at.course).expect("checked to be there")
     }
 
@@ -181,12 +199,20 @@
         self.stray();
         let caller = self.callers.len() as u64;
         let idempotent = self.rng.random_bool(0.2);
-        self.callers.insert(caller, Caller { idempotent, attempts: Vec::new() });
+        let keyed = !idempotent && self.rng.random_bool(0.8);
+        let key = keyed.then(|| format!("key-{caller}"));
+        let since = self.now;
+        self.callers.insert(caller, Caller { key, since, idempotent, attempts: Vec::new() });
         self.ask(caller);
+        if keyed && self.rng.random_bool(0.2) {
+            self.ask(caller);
+        }
     }
 
     fn ask(&mut self, caller: u64) {
-        if self.callers[&caller].attempts.len() >= MOST_ATTEMPTS {
+        // With time to spare before the key is forgotten: an agent may be paused before it gets the request.
+        let it = &self.callers[&caller];
+        if it.attempts.len() >= MOST_ATTEMPTS || self.now - it.since > WINDOW_MS / 2 {
             return;
         }
         let held = if self.rng.random_bool(0.4) { self.held_flow() } else { None };
@@ -197,7 +223,8 @@
         let it = self.callers.get_mut(&caller).expect("the caller is known");
         let request = u128::from(caller) << 8 | it.attempts.len() as u128;
         it.attempts.push((request, None));
-        let ask = Ask { caller, request, idempotent: it.idempotent, hop: 0 };
+        let key = it.key.clone();
+        let ask = Ask { caller, request, key, idempotent: it.idempotent, hop: 0 };
         let incarnation = self.processes[agent].incarnation;
         self.job_after(Job::Ask { agent, incarnation, ask });
         let told = Told::Nothing;
@@ -218,7 +245,7 @@
             return;
         }
         attempt.1 = Some(told);
-        let once = !it.idempotent;
+        let keyless = !it.idempotent && it.key.is_none();
         match told {
             Told::Whole(ran) => {
                 self.seen.whole += 1;
@@ -230,8 +257,8 @@
             Told::NotRun => self.seen.not_run += 1,
             Told::Unknown | Told::Nothing => self.seen.unknown += 1,
         }
-        // Only a request that has not run is safe to send again.
-        if told == Told::NotRun || !once {
+        // Without a key only a request that has not run is safe to send again.
+        if told == Told::NotRun || !keyless {
             self.again(caller);
         }
     }
@@ -239,6 +266,7 @@
     pub(crate) fn job(&mut self, job: Job) {
         match job {
             Job::Arrivals => self.arrivals(),
+            Job::Call(call) => self.call(call),
             Job::Ask { agent, incarnation, ask } => {
                 let it = &self.processes[agent];
                 if it.up && it.incarnation == incarnation {
@@ -264,8 +292,10 @@
     /// A request arrives at an agent, from a caller or from another agent.
     fn accept(&mut self, agent: usize, ask: Ask, origin: Option<Back>) {
         let request = Request { idempotent: ask.idempotent, hop: ask.hop, deadline: None };
+        let keyed = ask.key.is_some() && origin.is_none();
         let course = Course {
             ask,
+            claiming: Claiming::default(),
             origin,
             dispatch: Dispatch::new(request),
             stage: Stage::New,
@@ -277,10 +307,14 @@
         it.work.next += 1;
         let at = Back { agent, incarnation: it.incarnation, course: it.work.next, turn: 0 };
         it.work.courses.insert(at.course, course);
-        self.decide(at, None);
+        if keyed && !self.mutant(Mutant::SkipsClaims) {
+            self.claim(at);
+        } else {
+            self.decide(at, None);
+        }
     }
 
-    fn decide(&mut self, at: Back, report: Option<Report>) {
+    pub(crate) fn decide(&mut self, at: Back, report: Option<Report>) {
         let now = self.now;
         let draining = self.drains(at.agent);
         let ignores = self.mutant(Mutant::IgnoresDrain);
@@ -388,10 +422,10 @@
             _ => (Report::Head, self.rng.random_range(3..60)),
         };
         if fate >= 12 && !ask.idempotent {
-            let key = format!("caller-{}", ask.caller);
+            let key = ask.key.clone().unwrap_or_else(|| format!("caller-{}", ask.caller));
             let text = format!("{ran:x} runs at {}, {report:?} after {delay} ms", name(at.agent));
             self.note(&key, text);
-            self.journal.push((key, ran));
+            self.journal.push((key, self.now, ran));
         }
         self.after(delay, Event::Job(Job::Ended { at, report, ran }));
     }
@@ -521,6 +555,9 @@
             }
             it => it,
         };
+        if self.course(at).origin.is_none() {
+            self.settle_as(at, outcome, ran);
+        }
         let course = self.end(at);
         let Some(origin) = course.origin else {
             let told = match outcome {
@@ -542,7 +579,7 @@
         self.job_after(Job::Peer { at: origin, word });
     }
 
-    fn end(&mut self, at: Back) -> Course {
+    pub(crate) fn end(&mut self, at: Back) -> Course {
         let work = &mut self.processes[at.agent].work;
         let course = work.courses.remove(&at.course).expect("checked to be there");
         work.busy -= u32::from(course.slot);
@@ -570,7 +607,7 @@
     pub(crate) fn judge_requests(&mut self) {
         self.judge_flows();
         let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
-        for (key, _) in &self.journal {
+        for (key, ..) in &self.journal {
             *runs.entry(key).or_default() += 1;
         }
         let twice = runs.values().filter(|it| **it > 1).count();
@@ -578,7 +615,7 @@
             println!("{key} ran twice:");
             self.tell_story(key);
         }
-        let ran: BTreeSet<u128> = self.journal.iter().map(|it| it.1).collect();
+        let ran: BTreeSet<u128> = self.journal.iter().map(|it| it.2).collect();
         let attempts = self.callers.values().flat_map(|it| &it.attempts);
         let told = attempts.filter(|it| it.1 == Some(Told::NotRun));
         let untrue = told.filter(|it| ran.contains(&it.0)).count();
--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -45,6 +45,14 @@
     SendsAgain,
     /// Answers "not run" for what is unknown.
     DeniesRuns,
+    /// Runs requests without claiming their keys.
+    SkipsClaims,
+    /// Claims a key with itself alone.
+    AsksNobody,
+    /// Grants a key although an earlier claim may have been forgotten.
+    TrustsForgetters,
+    /// Does not notice that a member was started anew under its name.
+    IgnoresRestarts,
     /// Starts requests although the agent drains.
     IgnoresDrain,
     /// A view that takes lower versions.
@@ -109,6 +117,7 @@
     },
     Job(Job),
     Start(usize),
+    Kill(usize),
     /// Links that were cut are opened again.
     Relink(usize),
     Fault,
@@ -152,8 +161,8 @@
     pub(crate) callers: BTreeMap<u64, Caller>,
     pub(crate) flows: Vec<Flow>,
     pub(crate) seen: Seen,
-    /// Runs of requests at upstreams: key and request, in order.
-    pub(crate) journal: Vec<(String, u128)>,
+    /// Runs of requests at upstreams: key, time and request, in order.
+    pub(crate) journal: Vec<(String, u64, u128)>,
     pub(crate) calm: bool,
     /// What happened under a key, and to whom faults happened.
     story: Vec<(u64, String, String)>,
@@ -336,6 +345,8 @@
             }
             Event::Job(job) => self.job(job),
             Event::Start(index) => self.start(index),
+            Event::Kill(index) if !self.calm => self.kill_one(index),
+            Event::Kill(_) => {}
             Event::Relink(index) => self.relink(index),
             Event::Fault => self.fault(),
             Event::Traffic => self.traffic(),
@@ -348,7 +359,9 @@
             Event::Control { to, .. } | Event::Written { to, .. } => *to,
             Event::Tick(index) => *index,
             Event::Job(job) => job.at()?,
-            Event::Start(_) | Event::Relink(_) | Event::Fault | Event::Traffic => return None,
+            Event::Start(_) | Event::Kill(_) | Event::Relink(_) | Event::Fault | Event::Traffic => {
+                return None;
+            }
         };
         let until = self.processes[index].frozen_until;
         (self.processes[index].up && until > self.now).then_some(until)
@@ -600,6 +613,9 @@
         if reverted {
             self.broke("reverted");
         }
+        if index >= BALANCERS {
+            self.update_roster(index);
+        }
     }
 
     fn keep_lease(&mut self, index: usize) {
@@ -759,17 +775,33 @@
         }
     }
 
-    /// Kills one process; the next only after what it kept has been copied from the other owners.
+    /// Kills one process. In half of the runs seldom, so that the members count as settled in between, but then several
+    /// in a row.
     fn kill(&mut self) {
-        const APART_MS: u64 = 15_000;
-        if self.now < self.killed + APART_MS {
+        const APART_MS: u64 = 8_000;
+        const SELDOM_MS: u64 = 55_000;
+        let seldom = !self.plan.seed.is_multiple_of(2);
+        let apart = if seldom { SELDOM_MS } else { APART_MS };
+        if self.now < self.killed + apart {
             return;
         }
+        self.killed = self.now;
         let index = self.rng.random_range(0..ALL);
-        if self.processes[index].frozen_until > self.now {
+        self.kill_one(index);
+        if !seldom {
+            return;
+        }
+        for further in 1..=3 {
+            let after = further * self.rng.random_range(1_500..3_000);
+            let index = self.rng.random_range(BALANCERS..ALL);
+            self.after(after, Event::Kill(index));
+        }
+    }
+
+    fn kill_one(&mut self, index: usize) {
+        if !self.processes[index].up || self.processes[index].frozen_until > self.now {
             return;
         }
-        self.killed = self.now;
         self.note(FAULT, format!("{} is killed", name(index)));
         self.processes[index].up = false;
         self.processes[index].disturbed = self.now;
