--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -55,7 +55,8 @@
     let (mut link, load) = match taken {
         Ok(Ok(Reply::Taken(link, load))) => (link, load),
         Ok(Ok(Reply::Refused(link, retry_ms))) => {
-            node.hints.lock().refused(to, retry_ms, now);
+            // What it tells the caller is longer than a full peer stays full.
+            node.hints.lock().refused(to, 0, now);
             node.links.keep(link);
             meter::count(&meter::ATTEMPTS, "peer-refused");
             return Some(Report::Refused { retry_ms });
