--- a/crates/standin/src/site/fleet.rs
+++ b/crates/standin/src/site/fleet.rs
@@ -93,6 +93,17 @@
         names
     }
 
+    /// Running processes of the system with this role: a file for the state of each, and its operator address.
+    pub fn daemons(&self, role: Role) -> Vec<(PathBuf, SocketAddr)> {
+        let mut list = Vec::new();
+        for (name, member) in &self.members {
+            if member.role == role && member.daemon() && member.process.is_some() {
+                list.push((self.folder.join(format!("{name}.late")), member.admin));
+            }
+        }
+        list
+    }
+
     /// The member with this name.
     pub fn get(&self, name: &str) -> anyhow::Result<&Member> {
         self.members.get(name).with_context(|| format!("no process is named {name}"))
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -279,9 +279,11 @@
         let mut faults = Vec::new();
         let mut fleet = self.shared.fleet.lock().await;
         for role in order {
+            let late = tokio::spawn(self.shared.clone().keep_status(fleet.daemons(role)));
             for error in fleet.stop_all(role).await {
                 faults.push(format!("{error:#}"));
             }
+            late.abort();
         }
         faults
     }
--- a/crates/standin/src/site/shared.rs
+++ b/crates/standin/src/site/shared.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeSet,
+    fs::File,
+    io::Write,
     net::{IpAddr, SocketAddr},
+    path::PathBuf,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -21,6 +24,7 @@
     metrics::Sample,
     objects::Objects,
     pki::Authority,
+    process::STOP_LIMIT,
 };
 use crate::{caller::tally::Tally, upstream::Record};
 
@@ -123,6 +127,22 @@
         Ok(self.fleet.lock().await.get(name)?.admin)
     }
 
+    /// Writes down the state of processes that take long to stop.
+    pub async fn keep_status(self: Arc<Shared>, daemons: Vec<(PathBuf, SocketAddr)>) {
+        time::sleep(STOP_LIMIT / 2).await;
+        for (file, address) in daemons {
+            for path in ["/status", "/metrics"] {
+                let Ok(text) = self.http.text(address, path).await else { continue };
+                let Ok(mut file) = File::options().create(true).append(true).open(&file) else {
+                    continue;
+                };
+                if let Err(error) = writeln!(file, "{text}") {
+                    println!("write the state of {address}: {error}");
+                }
+            }
+        }
+    }
+
     /// Keeps the last metrics of a process that is about to end.
     async fn keep_metrics(&self, name: &str) {
         let address = match self.fleet.lock().await.get(name) {
