--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -30,9 +30,9 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
-    claim,
     link::{Dial, Links},
     meter,
+    rosters::Rosters,
     service::Service,
     socket::DataSocket,
     upstream::Upstream,
@@ -102,6 +102,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) links: Links,
     pub(crate) claims: Mutex<Claims>,
+    pub(crate) rosters: Mutex<Rosters>,
     /// Keyed requests in hand.
     pub(crate) open: Mutex<BTreeSet<RequestId>>,
     /// Flows and requests in progress.
@@ -154,6 +155,7 @@
             upstream: Upstream::new(settings.upstream),
             links: Links::new(dial),
             claims: Mutex::new(Claims::new()),
+            rosters: Mutex::new(Rosters::new(&settings.name)),
             open: Mutex::default(),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
@@ -175,8 +177,8 @@
     /// Puts a snapshot in force.
     pub(crate) fn apply(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
         self.apply_keys(&snapshot);
-        let before = self.snapshot.swap(Arc::clone(&snapshot));
-        claim::copy(self, &before, &snapshot);
+        self.snapshot.store(Arc::clone(&snapshot));
+        self.rosters.lock().apply(&snapshot, clock::now_ms());
         self.hints.lock().retain(|it| snapshot.agents.contains_key(it));
         self.refresh();
         for service in self.services() {
