--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -163,6 +163,7 @@
     let Link { sink, stream, .. } = link;
     let wanted = CancellationToken::new();
     let mut pump = pin!(pump(body, sink, &wanted));
+    let mut overdue = pin!(request::overdue(course.ask.deadline));
     let mut pumped = false;
     let head = loop {
         tokio::select! {
@@ -180,6 +181,7 @@
                 }
             }
             _ = ended.wait() => return Exchange::Next(Report::Cancelled),
+            () = &mut overdue => return Exchange::Next(Report::Lost),
         }
     };
     let head = match head {
--- a/crates/daemon/src/agent/local.rs
+++ b/crates/daemon/src/agent/local.rs
@@ -15,6 +15,7 @@
 use super::{
     body::{Body, GivenUp, KEPT, Outlet},
     meter,
+    node::Node,
     quic::Ended,
     request::{self, Course},
     upstream::{AttemptError, Conn, Payload},
@@ -102,6 +103,7 @@
     let mut slot = Some(slot);
     let mut sending = pin!(conn.send(request));
     let mut pump = pin!(pump);
+    let mut hopeless = pin!(hopeless(&node, course.ask.is_idempotent(), course.ask.deadline));
     let mut pumped = false;
     let mut resumed = false;
     let sent = loop {
@@ -122,6 +124,11 @@
                 node.gate.lock().dropped();
                 return Exchange::Next(Report::Cancelled);
             }
+            () = &mut hopeless => {
+                node.gate.lock().refused(clock::now_ms());
+                meter::count(&meter::ATTEMPTS, "given-up");
+                return Exchange::Next(Report::Lost);
+            }
             () = time::sleep_until(started + LONG), if slot.is_some() && !pumped => slot = None,
         }
     };
@@ -166,6 +173,18 @@
     }
 }
 
+/// Completes when an answer is no longer waited for. That of a request that must not run twice may come late.
+async fn hopeless(node: &Node, idempotent: bool, deadline: Option<u64>) {
+    if idempotent {
+        tokio::select! {
+            () = node.lost() => {}
+            () = request::overdue(deadline) => {}
+        }
+    } else {
+        request::overdue(deadline).await;
+    }
+}
+
 /// Who broke off an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Broken {
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -112,7 +112,7 @@
     flows: Arc<AtomicU32>,
     stopping: AtomicBool,
     draining: AtomicBool,
-    reachable: AtomicBool,
+    reachable: watch::Sender<bool>,
     changed: watch::Sender<u64>,
 }
 
@@ -163,7 +163,7 @@
             flows: Arc::default(),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
-            reachable: AtomicBool::new(false),
+            reachable: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             settings,
         }))
@@ -217,11 +217,17 @@
 
     /// Notes whether the upstream accepts connections.
     pub(crate) fn set_reachable(&self, reachable: bool) {
-        if self.reachable.swap(reachable, Ordering::SeqCst) != reachable {
+        if self.reachable.send_replace(reachable) != reachable {
             self.bump();
         }
     }
 
+    /// Completes when the upstream no longer answers.
+    pub(crate) async fn lost(&self) {
+        // The sender lives as long as the node.
+        let _ = self.reachable.subscribe().wait_for(|it| !*it).await;
+    }
+
     /// Signals changes of the agent's own state.
     pub(crate) fn changed(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -242,7 +248,7 @@
         if self.drains() {
             return Intake::Draining;
         }
-        let reachable = self.reachable.load(Ordering::SeqCst);
+        let reachable = *self.reachable.borrow();
         if reachable && self.gate.lock().is_open(clock::now_ms()) {
             Intake::Open
         } else {
@@ -257,7 +263,7 @@
             return AgentState::Draining;
         }
         let closed = self.gate.lock().closed_for(clock::now_ms());
-        if self.reachable.load(Ordering::SeqCst) && closed < CLOSED_MS {
+        if *self.reachable.borrow() && closed < CLOSED_MS {
             AgentState::Ready
         } else {
             AgentState::Starting
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -1,6 +1,9 @@
 //! One request of a flow, from its head to its final answer.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use camphorwinch_core::{
@@ -14,6 +17,7 @@
     server::{RequestResolver, RequestStream},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, request::Parts};
+use tokio::time;
 
 use super::{
     body::{Body, Inlet, Outlet, Way},
@@ -46,6 +50,8 @@
     "transfer-encoding",
     "upgrade",
 ];
+/// Time after the deadline in which an upstream may still say that it passed.
+const OVERDUE_MS: u64 = 500;
 /// Time after which a request may be asked again whose key is in use.
 const REPEAT_MS: u64 = 1_000;
 const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
@@ -112,6 +118,17 @@
     }
 }
 
+/// Completes when no answer is worth waiting for: some time after the caller's deadline.
+pub(crate) async fn overdue(deadline: Option<u64>) {
+    match deadline {
+        Some(deadline) => {
+            let left = (deadline + OVERDUE_MS).saturating_sub(clock::now_ms());
+            time::sleep(Duration::from_millis(left)).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Removes fields that concern one connection only, and those that only the system may set.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -18,7 +18,7 @@
 };
 
 const PROBE_EVERY: Duration = Duration::from_millis(500);
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for other agents to take over the claims of this one.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
 /// Failed probes in a row after which the upstream counts as lost.
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -290,3 +290,13 @@
         assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_ends_the_wait() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"late":1.0,"late_ms":8000}"#).await;
+    let call = Call::new(Method::POST, "/transfer").with_header("camphorwinch-deadline-ms", "300");
+    let reply = flow.call(call).await;
+    assert_eq!(reply.header("camphorwinch-outcome"), "unknown", "{reply:?}");
+}
