--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -337,6 +337,7 @@
             }
             news
         });
+        report::note(self);
     }
 }
 
--- a/crates/daemon/src/control/receive.rs
+++ b/crates/daemon/src/control/receive.rs
@@ -17,7 +17,7 @@
         Inner, Load,
         state::{Homed, LinkId, LinkKind},
     },
-    event,
+    event, report,
 };
 
 impl Inner {
@@ -129,6 +129,7 @@
         };
         let events = parse_events(&report.events);
         self.reports.lock().take(&peer, &report, now_ms());
+        report::note(self);
         self.state.lock().queue_events(events);
     }
 }
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -32,7 +32,7 @@
 /// For how long the process that makes the zone's report listens first, in milliseconds.
 const WARM_MS: u64 = LOAD_MS + 1_000;
 /// Revisions whose times are kept.
-const CHANGES: usize = 64;
+const CHANGES: usize = 20;
 /// Events sent with one report.
 const REPORT_EVENTS: usize = 400;
 
@@ -81,36 +81,29 @@
         wall: u64,
     ) -> Report {
         self.processes.retain(|_, it| now.saturating_sub(it.heard_ms) < STALE_MS);
+        self.note(zone, state, wall);
         let known = state.view.revision();
         let mut report = Report { zone: zone.to_owned(), at_ms: wall, known, ..Report::default() };
-        let mut in_force = known;
+        report.in_force = known;
         for member in state.view.members().filter(|it| reported_in(it, zone, state)) {
             self.add_status(&mut report, member, snapshot);
-            let lag = self.applied(member, known, wall);
-            let Some(applied) = lag.filter(|_| !member.is_down()) else {
+            let Some(applied) = self.applied(member, known, wall) else {
                 continue;
             };
             report.processes += 1;
-            in_force = in_force.min(applied);
+            report.in_force = report.in_force.min(applied);
             if applied < known {
                 report.behind.push(Behind { name: member.name().to_owned(), in_force: applied });
             }
         }
-        report.in_force = in_force;
         report.lagging = report.behind.len() as u32;
-        self.note(known, in_force, wall);
         report.changes = self.changes.iter().cloned().collect();
         report
     }
 
-    /// Revision in force at a member; `None` while it is so new that it can't have reported yet.
-    fn applied(&self, member: &Member, known: u64, wall: u64) -> Option<u64> {
-        let applied = self.processes.get(member.name()).map_or(0, |it| it.applied);
-        let new = wall.saturating_sub(member.since_ms) < UNREPORTED_MS;
-        (applied > 0 || known == 0 || !new).then_some(applied.min(known))
-    }
-
-    fn note(&mut self, known: u64, in_force: u64, wall: u64) {
+    /// Takes note of a revision that is new here, and of those that are in force in the whole zone now.
+    fn note(&mut self, zone: &str, state: &State, wall: u64) {
+        let known = state.view.revision();
         let newest = self.changes.back().map_or(0, |it| it.revision);
         if known > newest {
             self.changes.push_back(Applied { revision: known, seen_ms: wall, done_ms: 0 });
@@ -118,6 +111,12 @@
         while self.changes.len() > CHANGES {
             self.changes.pop_front();
         }
+        if self.changes.iter().all(|it| it.done_ms > 0) {
+            return;
+        }
+        let members = state.view.members().filter(|it| reported_in(it, zone, state));
+        let applied = members.filter_map(|it| self.applied(it, known, wall));
+        let in_force = applied.min().unwrap_or(known);
         for change in &mut self.changes {
             if change.done_ms == 0 && change.revision <= in_force {
                 change.done_ms = wall;
@@ -125,6 +124,16 @@
         }
     }
 
+    /// Revision in force at a member; `None` if it is dead, or so new that it can't have reported yet.
+    fn applied(&self, member: &Member, known: u64, wall: u64) -> Option<u64> {
+        if member.is_down() {
+            return None;
+        }
+        let applied = self.processes.get(member.name()).map_or(0, |it| it.applied);
+        let new = wall.saturating_sub(member.since_ms) < UNREPORTED_MS;
+        (applied > 0 || known == 0 || !new).then_some(applied.min(known))
+    }
+
     fn add_status(&self, report: &mut Report, member: &Member, snapshot: &Snapshot) {
         let process = self.processes.get(member.name());
         match &member.role {
@@ -205,6 +214,7 @@
             let report = make_report(&state);
             drop(state);
             self.reports.lock().take(&own, &report, now_ms());
+            note(self);
             return;
         }
         if !state.linked(&seed) {
@@ -242,6 +252,15 @@
     report
 }
 
+/// Takes note of what is in force in the zone now, if this process makes its report.
+pub(crate) fn note(inner: &Inner) {
+    let mut reports = inner.reports.lock();
+    if reports.since_ms.is_some() {
+        let state = inner.state.lock();
+        reports.note(state.own.zone(), &state, wall_ms());
+    }
+}
+
 /// The zone's report as of now; none while another process makes it, or while this one has not yet heard of all.
 pub(crate) fn current(inner: &Inner) -> Option<Report> {
     let snapshot = inner.snapshot.borrow().clone();
