Reports of a large zone: only news between whole ones; events that all processes have stay local

A balancer reported all its agents to the holder of its zone's lease every 2 s and at every change. By the sizes of the messages that is some 18 kB/s at the holder with 87 balancers and 983 agents, of 16 kB/s allowed, and some 215 kB for each change of configuration. Now a whole report goes out every 2 to 10 s, by the size of the zone, and at once over a new link; between them only what is newly in force. Calculated, not measured: a zone of that size does not fit here.

config-in-force from every daemon would be some 31 events a second for a zone at that size, and its timeline would cover 32 s. It stays at the process; the lease holder records zone-in-force (208) once for the zone. An agent sends at most 20 events with a sign of life (was 100), a balancer 40 with a report (was 400).

A brief report keeps the newest 16 changes (was 64: 4.7 kB in every write of a lease).

For the owner of the agent: agent::tests::request_goes_on_when_its_caller_has_gone and one_key_at_once_runs_once failed once each in three runs of the daemon's tests on a busy machine; they are not touched here.

--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -14,6 +14,9 @@
 /// Most names of lagging processes in a brief report.
 pub const BRIEF_BEHIND: usize = 32;
 
+/// Most revisions in a brief report, the newest ones.
+pub const BRIEF_CHANGES: usize = 16;
+
 /// Spec of a lease object.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -68,6 +71,7 @@
     pub fn brief(&self) -> Report {
         let mut it = Report { upstreams: Vec::new(), balancers: Vec::new(), ..self.clone() };
         it.behind.truncate(BRIEF_BEHIND);
+        it.changes.drain(..it.changes.len().saturating_sub(BRIEF_CHANGES));
         it
     }
 
--- a/crates/core/tests/report.rs
+++ b/crates/core/tests/report.rs
@@ -1,6 +1,8 @@
 //! Tests of zone reports.
 
-use camphorwinch_core::report::{BRIEF_BEHIND, Behind, Lease, Report, State, freshest, in_force};
+use camphorwinch_core::report::{
+    Applied, BRIEF_BEHIND, BRIEF_CHANGES, Behind, Lease, Report, State, freshest, in_force,
+};
 
 const LEASE: &str = r#"{"holder":"bal-1","control":"127.0.0.1:7000","taken_at_ms":3,"report":{"zone":"rvk-a","at_ms":9,
     "in_force":4,"known":5,"processes":2,"behind":[{"name":"ledger-1","in_force":4}],
@@ -37,7 +39,11 @@
     let mut report = serde_json::from_str::<Lease>(LEASE).unwrap().report.unwrap();
     report.lagging = 1_000;
     report.behind = vec![Behind { name: "ledger-1".to_owned(), in_force: 4 }; 1_000];
+    let change = |revision| Applied { revision, ..Applied::default() };
+    report.changes = (1..=64).map(change).collect();
     let brief = report.brief();
+    assert_eq!(brief.changes.len(), BRIEF_CHANGES);
+    assert_eq!(brief.changes.last(), Some(&change(64)), "the newest are kept");
     assert!(brief.upstreams.is_empty() && brief.balancers.is_empty());
     assert_eq!((brief.lagging, brief.behind.len()), (1_000, BRIEF_BEHIND));
     let old = Report { in_force: 1, ..report.clone() };
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -168,7 +168,7 @@
         }
         state.applied = revision;
         drop(state);
-        event::emit(Id::ConfigInForce, About::new(), &format!("revision {revision}"));
+        event::emit_local(Id::ConfigInForce, About::new(), &format!("revision {revision}"));
         self.inner.beat.notify_one();
         self.inner.report.notify_one();
     }
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -36,7 +36,7 @@
 /// How much longer each further balancer waits before it declares an agent dead whose own balancers are dead.
 const ORPHAN_STEP_MS: u64 = 1_000;
 /// Events that an agent sends with one sign of life.
-const BEAT_EVENTS: usize = 100;
+const BEAT_EVENTS: usize = 20;
 
 /// Runs until the process stops.
 pub(crate) async fn run(inner: Arc<Inner>) {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -71,6 +71,7 @@
     205 SeedTaken "seed-taken" Info "the process took a seed lease";
     206 SeedLost "seed-lost" Warn "the process lost its seed lease";
     207 WriteSettled "write-settled" Info "a write whose answer was lost was settled by reading it back";
+    208 ZoneInForce "zone-in-force" Info "a revision of the configuration is in force in every process of the zone";
     301 LinkUp "link-up" Info "a link to another process is up";
     302 LinkDown "link-down" Info "a link to another process is down";
     303 LinkRefused "link-refused" Warn "another process was refused: not authenticated, or a faulty frame";
@@ -168,6 +169,13 @@
     log(id.level(), &event);
 }
 
+/// Records and logs an event that every process has at the same time: it stays out of the timeline, where the event of
+/// the process that reports for the zone stands for all.
+pub(crate) fn emit_local(id: Id, about: About, text: &str) {
+    let event = recorder().keep(id, about, text);
+    log(id.level(), &event);
+}
+
 /// The newest events, oldest first.
 pub(crate) fn recent() -> Vec<Event> {
     recorder().kept.iter().cloned().collect()
@@ -208,6 +216,14 @@
 
 impl Recorder {
     fn record(&mut self, id: Id, about: About, text: &str) -> Event {
+        let event = self.keep(id, about, text);
+        self.waiting.push_back(event.clone());
+        self.trim();
+        event
+    }
+
+    /// Records an event that is not sent to the timeline.
+    fn keep(&mut self, id: Id, about: About, text: &str) -> Event {
         let event = Event {
             stamp: self.clock.tick(wall_ms()),
             process: self.process.clone(),
@@ -222,7 +238,6 @@
         };
         self.next += 1;
         self.kept.push_back(event.clone());
-        self.waiting.push_back(event.clone());
         self.trim();
         event
     }
--- a/crates/daemon/src/lease.rs
+++ b/crates/daemon/src/lease.rs
@@ -99,10 +99,22 @@
         if since < RENEW_MS && !changed {
             return;
         }
+        self.note_in_force(report.as_ref());
         self.written.clone_from(&report);
         self.write(attempt, report).await;
     }
 
+    /// Records that a revision is in force in the whole zone. The processes' own events of this stay with them, as a
+    /// change would fill the timeline with them.
+    fn note_in_force(&self, report: Option<&Report>) {
+        let before = self.written.as_ref().map_or(0, |it| it.in_force);
+        let Some(report) = report.filter(|it| it.in_force > before) else {
+            return;
+        };
+        let text = format!("revision {} in zone {}", report.in_force, self.zone);
+        event::emit(Id::ZoneInForce, About::new(), &text);
+    }
+
     async fn write(&mut self, attempt: Attempt, report: Option<Report>) {
         let name = Lease::name(&self.zone, attempt.number);
         let lease = Lease {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -64,6 +64,15 @@
     CONTROL_BYTES.with_label_values(&["in"]).inc_by(bytes);
 }
 
+static PLATFORM_BYTES: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counter("platform_bytes_total", "Bytes of calls to the platform and their answers", "call")
+});
+
+/// Counts traffic of a call to the platform.
+pub(crate) fn platform_bytes(call: &str, bytes: u64) {
+    PLATFORM_BYTES.with_label_values(&[call]).inc_by(bytes);
+}
+
 /// All metrics in the text format of Prometheus.
 pub(crate) fn render() -> anyhow::Result<Vec<u8>> {
     for invariant in Invariant::ALL {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -94,6 +94,8 @@
     pub(crate) events: Vec<WatchEvent>,
 }
 
+const WATCH: &str = "watch";
+
 /// Outcome of a write.
 #[derive(Clone, Debug)]
 pub(crate) enum Put {
@@ -161,7 +163,7 @@
 
     /// Waits for events of the configuration's kinds after `since`.
     pub(crate) async fn watch(&self, since: u64, wait: Duration) -> Result<Watched, PlatformError> {
-        let step = format!("watch since {since}");
+        let step = format!("{WATCH} since {since}");
         let mut path = format!("/v1/watch?since={since}&wait={}", wait.as_secs());
         for kind in Kind::CONFIG {
             path.push_str(&format!("&kind={kind}"));
@@ -232,12 +234,15 @@
     ) -> Result<Answer, PlatformError> {
         let sent = body.as_ref().map_or(0, Bytes::len) as u64;
         metrics::control_sent(sent + CALL_OVERHEAD);
+        metrics::platform_bytes(call_of(step), sent + CALL_OVERHEAD);
         let answer = match timeout(limit, self.exchange(method, path, body)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(reason)) => return Err(self.unavailable(step, reason)),
             Err(_) => return Err(self.unavailable(step, "timeout".to_owned())),
         };
-        metrics::control_received(answer.body.len() as u64 + CALL_OVERHEAD);
+        let received = answer.body.len() as u64 + CALL_OVERHEAD;
+        metrics::control_received(received);
+        metrics::platform_bytes(call_of(step), received);
         let status = answer.status;
         if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
             return Err(self.unavailable(step, status.to_string()));
@@ -292,6 +297,14 @@
     }
 }
 
+/// What a call is in metrics: its verb and kind, without the name.
+fn call_of(step: &str) -> &str {
+    if step.starts_with(WATCH) {
+        return WATCH;
+    }
+    step.split('/').next().unwrap_or(step)
+}
+
 /// The error with its causes: the client's own text leaves them out.
 fn chain(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -18,13 +18,21 @@
 
 use crate::{
     clock::{now_ms, wall_ms},
-    control::{Inner, state::State, tick::waiting_events},
+    control::{
+        Inner,
+        state::{LinkId, State},
+        tick::waiting_events,
+    },
 };
 
 /// Least time between two reports.
 const MIN_GAP: Duration = Duration::from_millis(100);
-/// Time between reports of load, in milliseconds.
+/// Time between reports of load in a small zone, in milliseconds.
 const LOAD_MS: u64 = 2_000;
+/// The same in a large one; well below [`STALE_MS`].
+const LOAD_MAX_MS: u64 = 10_000;
+/// Time between reports of load for each process of the zone, in milliseconds.
+const LOAD_EACH_MS: u64 = 10;
 /// A report that was not repeated for so long no longer counts, in milliseconds.
 const STALE_MS: u64 = 15_000;
 /// For how long a member may be without a report before it counts as lagging, in milliseconds.
@@ -34,7 +42,7 @@
 /// Revisions whose times are kept.
 const CHANGES: usize = 64;
 /// Events sent with one report.
-const REPORT_EVENTS: usize = 400;
+const REPORT_EVENTS: usize = 40;
 
 #[derive(Clone, Debug, Default)]
 struct Process {
@@ -181,11 +189,21 @@
     }
 }
 
-/// Sends this balancer's report to the holder of its zone's lease: at once when something is newly in force, else when
-/// it is due for the load.
+/// What the holder of the zone's lease has been told, and over which link.
+#[derive(Debug, Default)]
+struct Told {
+    link: Option<LinkId>,
+    whole_ms: u64,
+    applied: u64,
+    agents: BTreeMap<String, u64>,
+}
+
+/// Sends this balancer's report to the holder of its zone's lease: what is newly in force at once, and everything when
+/// it is due for the load, or when the link is another one than before.
 pub(crate) async fn run(inner: Arc<Inner>) {
+    let mut told = Told::default();
     loop {
-        inner.report();
+        inner.report(&mut told);
         tokio::select! {
             () = inner.report.notified() => sleep(MIN_GAP).await,
             () = sleep(Duration::from_millis(LOAD_MS)) => {}
@@ -195,40 +213,73 @@
 }
 
 impl Inner {
-    fn report(&self) {
+    fn report(&self, told: &mut Told) {
         let mut state = self.state.lock();
         let own = state.own.name().to_owned();
         let Some(seed) = state.seed(state.own.zone()).map(|it| it.name.clone()) else {
             return;
         };
         if seed == own {
-            let report = make_report(&state);
+            let report = make_report(&state, None);
             drop(state);
             self.reports.lock().take(&own, &report, now_ms());
             return;
         }
-        if !state.linked(&seed) {
+        let Some(id) = state.links.iter().find(|(_, it)| it.peer == seed).map(|(id, _)| *id) else {
             return;
-        }
-        let mut report = make_report(&state);
+        };
+        let now = now_ms();
+        let whole = told.link != Some(id)
+            || now.saturating_sub(told.whole_ms) >= load_ms(processes(&state));
+        let mut report = make_report(&state, (!whole).then_some(&told.agents));
         report.events = waiting_events();
         let count = state.events.len().min(REPORT_EVENTS);
         for event in state.events.drain(..count) {
             report.events.extend(serde_json::to_string(&event).ok());
         }
-        for link in state.links.values() {
-            if link.peer == seed {
-                link.send(Body::Report(report));
-                return;
-            }
+        let news = told.applied != report.applied
+            || !report.agents.is_empty()
+            || !report.events.is_empty();
+        if !whole && !news {
+            return;
+        }
+        told.note(id, &report, whole.then_some(now));
+        if let Some(link) = state.links.get(&id) {
+            link.send(Body::Report(report));
         }
     }
 }
 
-fn make_report(state: &State) -> message::Report {
+impl Told {
+    fn note(&mut self, link: LinkId, report: &message::Report, whole_ms: Option<u64>) {
+        if let Some(now) = whole_ms {
+            self.whole_ms = now;
+            self.agents.clear();
+        }
+        self.link = Some(link);
+        self.applied = report.applied;
+        for it in &report.agents {
+            self.agents.insert(it.name.clone(), it.applied);
+        }
+    }
+}
+
+/// Time between reports of load in a zone with so many processes.
+fn load_ms(processes: usize) -> u64 {
+    (processes as u64 * LOAD_EACH_MS).clamp(LOAD_MS, LOAD_MAX_MS)
+}
+
+fn processes(state: &State) -> usize {
+    let zone = state.own.zone();
+    state.view.members().filter(|it| it.zone() == zone).count()
+}
+
+/// The report of this balancer, without the agents whose revision is as `told`.
+fn make_report(state: &State, told: Option<&BTreeMap<String, u64>>) -> message::Report {
     let mut report = message::Report { applied: state.applied, ..message::Report::default() };
     for (name, it) in &state.homed {
-        if !it.primary {
+        let known = told.is_some_and(|told| told.get(name) == Some(&it.applied));
+        if !it.primary || known {
             continue;
         }
         report.agents.push(AgentReport {
