--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod notice;
 mod quic;
 mod request;
+mod rosters;
 mod run;
 mod service;
 mod socket;
