--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -36,7 +36,7 @@
 /// How much longer each further balancer waits before it declares an agent dead whose own balancers are dead.
 const ORPHAN_STEP_MS: u64 = 1_000;
 /// Events that an agent sends with one sign of life.
-const BEAT_EVENTS: usize = 100;
+const BEAT_EVENTS: usize = 20;
 
 /// Runs until the process stops.
 pub(crate) async fn run(inner: Arc<Inner>) {
@@ -70,6 +70,7 @@
         }
         let mut guard = self.state.lock();
         let state = &mut *guard;
+        state.ask_again();
         if count.is_multiple_of(DIGEST_TICKS) {
             compare_next(state, count / DIGEST_TICKS);
         }
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -18,13 +18,21 @@
 
 use crate::{
     clock::{now_ms, wall_ms},
-    control::{Inner, state::State, tick::waiting_events},
+    control::{
+        Inner,
+        state::{LinkId, State},
+        tick::waiting_events,
+    },
 };
 
 /// Least time between two reports.
 const MIN_GAP: Duration = Duration::from_millis(100);
-/// Time between reports of load, in milliseconds.
+/// Time between reports of load in a small zone, in milliseconds.
 const LOAD_MS: u64 = 2_000;
+/// The same in a large one; well below [`STALE_MS`].
+const LOAD_MAX_MS: u64 = 10_000;
+/// Time between reports of load for each process of the zone, in milliseconds.
+const LOAD_EACH_MS: u64 = 10;
 /// A report that was not repeated for so long no longer counts, in milliseconds.
 const STALE_MS: u64 = 15_000;
 /// For how long a member may be without a report before it counts as lagging, in milliseconds.
@@ -32,9 +40,9 @@
 /// For how long the process that makes the zone's report listens first, in milliseconds.
 const WARM_MS: u64 = LOAD_MS + 1_000;
 /// Revisions whose times are kept.
-const CHANGES: usize = 64;
+const CHANGES: usize = 20;
 /// Events sent with one report.
-const REPORT_EVENTS: usize = 400;
+const REPORT_EVENTS: usize = 40;
 
 #[derive(Clone, Debug, Default)]
 struct Process {
@@ -81,36 +89,29 @@
         wall: u64,
     ) -> Report {
         self.processes.retain(|_, it| now.saturating_sub(it.heard_ms) < STALE_MS);
+        self.note(zone, state, wall);
         let known = state.view.revision();
         let mut report = Report { zone: zone.to_owned(), at_ms: wall, known, ..Report::default() };
-        let mut in_force = known;
+        report.in_force = known;
         for member in state.view.members().filter(|it| reported_in(it, zone, state)) {
             self.add_status(&mut report, member, snapshot);
-            let lag = self.applied(member, known, wall);
-            let Some(applied) = lag.filter(|_| !member.is_down()) else {
+            let Some(applied) = self.applied(member, known, wall) else {
                 continue;
             };
             report.processes += 1;
-            in_force = in_force.min(applied);
+            report.in_force = report.in_force.min(applied);
             if applied < known {
                 report.behind.push(Behind { name: member.name().to_owned(), in_force: applied });
             }
         }
-        report.in_force = in_force;
         report.lagging = report.behind.len() as u32;
-        self.note(known, in_force, wall);
         report.changes = self.changes.iter().cloned().collect();
         report
     }
 
-    /// Revision in force at a member; `None` while it is so new that it can't have reported yet.
-    fn applied(&self, member: &Member, known: u64, wall: u64) -> Option<u64> {
-        let applied = self.processes.get(member.name()).map_or(0, |it| it.applied);
-        let new = wall.saturating_sub(member.since_ms) < UNREPORTED_MS;
-        (applied > 0 || known == 0 || !new).then_some(applied.min(known))
-    }
-
-    fn note(&mut self, known: u64, in_force: u64, wall: u64) {
+    /// Takes note of a revision that is new here, and of those that are in force in the whole zone now.
+    fn note(&mut self, zone: &str, state: &State, wall: u64) {
+        let known = state.view.revision();
         let newest = self.changes.back().map_or(0, |it| it.revision);
         if known > newest {
             self.changes.push_back(Applied { revision: known, seen_ms: wall, done_ms: 0 });
@@ -118,6 +119,12 @@
         while self.changes.len() > CHANGES {
             self.changes.pop_front();
         }
+        if self.changes.iter().all(|it| it.done_ms > 0) {
+            return;
+        }
+        let members = state.view.members().filter(|it| reported_in(it, zone, state));
+        let applied = members.filter_map(|it| self.applied(it, known, wall));
+        let in_force = applied.min().unwrap_or(known);
         for change in &mut self.changes {
             if change.done_ms == 0 && change.revision <= in_force {
                 change.done_ms = wall;
@@ -125,6 +132,16 @@
         }
     }
 
+    /// Revision in force at a member; `None` if it is dead, or so new that it can't have reported yet.
+    fn applied(&self, member: &Member, known: u64, wall: u64) -> Option<u64> {
+        if member.is_down() {
+            return None;
+        }
+        let applied = self.processes.get(member.name()).map_or(0, |it| it.applied);
+        let new = wall.saturating_sub(member.since_ms) < UNREPORTED_MS;
+        (applied > 0 || known == 0 || !new).then_some(applied.min(known))
+    }
+
     fn add_status(&self, report: &mut Report, member: &Member, snapshot: &Snapshot) {
         let process = self.processes.get(member.name());
         match &member.role {
@@ -181,11 +198,21 @@
     }
 }
 
-/// Sends this balancer's report to the holder of its zone's lease: at once when something is newly in force, else when
-/// it is due for the load.
+/// What the holder of the zone's lease has been told, and over which link.
+#[derive(Debug, Default)]
+struct Told {
+    link: Option<LinkId>,
+    whole_ms: u64,
+    applied: u64,
+    agents: BTreeMap<String, u64>,
+}
+
+/// Sends this balancer's report to the holder of its zone's lease: what is newly in force at once, and everything when
+/// it is due for the load, or when the link is another one than before.
 pub(crate) async fn run(inner: Arc<Inner>) {
+    let mut told = Told::default();
     loop {
-        inner.report();
+        inner.report(&mut told);
         tokio::select! {
             () = inner.report.notified() => sleep(MIN_GAP).await,
             () = sleep(Duration::from_millis(LOAD_MS)) => {}
@@ -195,40 +222,74 @@
 }
 
 impl Inner {
-    fn report(&self) {
+    fn report(&self, told: &mut Told) {
         let mut state = self.state.lock();
         let own = state.own.name().to_owned();
         let Some(seed) = state.seed(state.own.zone()).map(|it| it.name.clone()) else {
             return;
         };
         if seed == own {
-            let report = make_report(&state);
+            let report = make_report(&state, None);
             drop(state);
             self.reports.lock().take(&own, &report, now_ms());
+            note(self);
             return;
         }
-        if !state.linked(&seed) {
+        let Some(id) = state.links.iter().find(|(_, it)| it.peer == seed).map(|(id, _)| *id) else {
             return;
-        }
-        let mut report = make_report(&state);
+        };
+        let now = now_ms();
+        let whole = told.link != Some(id)
+            || now.saturating_sub(told.whole_ms) >= load_ms(processes(&state));
+        let mut report = make_report(&state, (!whole).then_some(&told.agents));
         report.events = waiting_events();
         let count = state.events.len().min(REPORT_EVENTS);
         for event in state.events.drain(..count) {
             report.events.extend(serde_json::to_string(&event).ok());
         }
-        for link in state.links.values() {
-            if link.peer == seed {
-                link.send(Body::Report(report));
-                return;
-            }
+        let news = told.applied != report.applied
+            || !report.agents.is_empty()
+            || !report.events.is_empty();
+        if !whole && !news {
+            return;
+        }
+        told.note(id, &report, whole.then_some(now));
+        if let Some(link) = state.links.get(&id) {
+            link.send(Body::Report(report));
         }
     }
 }
 
-fn make_report(state: &State) -> message::Report {
+impl Told {
+    fn note(&mut self, link: LinkId, report: &message::Report, whole_ms: Option<u64>) {
+        if let Some(now) = whole_ms {
+            self.whole_ms = now;
+            self.agents.clear();
+        }
+        self.link = Some(link);
+        self.applied = report.applied;
+        for it in &report.agents {
+            self.agents.insert(it.name.clone(), it.applied);
+        }
+    }
+}
+
+/// Time between reports of load in a zone with so many processes.
+fn load_ms(processes: usize) -> u64 {
+    (processes as u64 * LOAD_EACH_MS).clamp(LOAD_MS, LOAD_MAX_MS)
+}
+
+fn processes(state: &State) -> usize {
+    let zone = state.own.zone();
+    state.view.members().filter(|it| it.zone() == zone).count()
+}
+
+/// The report of this balancer, without the agents whose revision is as `told`.
+fn make_report(state: &State, told: Option<&BTreeMap<String, u64>>) -> message::Report {
     let mut report = message::Report { applied: state.applied, ..message::Report::default() };
     for (name, it) in &state.homed {
-        if !it.primary {
+        let known = told.is_some_and(|told| told.get(name) == Some(&it.applied));
+        if !it.primary || known {
             continue;
         }
         report.agents.push(AgentReport {
@@ -242,6 +303,15 @@
     report
 }
 
+/// Takes note of what is in force in the zone now, if this process makes its report.
+pub(crate) fn note(inner: &Inner) {
+    let mut reports = inner.reports.lock();
+    if reports.since_ms.is_some() {
+        let state = inner.state.lock();
+        reports.note(state.own.zone(), &state, wall_ms());
+    }
+}
+
 /// The zone's report as of now; none while another process makes it, or while this one has not yet heard of all.
 pub(crate) fn current(inner: &Inner) -> Option<Report> {
     let snapshot = inner.snapshot.borrow().clone();
