--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -13,7 +13,7 @@
 use rustls::RootCertStore;
 use rustls_pki_types::{CertificateDer, pem::PemObject};
 
-const IDLE_TIMEOUT_MS: u32 = 60_000;
+const IDLE_TIMEOUT_MS: u32 = 20_000;
 /// A caller that only waits for an answer sends nothing, and would learn late that its agent died.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 const ALPN: &[u8] = b"h3";
--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -7,6 +7,7 @@
 };
 
 use anyhow::{Context, ensure};
+use futures::future::join_all;
 use quinn::{ClientConfig, Endpoint};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
@@ -27,6 +28,8 @@
 const MIN_FEED: Duration = Duration::from_millis(200);
 const WORK_MS: std::ops::Range<u64> = 2..50;
 const THINK_MS: std::ops::Range<u64> = 20..400;
+/// Longest wait for closed connections to be forgotten.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 const REOPEN_JITTER_MS: u64 = 500;
 const BURST_CHANCE: f64 = 0.1;
 /// Chance that a caller submits a transfer twice at once, on two flows under one key.
@@ -164,6 +167,9 @@
         while let Some(ended) = tasks.join_next().await {
             ended.context("wait for the callers")?;
         }
+        // A far side whose notice of the close was lost asks again.
+        let closed = join_all(self.endpoints.iter().map(Endpoint::wait_idle));
+        let _ = time::timeout(CLOSE_LIMIT, closed).await;
         Ok(())
     }
 }
