A balancer that was paused takes nobody for dead for what happened meanwhile

The agents had dropped their links to it; writing to the closed links failed after the first tick, so the suspicions came after those that the pause puts off, and with the versions that the agents had announced through others, so nothing cleared them. Now nobody counts as dead for a while after a pause, and an agent that announced other live homes is left to them.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -41,6 +41,7 @@
 pub struct Suspects {
     entries: BTreeMap<String, Suspect>,
     ticked: Option<u64>,
+    quiet_ms: u64,
 }
 
 impl Suspects {
@@ -79,14 +80,17 @@
 
     /// Members that count as silent or dead now. `version` gives the version at which a member is known at present.
     ///
-    /// After a pause of this process every suspicion starts anew: it was this process that did not listen. `connected`
-    /// says whether this process hears of the others at all; while it does not, nobody counts as dead.
+    /// After a pause of this process every suspicion starts anew, and nobody counts as dead for a while: it was this
+    /// process that did not listen, and its links were lost for that. `connected` says whether this process hears of the others at all; while it does not, nobody counts as dead.
     pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<(String, Verdict)>
     where
         F: Fn(&str) -> Option<Version>,
     {
         let paused = self.ticked.is_some_and(|it| now_ms.saturating_sub(it) > PAUSE_MS);
         self.ticked = Some(now_ms);
+        if paused {
+            self.quiet_ms = now_ms + BALANCER_GRACE_MS;
+        }
         self.entries.retain(|name, it| version(name) == Some(it.version));
         if paused || !connected {
             for entry in self.entries.values_mut() {
@@ -94,6 +98,9 @@
             }
             return Vec::new();
         }
+        if now_ms < self.quiet_ms {
+            return Vec::new();
+        }
         let due = |it: &Suspect| it.due_ms <= now_ms;
         let over = self.entries.iter().filter(|(_, it)| due(it));
         let found = over.map(|(name, it)| (name.clone(), it.verdict)).collect();
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -54,6 +54,19 @@
     assert_eq!(suspects.len(), 1);
 }
 
+#[test]
+fn a_link_lost_by_the_own_pause_kills_nobody() {
+    let mut suspects = Suspects::new();
+    assert!(suspects.due(0, true, |_| Some(OLD)).is_empty());
+    let woken = 5_000 + PAUSE_MS;
+    assert!(suspects.due(woken, true, |_| Some(OLD)).is_empty());
+    // Only now does the process notice that its peers closed their links meanwhile.
+    suspects.suspect("a", OLD, woken + AGENT_GRACE_MS, Verdict::Dead);
+    let quiet = woken + BALANCER_GRACE_MS;
+    assert!(tick_until(&mut suspects, woken + 250, quiet - 250, OLD).is_empty());
+    assert_eq!(tick_until(&mut suspects, quiet, quiet, OLD), ["a"]);
+}
+
 #[test]
 fn asking_again_does_not_prolong() {
     let mut suspects = Suspects::new();
--- a/crates/daemon/src/control/join.rs
+++ b/crates/daemon/src/control/join.rs
@@ -189,8 +189,9 @@
             return;
         }
         state.homed.remove(peer);
-        let version = state.view.member(peer).filter(|it| !it.is_down()).map(|it| it.version);
-        if let Some(version) = version.filter(|_| !link.ended) {
+        let member = state.view.member(peer).filter(|it| !it.is_down());
+        let missed = member.filter(|it| !link.ended && !tick::watched_elsewhere(&state, it));
+        if let Some(version) = missed.map(|it| it.version) {
             let (grace, verdict) = tick::sentence(link.kind, link.silent);
             state.suspects.suspect(peer, version, now_ms() + grace, verdict);
         }
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -161,6 +161,9 @@
         let Some(member) = view.member(&name).filter(|it| !it.is_down()) else {
             continue;
         };
+        if watched_elsewhere(state, member) {
+            continue;
+        }
         report_loss(member, verdict);
         news.push(match verdict {
             Verdict::Silent => member.silent(wall_ms()),
@@ -170,6 +173,17 @@
     news
 }
 
+/// Whether the member is an agent that has left this balancer for others that live: they will miss it, and this one
+/// can't tell its leaving from its death.
+pub(crate) fn watched_elsewhere(state: &State, member: &Member) -> bool {
+    let Role::Agent { homes, .. } = &member.role else {
+        return false;
+    };
+    let own = state.own.name();
+    let lives = |home: &String| state.balancers().iter().any(|it| it.name == *home);
+    !homes.iter().any(|it| it == own) && homes.iter().any(lives)
+}
+
 fn report_loss(member: &Member, verdict: Verdict) {
     let leaving = state_of(&member.role) == "leaving";
     let (id, what) = match verdict {
