--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -1,5 +1,3 @@
-mod fake;
-
 use std::{future::Future, net::TcpListener as StdListener};
 
 use camphorwinch_core::{
@@ -14,8 +12,10 @@
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 
 use super::*;
-use crate::config::{FleetPem, LogForm};
-use fake::Fake;
+use crate::{
+    config::{FleetPem, LogForm},
+    platform::fake::Fake,
+};
 
 /// Longest wait for anything to happen. The machine may be busy.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -315,3 +315,8 @@
     }
     text
 }
+
+#[cfg(test)]
+pub(crate) mod fake;
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/control/tests/fake.rs
+++ b/crates/daemon/src/platform/fake.rs
@@ -32,14 +32,14 @@
 
 /// The platform.
 #[derive(Clone, Default)]
-pub(super) struct Fake {
+pub(crate) struct Fake {
     store: Arc<Mutex<Store>>,
     news: Arc<Notify>,
 }
 
 impl Fake {
     /// Serves on a free port.
-    pub(super) async fn start() -> (Fake, SocketAddr) {
+    pub(crate) async fn start() -> (Fake, SocketAddr) {
         let fake = Fake::default();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -60,30 +60,30 @@
     }
 
     /// Answers every call with 503, or no longer.
-    pub(super) fn set_down(&self, down: bool) {
+    pub(crate) fn set_down(&self, down: bool) {
         self.store.lock().unwrap().down = down;
         self.news.notify_waiters();
     }
 
     /// Loses the answer of the next write, which takes effect.
-    pub(super) fn lose_next(&self) {
+    pub(crate) fn lose_next(&self) {
         self.store.lock().unwrap().lose = true;
     }
 
     /// Leaves out events from watches.
-    pub(super) fn skip_events(&self, skip: bool) {
+    pub(crate) fn skip_events(&self, skip: bool) {
         self.store.lock().unwrap().skip = skip;
     }
 
     /// Writes an object whatever its version; returns the new one.
-    pub(super) fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
+    pub(crate) fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let version = self.store.lock().unwrap().put(kind, name, "test", spec).version;
         self.news.notify_waiters();
         version
     }
 
     /// Deletes an object.
-    pub(super) fn delete(&self, kind: &str, name: &str) {
+    pub(crate) fn delete(&self, kind: &str, name: &str) {
         let mut store = self.store.lock().unwrap();
         store.revision += 1;
         let mut gone = store.objects.remove(&(kind.to_owned(), name.to_owned())).unwrap();
@@ -94,7 +94,7 @@
     }
 
     /// Reads an object.
-    pub(super) fn read(&self, kind: &str, name: &str) -> Option<Object> {
+    pub(crate) fn read(&self, kind: &str, name: &str) -> Option<Object> {
         let store = self.store.lock().unwrap();
         store.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
     }
