agent: a stop does not wait for answers that were broken off; a repeat beside a running request is told unknown

A repeat that finds the first request still running was told 'not run': true of the repeat, but its caller could take it for the outcome under the key. It is told 'unknown' now, and the test of one key at once allows that answer too: that it runs at most once is checked as before.

--- a/crates/daemon/src/agent/body.rs
+++ b/crates/daemon/src/agent/body.rs
@@ -172,12 +172,13 @@
     way: Way,
     capture: Option<Capture>,
     gone: bool,
+    finished: bool,
 }
 
 impl Outlet {
     /// An answer that is passed on only.
     pub(crate) fn new(way: Way) -> Outlet {
-        Outlet { way, capture: None, gone: false }
+        Outlet { way, capture: None, gone: false, finished: false }
     }
 
     /// Keeps the answer too.
@@ -266,9 +267,15 @@
             Way::Flow(stream) => stream.finish().await.map_err(|_| GivenUp),
             Way::Link(link) => link.data(Bytes::new(), true).await,
         };
+        self.finished = sent.is_ok();
         self.settle(sent)
     }
 
+    /// Whether the answer was sent to its end. One that was not is reset, and nothing tells when that has arrived.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.finished
+    }
+
     /// Breaks the answer off, so that nobody takes the part for the whole.
     pub(crate) fn reset(&mut self, code: Code) {
         match &mut self.way {
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -283,9 +283,10 @@
         Some(key) => run_once(&mut course, key, &mut body, &mut outlet).await,
     }
     body.close();
-    drop(outlet);
-    // The flow may be closed only after the caller has the answer.
-    ended.wait().await;
+    if outlet.is_finished() {
+        // The flow may be closed only after the caller has the answer.
+        ended.wait().await;
+    }
 }
 
 /// Runs a request under an idempotency key, unless one has run under it before. It runs to its end whatever its caller
@@ -329,11 +330,12 @@
             put(&mut headers, OUTCOME, "not-run");
             (Ok(StatusCode::UNPROCESSABLE_ENTITY), Vec::new())
         }
-        Verdict::Unknown => {
+        Verdict::Unknown | Verdict::Running => {
+            // "Not run" would be true of this request, but its caller could take it for the outcome under the key.
             notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
         }
-        Verdict::Run(_) | Verdict::Running | Verdict::Unavailable => {
+        Verdict::Run(_) | Verdict::Unavailable => {
             return answer(course, outlet, Outcome::NotRun { retry_ms: REPEAT_MS }).await;
         }
     };
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -199,7 +199,8 @@
             .iter()
             .flat_map(|flow| [flow.call(transfer(&key, "a")), flow.call(transfer(&key, "b"))]);
         for reply in futures::future::join_all(calls).await {
-            let refused = reply.header("camphorwinch-outcome") == "not-run";
+            let told = reply.header("camphorwinch-outcome");
+            let refused = told == "not-run" || told == "unknown";
             assert!(refused || reply.status == StatusCode::OK, "{reply:?}");
         }
         assert!(bench.starts(&key) <= 1, "{key} ran {} times", bench.starts(&key));
@@ -268,6 +269,7 @@
         flows.push(bench.open().await);
     }
     bench.kill(0).await;
+    bench.down(0);
     let calls = flows.iter().map(|flow| flow.call(Call::new(Method::GET, "/screen")));
     let replies = futures::future::join_all(calls).await;
     for (flow, reply) in flows.iter().zip(replies) {
@@ -300,3 +302,13 @@
     let reply = flow.call(call).await;
     assert_eq!(reply.header("camphorwinch-outcome"), "unknown", "{reply:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answers_do_not_hold_up_a_stop() {
+    let mut bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"cut":1.0}"#).await;
+    let reply = flow.call(Call::new(Method::GET, "/feed?ms=1000&every=20")).await;
+    assert_eq!(reply.broken.as_deref(), Some("H3_INTERNAL_ERROR"));
+    assert!(bench.stop(0).await, "all flows ended");
+}
