--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -330,11 +330,14 @@
             put(&mut headers, OUTCOME, "not-run");
             (Ok(StatusCode::UNPROCESSABLE_ENTITY), Vec::new())
         }
-        Verdict::Unknown | Verdict::Running => {
-            // "Not run" would be true of this request, but its caller could take it for the outcome under the key.
+        Verdict::Unknown => {
             notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
         }
+        // The earlier request may yet run: a caller that took this for "not run" could ask again under another key.
+        Verdict::Running => {
+            return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
+        }
         Verdict::Run(_) | Verdict::Unavailable => {
             return answer(course, outlet, Outcome::NotRun { retry_ms: REPEAT_MS }).await;
         }
