--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -283,9 +283,10 @@
         Some(key) => run_once(&mut course, key, &mut body, &mut outlet).await,
     }
     body.close();
-    drop(outlet);
-    // The flow may be closed only after the caller has the answer.
-    ended.wait().await;
+    if outlet.is_finished() {
+        // The flow may be closed only after the caller has the answer.
+        ended.wait().await;
+    }
 }
 
 /// Runs a request under an idempotency key, unless one has run under it before. It runs to its end whatever its caller
@@ -333,7 +334,11 @@
             notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
         }
-        Verdict::Run(_) | Verdict::Running | Verdict::Unavailable => {
+        // The earlier request may yet run: a caller that took this for "not run" could ask again under another key.
+        Verdict::Running => {
+            return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
+        }
+        Verdict::Run(_) | Verdict::Unavailable => {
             return answer(course, outlet, Outcome::NotRun { retry_ms: REPEAT_MS }).await;
         }
     };
