--- a/crates/relay/benches/relay/paths.rs
+++ b/crates/relay/benches/relay/paths.rs
@@ -103,7 +103,7 @@
                 self.sent += meta.len.div_ceil(meta.stride) as u64;
             }
         }
-        true
+        count == BATCH_SIZE
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -40,7 +40,7 @@
         Relay { data, shared, buffers }
     }
 
-    /// Relays one batch that arrived at `socket` for the service at `address`; false if there was none.
+    /// Relays one batch that arrived at `socket` for the service at `address`; whether there may be more.
     pub fn turn(&self, address: SocketAddr, socket: &Socket) -> bool {
         let mut buffers = self.buffers.borrow_mut();
         let Buffers { received, batch } = &mut *buffers;
@@ -58,6 +58,6 @@
             batch.flush(ring, received, self.data.max_segments(), |it| self.data.send(it));
         }
         batch.settle(&self.shared.tally);
-        true
+        count == BATCH_SIZE
     }
 }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
 };
 
-use quinn_udp::{RecvMeta, Transmit, UdpSockRef, UdpSocketState};
+use quinn_udp::{BATCH_SIZE, RecvMeta, Transmit, UdpSockRef, UdpSocketState};
 use socket2::{Domain, Protocol, Type};
 use tokio::{io::Interest, net::UdpSocket};
 
@@ -55,14 +55,25 @@
         self.io.readable().await
     }
 
-    /// Receives what is there, without waiting.
+    /// Receives what is there, without waiting: the number of buffers filled. If that is less than all of them, nothing
+    /// is left, and the next [`Socket::readable`] waits without a further call to the system.
     pub fn recv(
         &self,
         buffers: &mut [IoSliceMut<'_>],
         metas: &mut [RecvMeta],
     ) -> io::Result<usize> {
-        let recv = || self.state.recv(UdpSockRef::from(&self.io), buffers, metas);
-        self.io.try_io(Interest::READABLE, recv)
+        let all = buffers.len().min(metas.len()).min(BATCH_SIZE);
+        let mut count = 0;
+        let received = self.io.try_io(Interest::READABLE, || {
+            count = self.state.recv(UdpSockRef::from(&self.io), buffers, metas)?;
+            // Tells the runtime that the socket is empty.
+            if count < all { Err(io::ErrorKind::WouldBlock.into()) } else { Ok(()) }
+        });
+        match received {
+            Err(_) if count > 0 => Ok(count),
+            Err(e) => Err(e),
+            Ok(()) => Ok(count),
+        }
     }
 
     /// Sends without waiting. What can't be sent is lost, as on any UDP path; callers send it again.
--- a/crates/relay/src/worker.rs
+++ b/crates/relay/src/worker.rs
@@ -90,11 +90,9 @@
                 }
             }
         }
-        for _ in 0..TURN {
-            if !relay.turn(address, &socket) {
-                break;
-            }
+        let more = (0..TURN).all(|_| relay.turn(address, &socket));
+        if more {
+            yield_now().await;
         }
-        yield_now().await;
     }
 }
