--- a/crates/relay/benches/relay/main.rs
+++ b/crates/relay/benches/relay/main.rs
@@ -163,7 +163,7 @@
 /// Memory after a thousand flows and after a million, begun and established.
 fn memory(rig: &mut Rig) {
     let mut placed = rig.placed();
-    for traffic in [TRAFFIC[4], TRAFFIC[0]] {
+    for traffic in [TRAFFIC[5], TRAFFIC[1]] {
         rig.flow = 0;
         for target in [1_000, 10_000, 100_000, FLOWS] {
             while rig.flow + traffic.messages < target {
--- a/crates/relay/benches/relay/paths.rs
+++ b/crates/relay/benches/relay/paths.rs
@@ -32,7 +32,8 @@
     new: bool,
 }
 
-pub(crate) const TRAFFIC: [Traffic; 5] = [
+pub(crate) const TRAFFIC: [Traffic; 6] = [
+    Traffic { name: "lone", size: 100, merged: 1, messages: 1, growth: 0, new: false },
     Traffic { name: "small", size: 100, merged: 1, messages: 32, growth: 0, new: false },
     Traffic { name: "full", size: 1_200, merged: 1, messages: 32, growth: 0, new: false },
     Traffic { name: "mixed", size: 100, merged: 1, messages: 32, growth: 37, new: false },
