--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -97,6 +97,7 @@
             }
         }
         report.in_force = in_force;
+        report.lagging = report.behind.len() as u32;
         self.note(known, in_force, wall);
         report.changes = self.changes.iter().cloned().collect();
         report
@@ -167,7 +168,7 @@
         AgentState::Ready => Status::Ready,
         AgentState::Draining => Status::Draining,
         AgentState::Leaving => Status::Leaving,
-        AgentState::Down => Status::Down,
+        AgentState::Silent | AgentState::Down => Status::Down,
         AgentState::Starting => Status::Other,
     }
 }
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -128,6 +128,7 @@
             Launcher::new(settings.deployment, settings.bin_dir.clone(), settings.seed)?;
         let mut fleet = Fleet::new(folder);
         launcher.fill(&mut fleet, settings.balancers)?;
+        println!("platform at http://{}", launcher.platform);
         let http = Http::new();
         let shared = Shared {
             deployment: settings.deployment,
@@ -278,9 +279,11 @@
         let mut faults = Vec::new();
         let mut fleet = self.shared.fleet.lock().await;
         for role in order {
+            let late = tokio::spawn(self.shared.clone().keep_status(fleet.daemons(role)));
             for error in fleet.stop_all(role).await {
                 faults.push(format!("{error:#}"));
             }
+            late.abort();
         }
         faults
     }
