--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -31,7 +31,7 @@
 
 use super::{
     link::{Dial, Links},
-    meter,
+    meter, notice,
     rosters::Rosters,
     service::Service,
     socket::DataSocket,
@@ -112,6 +112,7 @@
     flows: Arc<AtomicU32>,
     stopping: AtomicBool,
     draining: AtomicBool,
+    drained: AtomicBool,
     reachable: watch::Sender<bool>,
     changed: watch::Sender<u64>,
 }
@@ -163,6 +164,7 @@
             flows: Arc::default(),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            drained: AtomicBool::new(false),
             reachable: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             settings,
@@ -307,7 +309,7 @@
             Err(e) => {
                 drop(services);
                 let about = About::new().with_service(&entry.name);
-                event::emit(Id::ConfigRefused, about, &format!("{e:#}"));
+                notice::emit(Id::ConfigRefused, about, &format!("{e:#}"));
                 None
             }
         }
@@ -327,6 +329,16 @@
         })
     }
 
+    /// Says once that a drain is done: no flow and no request is left.
+    pub(crate) fn report_drained(&self) {
+        let done = self.drains() && self.flows() == 0 && self.work.busy() == 0;
+        if self.drained.swap(done, Ordering::SeqCst) || !done {
+            return;
+        }
+        let about = About::new().with_upstream(&self.settings.name);
+        event::emit(Id::DrainDone, about, "no flow is left");
+    }
+
     fn refresh(&self) {
         let it = &self.settings;
         let planned = self.snapshot.load().drains(&it.name, &it.vm, &it.zone);
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -83,7 +83,7 @@
         let done = time::timeout(limit, self.node.tasks.wait()).await.is_ok();
         let about = About::new().with_upstream(&self.node.settings.name);
         if done {
-            event::emit(Id::DrainDone, about, "no flow is left");
+            self.node.report_drained();
         } else {
             let text = format!("{} flows are left", self.node.flows());
             event::emit(Id::DrainTimeout, about, &text);
@@ -139,6 +139,7 @@
             }
         }
         node.set_reachable(reachable);
+        node.report_drained();
         node.bump();
     }
 }
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -95,6 +95,8 @@
     pub(crate) budget: Mutex<Budget>,
     entry: ArcSwap<ServiceEntry>,
     certs: Arc<Certs>,
+    /// What was last found wrong with the certificate.
+    fault: Mutex<String>,
     flows: Arc<AtomicU32>,
     decisions: Mutex<Decisions>,
     /// Flows whose handshake is not done.
@@ -130,6 +132,7 @@
             budget: Mutex::new(Budget::new(entry.spec.retry_budget, clock::now_ms())),
             entry: ArcSwap::from_pointee(entry.clone()),
             certs,
+            fault: Mutex::default(),
             flows: Arc::default(),
             decisions: Mutex::default(),
             pending: Arc::default(),
@@ -160,17 +163,20 @@
     fn apply_certificate(&self, entry: &ServiceEntry, snapshot: &Snapshot) {
         let about = || About::new().with_service(&self.name);
         let name = &entry.spec.certificate;
-        let Some(certificate) = snapshot.certificates.get(name) else {
-            let text = format!("certificate/{name}: missing");
-            event::emit(Id::ConfigRefused, about(), &text);
-            return;
-        };
-        match self.certs.put(certificate) {
-            Ok(true) => event::emit(Id::CertificateChanged, about(), name),
-            Ok(false) => {}
-            Err(e) => {
-                event::emit(Id::ConfigRefused, about(), &format!("certificate/{name}: {e:#}"));
+        let fault = match snapshot.certificates.get(name).map(|it| self.certs.put(it)) {
+            None => format!("certificate/{name}: missing"),
+            Some(Err(e)) => format!("certificate/{name}: {e:#}"),
+            Some(Ok(replaced)) => {
+                if replaced {
+                    event::emit(Id::CertificateChanged, about(), name);
+                }
+                String::new()
             }
+        };
+        // Snapshots come often; a fault is reported once.
+        let former = std::mem::replace(&mut *self.fault.lock(), fault.clone());
+        if !fault.is_empty() && former != fault {
+            event::emit(Id::ConfigRefused, about(), &fault);
         }
     }
 
--- /dev/null
+++ b/crates/wire/tests/handover.rs
@@ -0,0 +1,79 @@
+//! Messages between agents: whatever bytes come, they are read or refused.
+
+use std::sync::Arc;
+
+use camphorwinch_core::{
+    claims::{Answer, Claim, ClaimKey, State},
+    object::ServiceId,
+};
+use camphorwinch_wire::handover::{Chunk, ClaimCall, ClaimRecord, Kind, Packet, request_id};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn random_bytes_are_read_or_refused(frame: Vec<u8>) -> bool {
+        if let Ok(Kind::Claim(call)) = Packet::decoded(&frame) {
+            // Neither may panic.
+            let _ = call.record.map(|it| (it.claim(), it.claim_key()));
+        }
+        true
+    }
+
+    fn altered_packets_are_read_or_refused(key: String, at: usize, byte: u8) -> bool {
+        let key = ClaimKey { service: ServiceId(7), key };
+        let claim =
+            Claim { request: 1, digest: 2, by: "a".to_owned(), state: State::Running, window: 1 };
+        let call = ClaimCall {
+            record: Some(ClaimRecord::new(&key, &claim)),
+            ..ClaimCall::default()
+        };
+        let mut frame = Packet::encoded(Kind::Claim(call)).to_vec();
+        let at = at % frame.len();
+        frame[at] = byte;
+        if let Ok(Kind::Claim(call)) = Packet::decoded(&frame) {
+            // Neither may panic.
+            let _ = call.record.map(|it| (it.claim(), it.claim_key()));
+        }
+        true
+    }
+
+    fn cut_packets_are_read_or_refused(data: Vec<u8>, cut: usize) -> bool {
+        let whole = Packet::encoded(Kind::Chunk(Chunk { data: data.into(), last: true }));
+        let part = &whole[..cut % (whole.len() + 1)];
+        match Packet::decoded(part) {
+            Ok(kind) => part.len() == whole.len() && matches!(kind, Kind::Chunk(_)),
+            Err(_) => part.len() < whole.len(),
+        }
+    }
+
+    fn claims_come_back_as_they_were(key: String, request: u128, digest: u64, by: String, body: Vec<u8>, at: u8) -> bool {
+        let answer = Answer { status: 201, headers: vec![("x".to_owned(), body.clone())], body };
+        let state = match at % 3 {
+            0 => State::Running,
+            1 => State::Unknown,
+            _ => State::Done(Arc::new(answer)),
+        };
+        let key = ClaimKey { service: ServiceId(7), key };
+        let claim = Claim { request, digest, by, state, window: 60_000 };
+        let record = ClaimRecord::new(&key, &claim);
+        record.claim_key() == key
+            && record.claim() == Ok(Some(claim))
+            && record.with_release().claim() == Ok(None)
+    }
+
+    fn request_numbers_have_16_bytes(bytes: Vec<u8>) -> bool {
+        request_id(&bytes).is_ok() == (bytes.len() == 16)
+    }
+}
+
+#[test]
+fn claim_without_its_answer_is_refused() {
+    let key = ClaimKey { service: ServiceId(7), key: "k".to_owned() };
+    let answer = Answer { status: 200, headers: Vec::new(), body: Vec::new() };
+    let state = State::Done(Arc::new(answer));
+    let claim = Claim { request: 1, digest: 2, by: "a".to_owned(), state, window: 1 };
+    let mut record = ClaimRecord::new(&key, &claim);
+    record.answer = None;
+    assert!(record.claim().is_err());
+    record.state = 99;
+    assert!(record.claim().is_err());
+}
