core: without a death no key is doubtful

Cause: a pool all of whose members joined within the key's window counted as one that had lost all of them (0 of 0), so keyed requests at a fresh agent were told unknown without having run.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -268,7 +268,7 @@
             zones.insert(&it.zone);
             members += 1;
         }
-        let enough = lost.len() >= HOLDERS.min(members);
+        let enough = !lost.is_empty() && lost.len() >= HOLDERS.min(members);
         enough && gone.len() >= HOLDERS.min(zones.len())
     }
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -400,3 +400,13 @@
         assert!(runs_once(ops, Without::Nothing), "{ops:?}");
     }
 }
+
+#[test]
+fn pool_that_has_just_started_is_not_doubtful() {
+    let key = ClaimKey { service: ServiceId(7), key: "k".to_owned() };
+    let seen = |name| Seen { name, incarnation: 1, zone: "a", part: Part::Member };
+    let mut roster = Roster::new("one", 0, &[]);
+    assert!(!roster.is_doubtful(&key, 1, 1_000));
+    roster.update(10, 1_000, &[seen("one"), seen("two")]);
+    assert!(!roster.is_doubtful(&key, 20, 1_000));
+}
