--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,6 +2,7 @@
 
 mod join;
 mod link;
+pub(crate) mod peer;
 mod receive;
 pub(crate) mod state;
 pub(crate) mod tick;
@@ -202,7 +203,7 @@
         loop {
             sleep(FLUSH_STEP).await;
             let state = self.inner.state.lock();
-            let empty = |it: &state::Link| it.outbox.capacity() == it.outbox.max_capacity();
+            let empty = |it: &peer::Link| it.outbox.capacity() == it.outbox.max_capacity();
             if state.links.values().all(empty) {
                 return;
             }
--- a/crates/daemon/src/control/join.rs
+++ b/crates/daemon/src/control/join.rs
@@ -22,7 +22,8 @@
     clock::now_ms,
     control::{
         Inner, link,
-        state::{LinkId, LinkKind, State, as_peers},
+        peer::{LinkId, LinkKind},
+        state::{State, as_peers},
         tick,
     },
     event::{self, About, Id},
@@ -34,6 +35,8 @@
 const REOPEN_MS: u64 = 200;
 /// For how long an agent chooses other balancers than one that it could not reach.
 const AVOID_MS: u64 = 5_000;
+/// For how long an address that was tried is remembered.
+const KEEP_MS: u64 = 60_000;
 /// Addresses that are tried at once by a process without a link.
 const TRIES: usize = 3;
 /// Time between attempts to reach a balancer that was found dead.
@@ -144,6 +147,7 @@
             false => balancer_targets(&state, &mut dials, now),
         };
         end_surplus(&mut state, &wanted);
+        dials.tried.retain(|_, it| it.busy || now < it.avoid_ms.max(it.after_ms) + KEEP_MS);
         if !has_balancer(&state) {
             targets.extend(self.join_targets(&dials));
         }
--- a/crates/daemon/src/control/link.rs
+++ b/crates/daemon/src/control/link.rs
@@ -30,7 +30,8 @@
     clock::now_ms,
     control::{
         Accepted, Inner, Stream,
-        state::{Link, LinkId, LinkKind, State},
+        peer::{Link, LinkId, LinkKind},
+        state::State,
     },
     event::{self, About, Id},
     metrics,
--- a/crates/daemon/src/control/receive.rs
+++ b/crates/daemon/src/control/receive.rs
@@ -15,7 +15,7 @@
     clock::now_ms,
     control::{
         Inner, Load,
-        state::{Homed, LinkId, LinkKind},
+        peer::{Homed, LinkId, LinkKind},
     },
     event, report,
 };
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -16,7 +16,8 @@
     clock::{now_ms, wall_ms},
     control::{
         Inner,
-        state::{LinkId, LinkKind, State, as_peers, stamp, state_of},
+        peer::{LinkId, LinkKind},
+        state::{State, as_peers, stamp, state_of},
     },
     event::{self, About, Id},
 };
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -18,11 +18,7 @@
 
 use crate::{
     clock::{now_ms, wall_ms},
-    control::{
-        Inner,
-        state::{LinkId, State},
-        tick::waiting_events,
-    },
+    control::{Inner, peer::LinkId, state::State, tick::waiting_events},
 };
 
 /// Least time between two reports.
