agent: a stop waits for requests of other agents' flows

The drain waited for its own flows only. The new test fails without the change (stopped after 0.3 s of a feed of 1.5 s) and passes with it (both runs made).

--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -276,6 +276,8 @@
     loop {
         let next = match inlet.first().await {
             Some(Kind::Offer(offer)) => {
+                // A stop waits for requests of other agents' flows too.
+                let _running = node.tasks.token();
                 let mut ended = link::ended(&closed);
                 run(&node, offer, inlet, outlet, &mut ended).await
             }
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -2,7 +2,7 @@
 
 mod bench;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 
@@ -97,6 +97,21 @@
     assert!(reply.text().contains("\"size\":500000"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_requests_of_other_agents_flows() {
+    let mut bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    let start = Instant::now();
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=1500&every=100&echo=f")));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(bench.stop(1).await);
+    assert!(start.elapsed() >= Duration::from_millis(1500), "stopped after {:?}", start.elapsed());
+    let feed = feed.await.expect("the caller's task ends");
+    assert_eq!(feed.header("camphorwinch-upstream"), "agent-1");
+    assert!(feed.text().contains("sum "), "the feed ended with its last line");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_agent_passes_flows_and_requests_on() {
     let bench = Bench::start(2).await;
