--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -140,6 +140,7 @@
         }
         node.set_reachable(reachable);
         node.report_drained();
+        node.links.sweep();
         node.bump();
     }
 }
