agent: flows of an agent that is only paused are not reset

Now the other agent sends them on for 15 s, unless the dead one's control address refuses connections. Ruled out: a later reset in the balancer, which would delay it for processes that are known to be gone. The new test fails without the change and passes with it.

--- a/crates/daemon/src/agent/datagram.rs
+++ b/crates/daemon/src/agent/datagram.rs
@@ -130,7 +130,7 @@
     if let Some(to) = home.map(|it| it.agent).filter(|it| *it != node.home) {
         let snapshot = node.snapshot();
         let lives = snapshot.agents.values().any(|it| it.data == to.into() && it.state.answers());
-        if lives {
+        if lives || node.absent.may_wake(to) {
             let header = Header { hop: 0, candidates: Candidates::NONE, ..*header };
             return send(node, ring, &header, payload, to, scratch, Fate::Forwarded);
         }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! The agent: ends callers' flows beside an upstream and runs their requests.
 
+mod absent;
 mod body;
 mod claim;
 mod datagram;
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -30,6 +30,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    absent::Absent,
     link::{Dial, Links},
     meter, notice,
     rosters::Rosters,
@@ -105,6 +106,8 @@
     pub(crate) rosters: Mutex<Rosters>,
     /// Keyed requests in hand.
     pub(crate) open: Mutex<BTreeSet<RequestId>>,
+    /// Agents found dead.
+    pub(crate) absent: Absent,
     /// Flows and requests in progress.
     pub(crate) tasks: TaskTracker,
     snapshot: ArcSwap<Snapshot>,
@@ -158,6 +161,7 @@
             claims: Mutex::new(Claims::new()),
             rosters: Mutex::new(Rosters::new(&settings.name)),
             open: Mutex::default(),
+            absent: Absent::default(),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
@@ -181,6 +185,7 @@
         self.apply_keys(&snapshot);
         self.snapshot.store(Arc::clone(&snapshot));
         self.rosters.lock().apply(&snapshot, clock::now_ms());
+        self.absent.apply(&snapshot);
         self.hints.lock().retain(|it| snapshot.agents.contains_key(it));
         self.refresh();
         for service in self.services() {
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -327,3 +327,15 @@
     assert_eq!(reply.broken.as_deref(), Some("H3_INTERNAL_ERROR"));
     assert!(bench.stop(0).await, "all flows ended");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_of_an_agent_held_for_dead_live_on() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    bench.down(0);
+    for _ in 0..5 {
+        let reply = flow.call(Call::new(Method::GET, "/screen")).await;
+        assert_eq!(reply.header("camphorwinch-agent"), "agent-0", "{reply:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
