Agent: the answer to a repeat names the agent that holds its flow

Cause: a kept answer was passed on with all of its header fields, camphorwinch-agent among them, so a caller took its flow to live at the agent that had answered first. Ruled out: resets of flows of a live agent, no balancer had taken intake-1 for dead.

Before: the test that asks for the agent's name finds agent-0; after: agent-1.

--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -321,6 +321,7 @@
             notice::emit(Id::ClaimRepeated, about(), "answered as before");
             meter::count(&meter::REQUESTS, "repeated");
             headers = kept_headers(&kept);
+            put(&mut headers, AGENT, &course.node.settings.name);
             (StatusCode::from_u16(kept.status), kept.body.clone())
         }
         Verdict::Mismatch => {
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -161,6 +161,7 @@
     };
     assert_eq!(second.text(), first.text());
     assert_eq!(second.header("camphorwinch-upstream"), "agent-0");
+    assert_eq!(second.header("camphorwinch-agent"), "agent-1", "the flow lives there");
     let mismatch = Call::new(Method::POST, "/other").with_header("idempotency-key", "k");
     let reply = other.call(mismatch).await;
     assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY);
