SplitMix64 stands once

The table of slots and the draw of peers each had a copy of the mixing function; the generator is the same function applied to a counter. Outputs are the same. The other copies of SipHash keys and hashes were looked at and differ in what they hash.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod seal;
 pub mod slots;
 pub mod snapshot;
+mod split_mix;
 pub mod suspect;
 pub mod timeline;
 pub mod view;
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::object::Policy;
+use crate::{object::Policy, split_mix};
 
 /// A peer that refused is not asked again for this long, unless it names a longer time.
 const CLOSED_MS: u64 = 50;
@@ -104,7 +104,7 @@
 
 fn pick(peers: &[Peer<'_>], state: &mut u64) -> usize {
     let total: f64 = peers.iter().map(|it| it.weight).sum();
-    let unit = (split_mix(state) >> 11) as f64 / (1_u64 << 53) as f64;
+    let unit = (split_mix::next(state) >> 11) as f64 / (1_u64 << 53) as f64;
     let mut left = unit * total;
     for (at, peer) in peers.iter().enumerate() {
         left -= peer.weight;
@@ -114,11 +114,3 @@
     }
     peers.len() - 1
 }
-
-fn split_mix(state: &mut u64) -> u64 {
-    *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let mut z = *state;
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -8,7 +8,7 @@
 
 use siphasher::sip::SipHasher13;
 
-use crate::candidates::MAX_CANDIDATES;
+use crate::{candidates::MAX_CANDIDATES, split_mix::mix};
 
 const SLOTS_PER_MEMBER: usize = 128;
 const MIN_SLOTS: usize = 1_024;
@@ -184,12 +184,3 @@
         self.taken += 1;
     }
 }
-
-/// The finalizer of SplitMix64.
-#[inline]
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
