Service, ServiceEntry: constructors; the weight of an agent stands once

Three fixtures wrote out the defaults of a spec; they use Service::new now, with the same values. SpecError::new takes a named generic.

--- a/crates/core/benches/place.rs
+++ b/crates/core/benches/place.rs
@@ -9,7 +9,7 @@
 
 use camphorwinch_core::{
     member::{Agent, AgentState, Place},
-    object::{KeySpec, KeyUse, Keys, Policy, Service, ServiceId},
+    object::{KeySpec, KeyUse, Keys, Service, ServiceId},
     place::{MIN_INITIAL, Placer},
     seal::{CID_LEN, Home, KeyRing},
     slots::{Member, Slots},
@@ -52,17 +52,8 @@
 }
 
 fn snapshot(upstreams: usize) -> Snapshot {
-    let spec = Service {
-        address: address(),
-        pool: SERVICE.to_owned(),
-        certificate: "cert".to_owned(),
-        policy: Policy::Steady,
-        weights: Default::default(),
-        key_window_s: 600,
-        retry_budget: 0.1,
-        connections: 2_000,
-    };
-    let entry = ServiceEntry { name: SERVICE.to_owned(), version: 1, spec };
+    let spec = Service::new(address(), SERVICE, "cert");
+    let entry = ServiceEntry::new(SERVICE, 1, spec);
     let mut snapshot = Snapshot { keys: Some(keys()), ..Snapshot::default() };
     snapshot.services.insert(ServiceId::new(SERVICE), entry);
     for number in 0..upstreams {
--- a/crates/core/src/assemble.rs
+++ b/crates/core/src/assemble.rs
@@ -107,7 +107,7 @@
         check_services([(rival.name.as_str(), &rival.spec), (name, spec)])?;
     }
     if let btree_map::Entry::Vacant(entry) = snapshot.services.entry(id) {
-        entry.insert(ServiceEntry { name: name.to_owned(), version, spec: spec.clone() });
+        entry.insert(ServiceEntry::new(name, version, spec.clone()));
     }
     Ok(())
 }
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -102,7 +102,10 @@
 }
 
 impl SpecError {
-    fn new(path: &str, reason: impl Into<String>) -> SpecError {
+    fn new<R>(path: &str, reason: R) -> SpecError
+    where
+        R: Into<String>,
+    {
         SpecError { path: path.to_owned(), reason: reason.into() }
     }
 }
@@ -147,6 +150,22 @@
     pub connections: u32,
 }
 
+impl Service {
+    /// A service of `pool` at `address`, with the defaults that a spec may leave out.
+    pub fn new(address: SocketAddr, pool: &str, certificate: &str) -> Service {
+        Service {
+            address,
+            pool: pool.to_owned(),
+            certificate: certificate.to_owned(),
+            policy: Policy::default(),
+            weights: BTreeMap::new(),
+            key_window_s: default_key_window(),
+            retry_budget: default_retry_budget(),
+            connections: default_connections(),
+        }
+    }
+}
+
 fn default_key_window() -> u32 {
     600
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -371,12 +371,11 @@
 
 /// Agents that get new flows. If there is none, those that still answer: they refuse, so that callers learn at once.
 fn seats(snapshot: &Snapshot, entry: &ServiceEntry, agents: &[&Agent]) -> Vec<Seat> {
-    let weight = |it: &Agent| entry.spec.weights.get(&it.name).copied().unwrap_or(it.weight);
     let seat = |it: &Agent, weight: f64| {
         Some(Seat { name: it.name.clone(), weight, data: sealable(it.data)? })
     };
-    let ready = agents.iter().filter(|it| snapshot.takes_work(it) && weight(it) > 0.0);
-    let seats: Vec<Seat> = ready.filter_map(|it| seat(it, weight(it))).collect();
+    let ready = agents.iter().filter(|it| snapshot.takes_work(it) && entry.weight(it) > 0.0);
+    let seats: Vec<Seat> = ready.filter_map(|it| seat(it, entry.weight(it))).collect();
     if seats.is_empty() { agents.iter().filter_map(|it| seat(it, 1.0)).collect() } else { seats }
 }
 
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -18,6 +18,18 @@
     pub spec: Service,
 }
 
+impl ServiceEntry {
+    /// Version `version` of the service named `name`.
+    pub fn new(name: &str, version: u64, spec: Service) -> ServiceEntry {
+        ServiceEntry { name: name.to_owned(), version, spec }
+    }
+
+    /// Weight of `agent` within the service: the service's own setting goes before what the agent announced.
+    pub fn weight(&self, agent: &Agent) -> f64 {
+        self.spec.weights.get(&agent.name).copied().unwrap_or(agent.weight)
+    }
+}
+
 /// Configuration and members at one moment. Built by the control plane, read by everyone else, never changed in place.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
@@ -65,9 +77,8 @@
         self.agents.values().filter(|it| it.pool == *pool && self.takes_work(it)).collect()
     }
 
-    /// Weight of `agent` within a service: the service's own setting goes before what the agent announced.
+    /// Weight of `agent` within a service; the one it announced if the service is not known.
     pub fn weight(&self, service: ServiceId, agent: &Agent) -> f64 {
-        let own = self.services.get(&service).and_then(|it| it.spec.weights.get(&agent.name));
-        own.copied().unwrap_or(agent.weight)
+        self.services.get(&service).map_or(agent.weight, |it| it.weight(agent))
     }
 }
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -5,7 +5,7 @@
 use camphorwinch_core::{
     invariant::{self, Invariant},
     member::{Agent, AgentState, Place},
-    object::{Action, Change, KeySpec, KeyUse, Keys, Policy, Service, ServiceId, Target},
+    object::{Action, Change, KeySpec, KeyUse, Keys, Service, ServiceId, Target},
     place::{FORMER_MS, MIN_INITIAL, Placement, Placer, Refusal},
     seal::{Home, KeyRing},
     snapshot::{ServiceEntry, Snapshot},
@@ -36,16 +36,7 @@
 }
 
 fn service(address_: &str, pool: &str) -> Service {
-    Service {
-        address: address(address_),
-        pool: pool.to_owned(),
-        certificate: "cert".to_owned(),
-        policy: Policy::Steady,
-        weights: Default::default(),
-        key_window_s: 600,
-        retry_budget: 0.1,
-        connections: 2_000,
-    }
+    Service::new(address(address_), pool, "cert")
 }
 
 fn keys(epochs: &[(u8, KeyUse)]) -> Keys {
@@ -54,7 +45,7 @@
 }
 
 fn with_service(snapshot: &mut Snapshot, name: &str, spec: Service) {
-    let entry = ServiceEntry { name: name.to_owned(), version: 1, spec };
+    let entry = ServiceEntry::new(name, 1, spec);
     snapshot.services.insert(ServiceId::new(name), entry);
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use camphorwinch_core::{
     member::{Agent, AgentState, Place},
-    object::{KeySpec, KeyUse, Keys, Policy, Service, ServiceId},
+    object::{KeySpec, KeyUse, Keys, Service, ServiceId},
     seal::{Home, KeyRing},
     snapshot::{ServiceEntry, Snapshot},
 };
@@ -29,17 +29,8 @@
 
 /// A snapshot with one service at `address` and an agent at each of `agents`.
 pub(crate) fn snapshot(address: SocketAddr, agents: &[SocketAddr]) -> Snapshot {
-    let spec = Service {
-        address,
-        pool: SERVICE.to_owned(),
-        certificate: "cert".to_owned(),
-        policy: Policy::Steady,
-        weights: Default::default(),
-        key_window_s: 600,
-        retry_budget: 0.1,
-        connections: 2_000,
-    };
-    let entry = ServiceEntry { name: SERVICE.to_owned(), version: 1, spec };
+    let spec = Service::new(address, SERVICE, "cert");
+    let entry = ServiceEntry::new(SERVICE, 1, spec);
     let mut snapshot = Snapshot { keys: Some(keys()), ..Snapshot::default() };
     snapshot.services.insert(ServiceId::new(SERVICE), entry);
     for (number, &data) in agents.iter().enumerate() {
