--- a/crates/standin/src/caller/session.rs
+++ b/crates/standin/src/caller/session.rs
@@ -25,7 +25,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 const MAX_ATTEMPTS: u32 = 5;
 /// Time after which a caller no longer repeats a request; well below the services' key window.
-const REPEAT_LIMIT: Duration = Duration::from_secs(60);
+const REPEAT_LIMIT: Duration = Duration::from_secs(15);
 /// Chance that a request of unknown outcome is repeated on a new flow.
 const OTHER_FLOW_CHANCE: f64 = 0.5;
 
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -43,7 +43,7 @@
 const CALLER_HOSTS: usize = 16;
 const SPARE_ENDPOINTS: usize = 32;
 /// Deaths come a hundred times as often as at a real site, so that doubts about keys must pass sooner.
-pub(super) const KEY_WINDOW_S: u32 = 120;
+pub(super) const KEY_WINDOW_S: u32 = 30;
 const PROGRESS: Duration = Duration::from_secs(5);
 
 /// Settings of a run.
