relay: a refusal stands once, within the outcomes

The nine refusals of the placer were written out again as outcomes, with a conversion between the two. Names of metrics are as before. Tests of the relay name Refused(Forged) where they named Forged, and check the same counts.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -61,6 +61,36 @@
     NoKeys,
 }
 
+impl Refusal {
+    /// All refusals, in the order of their numbers.
+    pub const ALL: [Refusal; 9] = [
+        Refusal::Garbage,
+        Refusal::Small,
+        Refusal::Forged,
+        Refusal::Epoch,
+        Refusal::WrongService,
+        Refusal::NoUpstream,
+        Refusal::OwnerDown,
+        Refusal::NoService,
+        Refusal::NoKeys,
+    ];
+
+    /// Name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Garbage => "garbage",
+            Refusal::Small => "small",
+            Refusal::Forged => "forged",
+            Refusal::Epoch => "epoch",
+            Refusal::WrongService => "wrong-service",
+            Refusal::NoUpstream => "no-upstream",
+            Refusal::OwnerDown => "owner-down",
+            Refusal::NoService => "no-service",
+            Refusal::NoKeys => "no-keys",
+        }
+    }
+}
+
 /// Where a datagram goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -53,7 +53,7 @@
     shared: Arc<Shared>,
     workers: Vec<Worker>,
     sockets: Sockets,
-    exported: [u64; Outcome::ALL.len()],
+    exported: [u64; Outcome::COUNT],
 }
 
 impl Relay {
@@ -68,7 +68,7 @@
         let workers: io::Result<Vec<Worker>> = (0..config.workers).map(start).collect();
         let workers = workers.with_context(|| format!("open the data socket {}", config.data))?;
         let sockets = Sockets::new(config.bind, config.data);
-        Ok(Relay { shared, workers, sockets, exported: [0; Outcome::ALL.len()] })
+        Ok(Relay { shared, workers, sockets, exported: [0; Outcome::COUNT] })
     }
 
     /// What the packet path shares with the operator address.
@@ -132,11 +132,11 @@
     }
 
     fn export(&mut self) {
-        for outcome in Outcome::ALL {
+        for outcome in Outcome::all() {
             let count = self.shared.tally.get(outcome);
-            let new = count - self.exported[outcome as usize];
+            let new = count - self.exported[outcome.index()];
             PACKETS.with_label_values(&[outcome.as_str()]).inc_by(new);
-            self.exported[outcome as usize] = count;
+            self.exported[outcome.index()] = count;
         }
     }
 
@@ -169,13 +169,13 @@
 }
 
 fn received(tally: &Tally) -> u64 {
-    Outcome::ALL.into_iter().map(|it| tally.get(it)).sum()
+    Outcome::all().map(|it| tally.get(it)).sum()
 }
 
 /// State of the packet path, for operators.
 pub(crate) fn status(shared: &Shared) -> Value {
     let count = |it: Outcome| (it.as_str().to_owned(), json!(shared.tally.get(it)));
-    let packets: serde_json::Map<String, Value> = Outcome::ALL.into_iter().map(count).collect();
+    let packets: serde_json::Map<String, Value> = Outcome::all().map(count).collect();
     let placer = shared.placer.load();
     let addresses: Vec<SocketAddr> = placer.listeners().keys().copied().collect();
     json!({ "packets": packets, "addresses": addresses, "table_bytes": placer.table_bytes() })
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -5,7 +5,7 @@
 use camphorwinch_core::{
     candidates::Candidates,
     object::ServiceId,
-    place::{Listener, Placement, Placer, same_flow},
+    place::{Listener, Placement, Placer, Refusal, same_flow},
     seal::KeyRing,
 };
 use camphorwinch_wire::encap::{Encoder, Header, MAX_PAYLOAD};
@@ -25,7 +25,7 @@
     counts: Counts,
 }
 
-type Counts = [u64; Outcome::ALL.len()];
+type Counts = [u64; Outcome::COUNT];
 
 /// Datagrams that follow each other in one buffer and have one header: `len` bytes, a datagram every `stride`.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
         for (buffer, meta) in metas.iter().enumerate() {
             let bytes = &buffers[buffer].as_ref()[..meta.len];
             if bytes.is_empty() {
-                self.counts[Outcome::Garbage as usize] += 1;
+                self.counts[Outcome::Refused(Refusal::Garbage).index()] += 1;
                 continue;
             }
             let stride = meta.stride.max(1);
@@ -79,7 +79,7 @@
 
     fn add(&mut self, placement: Result<Placement, Outcome>, meta: &RecvMeta, span: Span) {
         let outcome = placement.as_ref().map_or_else(|it| *it, Outcome::from);
-        self.counts[outcome as usize] += span.len.div_ceil(span.stride) as u64;
+        self.counts[outcome.index()] += span.len.div_ceil(span.stride) as u64;
         let Some((agent, service, candidates)) = placement.ok().and_then(destination) else {
             return;
         };
@@ -113,8 +113,8 @@
 
     /// Adds the counts since the last call to `tally`.
     pub fn settle(&mut self, tally: &Tally) {
-        for outcome in Outcome::ALL {
-            let count = std::mem::take(&mut self.counts[outcome as usize]);
+        for outcome in Outcome::all() {
+            let count = std::mem::take(&mut self.counts[outcome.index()]);
             if count > 0 {
                 tally.add(outcome, count);
             }
@@ -212,7 +212,7 @@
             src_ip: None,
         };
         if let Err(outcome) = (self.send)(&transmit) {
-            self.counts[outcome as usize] += run.count as u64;
+            self.counts[outcome.index()] += run.count as u64;
         }
         self.out.clear();
     }
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -15,53 +15,51 @@
     New,
     /// Sent to a live agent, for a stateless reset.
     Reset,
-    /// Dropped: not a QUIC packet that a caller could send.
-    Garbage,
-    /// Dropped: would start a flow, but too small.
-    Small,
-    /// Dropped: forged connection ID.
-    Forged,
-    /// Dropped: unknown key epoch.
-    Epoch,
-    /// Dropped: the flow's service never had this address.
-    WrongService,
-    /// Dropped: no agent for the service.
-    NoUpstream,
-    /// Dropped: the flow's agent is dead, and a reset is not possible.
-    OwnerDown,
-    /// Dropped: the address has no service any more.
-    NoService,
-    /// Dropped: no keys yet.
-    NoKeys,
     /// Dropped: does not fit into a packet with the encapsulation.
     Oversized,
     /// The system refused to send it.
     SendFailed,
     /// The send buffer was full.
     SendBlocked,
+    /// Dropped: no place for it.
+    Refused(Refusal),
 }
 
 impl Outcome {
-    /// All outcomes.
-    pub const ALL: [Outcome; 16] = [
+    /// Number of outcomes.
+    pub const COUNT: usize = Outcome::OWN.len() + Refusal::ALL.len();
+
+    const OWN: [Outcome; 7] = [
         Outcome::Owner,
         Outcome::OwnerUnknown,
         Outcome::New,
         Outcome::Reset,
-        Outcome::Garbage,
-        Outcome::Small,
-        Outcome::Forged,
-        Outcome::Epoch,
-        Outcome::WrongService,
-        Outcome::NoUpstream,
-        Outcome::OwnerDown,
-        Outcome::NoService,
-        Outcome::NoKeys,
         Outcome::Oversized,
         Outcome::SendFailed,
         Outcome::SendBlocked,
     ];
 
+    /// All outcomes, in the order of their numbers.
+    pub fn all() -> impl Iterator<Item = Outcome> {
+        let refused = Refusal::ALL.into_iter().map(Outcome::Refused);
+        Outcome::OWN.into_iter().chain(refused)
+    }
+
+    /// Number of the outcome, less than [`Outcome::COUNT`].
+    #[inline]
+    pub fn index(self) -> usize {
+        match self {
+            Outcome::Owner => 0,
+            Outcome::OwnerUnknown => 1,
+            Outcome::New => 2,
+            Outcome::Reset => 3,
+            Outcome::Oversized => 4,
+            Outcome::SendFailed => 5,
+            Outcome::SendBlocked => 6,
+            Outcome::Refused(it) => Outcome::OWN.len() + it as usize,
+        }
+    }
+
     /// Name used in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -69,18 +67,10 @@
             Outcome::OwnerUnknown => "owner-unknown",
             Outcome::New => "new",
             Outcome::Reset => "reset",
-            Outcome::Garbage => "garbage",
-            Outcome::Small => "small",
-            Outcome::Forged => "forged",
-            Outcome::Epoch => "epoch",
-            Outcome::WrongService => "wrong-service",
-            Outcome::NoUpstream => "no-upstream",
-            Outcome::OwnerDown => "owner-down",
-            Outcome::NoService => "no-service",
-            Outcome::NoKeys => "no-keys",
             Outcome::Oversized => "oversized",
             Outcome::SendFailed => "send-failed",
             Outcome::SendBlocked => "send-blocked",
+            Outcome::Refused(it) => it.as_str(),
         }
     }
 }
@@ -92,23 +82,7 @@
             Placement::Owner { known: false, .. } => Outcome::OwnerUnknown,
             Placement::New { .. } => Outcome::New,
             Placement::Reset(_) => Outcome::Reset,
-            Placement::Drop(refusal) => Outcome::from(*refusal),
-        }
-    }
-}
-
-impl From<Refusal> for Outcome {
-    fn from(refusal: Refusal) -> Outcome {
-        match refusal {
-            Refusal::Garbage => Outcome::Garbage,
-            Refusal::Small => Outcome::Small,
-            Refusal::Forged => Outcome::Forged,
-            Refusal::Epoch => Outcome::Epoch,
-            Refusal::WrongService => Outcome::WrongService,
-            Refusal::NoUpstream => Outcome::NoUpstream,
-            Refusal::OwnerDown => Outcome::OwnerDown,
-            Refusal::NoService => Outcome::NoService,
-            Refusal::NoKeys => Outcome::NoKeys,
+            Placement::Drop(refusal) => Outcome::Refused(*refusal),
         }
     }
 }
@@ -116,18 +90,18 @@
 /// Datagrams by outcome. Shared between workers; each adds once per batch.
 #[derive(Debug, Default)]
 pub struct Tally {
-    counts: [AtomicU64; Outcome::ALL.len()],
+    counts: [AtomicU64; Outcome::COUNT],
 }
 
 impl Tally {
     /// Adds `count` datagrams.
     pub fn add(&self, outcome: Outcome, count: u64) {
-        self.counts[outcome as usize].fetch_add(count, Ordering::Relaxed);
+        self.counts[outcome.index()].fetch_add(count, Ordering::Relaxed);
     }
 
     /// Datagrams so far.
     pub fn get(&self, outcome: Outcome) -> u64 {
-        self.counts[outcome as usize].load(Ordering::Relaxed)
+        self.counts[outcome.index()].load(Ordering::Relaxed)
     }
 
     /// Datagrams sent to agents so far.
--- a/crates/relay/tests/batch.rs
+++ b/crates/relay/tests/batch.rs
@@ -7,7 +7,7 @@
     net::{SocketAddr, SocketAddrV4},
 };
 
-use camphorwinch_core::place::Placer;
+use camphorwinch_core::place::{Placer, Refusal};
 use camphorwinch_relay::{
     batch::Batch,
     outcome::{Outcome, Tally},
@@ -102,7 +102,7 @@
     let count = |it: Outcome| tally.get(it);
     assert_eq!(count(Outcome::Owner), 1);
     assert_eq!(count(Outcome::Oversized), 1);
-    assert_eq!(count(Outcome::Forged), 1);
-    assert_eq!(count(Outcome::Garbage), 2);
+    assert_eq!(count(Outcome::Refused(Refusal::Forged)), 1);
+    assert_eq!(count(Outcome::Refused(Refusal::Garbage)), 2);
     assert_eq!(tally.relayed(), 1);
 }
--- a/crates/relay/tests/worker.rs
+++ b/crates/relay/tests/worker.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
-use camphorwinch_core::place::Placer;
+use camphorwinch_core::place::{Placer, Refusal};
 use camphorwinch_relay::{
     outcome::{Outcome, Tally},
     relay::Shared,
@@ -55,7 +55,11 @@
     let (header, payload) = encap::decode(&common::ring(), &buffer[..len]).expect("valid");
     assert_eq!(header.caller, caller.local_addr().expect("an address"));
     assert_eq!(payload, datagram);
-    assert_eq!(shared.tally.get(Outcome::Epoch), 1, "the first datagram's ID has an unknown epoch");
+    assert_eq!(
+        shared.tally.get(Outcome::Refused(Refusal::Epoch)),
+        1,
+        "the first datagram's ID has an unknown epoch"
+    );
 
     drop(closer);
     worker.join();
