--- a/crates/standin/src/capacity/inject.rs
+++ b/crates/standin/src/capacity/inject.rs
@@ -30,8 +30,9 @@
 const TELLER: &str = "teller";
 const REPORTER: &str = "reporter";
 const BEAT: Duration = Duration::from_secs(1);
-/// Beats between two reports: balancers report every two seconds.
-const REPORT_BEATS: u64 = 2;
+/// Agents for each second between two reports, which come every 2 to 10 seconds, as those of balancers do.
+const REPORT_AGENTS: u64 = 100;
+const REPORT_BEATS: std::ops::RangeInclusive<u64> = 2..=10;
 /// Records in one message.
 const CHUNK: usize = 200;
 
@@ -149,7 +150,9 @@
         }
         send(&mut link, Body::Beat(Beat::default())).await?;
         count += 1;
-        if count.is_multiple_of(REPORT_BEATS) {
+        let agents = zone.borrow().agents.len() as u64;
+        let beats = (agents / REPORT_AGENTS).clamp(*REPORT_BEATS.start(), *REPORT_BEATS.end());
+        if count.is_multiple_of(beats) {
             let report = about(&zone.borrow_and_update(), count);
             send(&mut link, Body::Report(report)).await?;
         }
--- a/crates/standin/src/capacity/size.rs
+++ b/crates/standin/src/capacity/size.rs
@@ -18,7 +18,7 @@
 pub const CHANGES_PER_DAY: f64 = 2_500.0;
 /// Restarts, replacements and failures of VMs a day.
 pub const EVENTS_PER_DAY: f64 = 628.0;
-/// Records that a member event leaves: it goes, it comes back, it becomes ready.
+/// Records that a member event leaves at least: it goes, it comes back, it becomes ready.
 pub const RECORDS_PER_EVENT: f64 = 3.0;
 /// Processor time for control that a daemon may use, in percent of a core.
 pub const CPU_BUDGET: f64 = 1.7;
@@ -28,118 +28,201 @@
 pub const BYTES_BUDGET: f64 = 16.0 * 1024.0;
 /// Reads a second that the platform takes.
 pub const READ_BUDGET: f64 = 2_000.0;
-/// Writes a second that the platform takes.
-pub const WRITE_BUDGET: f64 = 300.0;
 /// Seconds within which a change must be in force.
 pub const IN_FORCE_S: f64 = 3.0;
+/// Lease holders: two in each zone.
+pub const HOLDERS: f64 = 12.0;
+/// Seconds between two snapshots while there is always something new: a part in twenty of the time goes into them.
+pub const REBUILD_S: f64 = 0.1;
+/// Seconds of a minute.
+pub const MINUTE: f64 = 60.0;
 /// Seconds of a day.
 pub const DAY: f64 = 86_400.0;
 
 /// Members known to each balancer.
 pub const MEMBERS: f64 = AGENTS + BALANCERS;
 
-/// Links of a balancer to others at the size, worked out from the measured growth with the logarithm of their number.
-const DIGESTS_PER_S: f64 = 0.4;
+/// Bytes a second that writes of the whole report, and those of the timeline, may cost a lease holder on average.
+const LIMITED: f64 = 4_000.0;
 /// Percent of a core for each microsecond a second.
 const PERCENT_PER_US: f64 = 1e-4;
+/// Balancers of a zone, members and services of the fleets in which members were made up.
+const MADE_UP_BALANCERS: f64 = 3.0;
+const MADE_UP_SERVICES: f64 = 60.0;
+
+fn changes_per_s() -> f64 {
+    CHANGES_PER_DAY / DAY
+}
 
 fn events_per_s() -> f64 {
-    EVENTS_PER_DAY * RECORDS_PER_EVENT / DAY
+    EVENTS_PER_DAY / DAY
 }
 
-fn changes_per_s() -> f64 {
-    CHANGES_PER_DAY / DAY
+/// Snapshots built for member events and changes, for each second.
+fn rebuilds_per_s() -> f64 {
+    events_per_s() * RECORDS_PER_EVENT + changes_per_s()
 }
 
 /// What each role uses at the size designed for.
 pub fn totals(measured: &Measured) -> Vec<Total> {
     vec![
-        balancer_cpu(measured),
-        balancer_bytes(measured),
-        balancer_memory(measured),
+        plain_cpu(measured),
+        plain_bytes(measured),
+        plain_memory(measured),
+        seed_cpu(measured),
+        seed_bytes(measured),
+        seed_memory(measured),
         agent_cpu(measured),
         agent_bytes(measured),
         agent_memory(measured),
-        agent_flow_memory(measured),
+        agent_flows(measured),
         platform_calls(measured),
-        change_time(measured),
+        platform_answers(measured),
+        in_force(measured),
+        start_bytes(measured),
+        storm_cpu(measured),
+        storm_bytes(measured),
     ]
 }
 
-fn links(measured: &Measured) -> f64 {
-    measured.fit("links").map_or(0.0, |it| it.at(BALANCERS.log2()).mean.max(0.0))
+fn plain_cpu(measured: &Measured) -> Total {
+    let total = Total::new("balancer", "time for control", "% of a core", CPU_BUDGET);
+    own_cpu(total.at(measured, "plain-cpu-members", MEMBERS, 1.0), measured)
 }
 
-fn balancer_cpu(measured: &Measured) -> Total {
-    let rebuilds = events_per_s() + changes_per_s();
-    Total::new("balancer", "processor time for control", "% of a core", CPU_BUDGET)
-        .at(measured, "balancer-cpu-links", links(measured), 1.0)
-        .slope(measured, "balancer-cpu-agents", AGENTS / BALANCERS)
-        .slope(measured, "balancer-cpu-services", SERVICES)
+/// What any balancer spends on its own agents, on services, changes and events.
+fn own_cpu(total: Total, measured: &Measured) -> Total {
+    total
+        .slope(measured, "plain-cpu-agents", AGENTS / BALANCERS)
+        .slope(measured, "plain-cpu-services", SERVICES - MADE_UP_SERVICES)
         .slope(measured, "balancer-cpu-changes", changes_per_s())
-        .slope(measured, "balancer-cpu-events", EVENTS_PER_DAY / DAY)
-        .at(measured, "digest", MEMBERS, DIGESTS_PER_S * PERCENT_PER_US)
-        .at(measured, "snapshot", MEMBERS, rebuilds * PERCENT_PER_US)
-        .at(measured, "placer", MEMBERS, rebuilds * PERCENT_PER_US)
+        .slope(measured, "balancer-cpu-events", events_per_s())
+        .at(measured, "snapshot", MEMBERS, rebuilds_per_s() * PERCENT_PER_US)
+        .at(measured, "placer", MEMBERS, rebuilds_per_s() * PERCENT_PER_US)
+}
+
+fn plain_bytes(measured: &Measured) -> Total {
+    let total = Total::new("balancer", "control", "bytes/s", BYTES_BUDGET);
+    own_bytes(total.at(measured, "plain-bytes-members", MEMBERS, 1.0), measured)
 }
 
-fn balancer_bytes(measured: &Measured) -> Total {
-    Total::new("balancer", "control", "bytes/s", BYTES_BUDGET)
-        .at(measured, "balancer-bytes-links", links(measured), 1.0)
-        .slope(measured, "balancer-bytes-agents", AGENTS / BALANCERS)
-        .slope(measured, "balancer-bytes-services", SERVICES)
+fn own_bytes(total: Total, measured: &Measured) -> Total {
+    total
+        .slope(measured, "plain-bytes-agents", AGENTS / BALANCERS)
         .slope(measured, "balancer-bytes-changes", changes_per_s())
-        .slope(measured, "balancer-bytes-events", EVENTS_PER_DAY / DAY)
+        .slope(measured, "balancer-bytes-events", events_per_s())
+}
+
+fn plain_memory(measured: &Measured) -> Total {
+    let total = Total::new("balancer", "memory", "MiB", MEMORY_BUDGET);
+    own_memory(total.at(measured, "plain-memory-members", MEMBERS, 1.0), measured)
 }
 
-fn balancer_memory(measured: &Measured) -> Total {
-    Total::new("balancer", "memory", "MiB", MEMORY_BUDGET)
-        .base(measured, "balancer-memory-services")
-        .slope(measured, "balancer-memory-services", SERVICES)
-        .at(measured, "view-memory", MEMBERS, 1.0)
-        .slope(measured, "balancer-memory-balancers", links(measured))
+fn own_memory(total: Total, measured: &Measured) -> Total {
+    total.slope(measured, "plain-memory-agents", AGENTS / BALANCERS).slope(
+        measured,
+        "plain-memory-services",
+        SERVICES - MADE_UP_SERVICES,
+    )
+}
+
+fn seed_cpu(measured: &Measured) -> Total {
+    let total = Total::new("lease holder", "time for control", "% of a core", CPU_BUDGET);
+    let total = total.at(measured, "seed-cpu-members", MEMBERS, 1.0).slope(
+        measured,
+        "seed-cpu-balancers",
+        BALANCERS / ZONES - MADE_UP_BALANCERS,
+    );
+    own_cpu(total, measured)
+}
+
+fn seed_bytes(measured: &Measured) -> Total {
+    let total = Total::new("lease holder", "control", "bytes/s", BYTES_BUDGET);
+    let total = total
+        .at(measured, "seed-bytes-members", MEMBERS, 1.0)
+        .slope(measured, "seed-bytes-balancers", BALANCERS / ZONES - MADE_UP_BALANCERS)
+        .counted("whole report, limit", LIMITED)
+        .counted("timeline, limit", LIMITED);
+    own_bytes(total, measured)
+}
+
+fn seed_memory(measured: &Measured) -> Total {
+    let total = Total::new("lease holder", "memory", "MiB", MEMORY_BUDGET);
+    let total = total.at(measured, "seed-memory-members", MEMBERS, 1.0).slope(
+        measured,
+        "seed-memory-balancers",
+        BALANCERS / ZONES - MADE_UP_BALANCERS,
+    );
+    own_memory(total, measured)
 }
 
 fn agent_cpu(measured: &Measured) -> Total {
-    Total::new("agent", "processor time for control", "% of a core", CPU_BUDGET)
-        .base(measured, "agent-cpu-agents")
-        .slope(measured, "agent-cpu-services", SERVICES)
+    Total::new("agent", "time for control", "% of a core", CPU_BUDGET)
+        .at(measured, "agent-cpu-services", SERVICES, 1.0)
         .slope(measured, "agent-cpu-changes", changes_per_s())
 }
 
 fn agent_bytes(measured: &Measured) -> Total {
     Total::new("agent", "control", "bytes/s", BYTES_BUDGET)
-        .base(measured, "agent-bytes-agents")
-        .slope(measured, "agent-bytes-services", SERVICES)
+        .at(measured, "agent-bytes-services", SERVICES, 1.0)
         .slope(measured, "agent-bytes-changes", changes_per_s())
 }
 
 fn agent_memory(measured: &Measured) -> Total {
-    Total::new("agent", "memory without flows", "MiB", MEMORY_BUDGET)
-        .base(measured, "agent-memory-services")
-        .slope(measured, "agent-memory-services", SERVICES)
-}
-
-fn agent_flow_memory(measured: &Measured) -> Total {
-    Total::new("agent", "memory of its flows", "MiB", MEMORY_BUDGET).slope(
+    Total::new("agent", "memory for control", "MiB", MEMORY_BUDGET).at(
         measured,
-        "agent-memory-flows",
-        FLOWS / AGENTS,
+        "agent-memory-services",
+        SERVICES,
+        1.0,
     )
 }
 
+fn agent_flows(measured: &Measured) -> Total {
+    Total::new("agent", "memory with its flows", "MiB", MEMORY_BUDGET)
+        .at(measured, "agent-memory-services", SERVICES, 1.0)
+        .slope(measured, "agent-memory-flows", FLOWS / AGENTS)
+}
+
 fn platform_calls(measured: &Measured) -> Total {
     Total::new("platform", "calls", "calls/s", READ_BUDGET)
-        .at(measured, "calls-balancers", BALANCERS, 1.0)
+        .at(measured, "calls-balancers", 0.0, ZONES)
+        .slope(measured, "calls-balancers", BALANCERS)
         .slope(measured, "calls-agents", AGENTS)
-        .slope(measured, "calls-changes", changes_per_s())
+        .counted("watches that return, one for each change and holder", changes_per_s() * HOLDERS)
+}
+
+fn platform_answers(measured: &Measured) -> Total {
+    Total::new("platform", "answers", "bytes/s", BYTES_BUDGET * HOLDERS)
+        .at(measured, "answers-balancers", 0.0, ZONES)
+        .slope(measured, "answers-balancers", BALANCERS)
 }
 
-fn change_time(measured: &Measured) -> Total {
+fn in_force(measured: &Measured) -> Total {
     Total::new("fleet", "change in force, worst", "s", IN_FORCE_S).at(
         measured,
         "in-force-worst",
-        BALANCERS + AGENTS,
+        MEMBERS,
         1.0,
     )
 }
+
+fn start_bytes(measured: &Measured) -> Total {
+    Total::new("agent", "control at its start, against a minute", "bytes", MINUTE * BYTES_BUDGET)
+        .at(measured, "agent-start-bytes", SERVICES, 1.0)
+}
+
+fn storm_cpu(measured: &Measured) -> Total {
+    let budget = MINUTE * CPU_BUDGET / 100.0;
+    Total::new("balancer", "time when all agents start in a minute", "s", budget)
+        .slope(measured, "storm-cpu", AGENTS)
+        .at(measured, "snapshot", MEMBERS, MINUTE / REBUILD_S * 1e-6)
+}
+
+fn storm_bytes(measured: &Measured) -> Total {
+    let budget = MINUTE * BYTES_BUDGET;
+    Total::new("balancer", "control when all agents start in a minute", "bytes", budget).slope(
+        measured,
+        "storm-bytes",
+        AGENTS,
+    )
+}
