--- a/crates/daemon/src/agent/handover.rs
+++ b/crates/daemon/src/agent/handover.rs
@@ -55,7 +55,8 @@
     let (mut link, load) = match taken {
         Ok(Ok(Reply::Taken(link, load))) => (link, load),
         Ok(Ok(Reply::Refused(link, retry_ms))) => {
-            node.hints.lock().refused(to, retry_ms, now);
+            // What it tells the caller is longer than a full peer stays full.
+            node.hints.lock().refused(to, 0, now);
             node.links.keep(link);
             meter::count(&meter::ATTEMPTS, "peer-refused");
             return Some(Report::Refused { retry_ms });
@@ -162,6 +163,7 @@
     let Link { sink, stream, .. } = link;
     let wanted = CancellationToken::new();
     let mut pump = pin!(pump(body, sink, &wanted));
+    let mut overdue = pin!(request::overdue(course.ask.deadline));
     let mut pumped = false;
     let head = loop {
         tokio::select! {
@@ -179,6 +181,7 @@
                 }
             }
             _ = ended.wait() => return Exchange::Next(Report::Cancelled),
+            () = &mut overdue => return Exchange::Next(Report::Lost),
         }
     };
     let head = match head {
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -1,6 +1,9 @@
 //! One request of a flow, from its head to its final answer.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use camphorwinch_core::{
@@ -14,6 +17,7 @@
     server::{RequestResolver, RequestStream},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, request::Parts};
+use tokio::time;
 
 use super::{
     body::{Body, Inlet, Outlet, Way},
@@ -46,6 +50,8 @@
     "transfer-encoding",
     "upgrade",
 ];
+/// Time after the deadline in which an upstream may still say that it passed.
+const OVERDUE_MS: u64 = 500;
 /// Time after which a request may be asked again whose key is in use.
 const REPEAT_MS: u64 = 1_000;
 const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
@@ -112,6 +118,17 @@
     }
 }
 
+/// Completes when no answer is worth waiting for: some time after the caller's deadline.
+pub(crate) async fn overdue(deadline: Option<u64>) {
+    match deadline {
+        Some(deadline) => {
+            let left = (deadline + OVERDUE_MS).saturating_sub(clock::now_ms());
+            time::sleep(Duration::from_millis(left)).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Removes fields that concern one connection only, and those that only the system may set.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -266,9 +283,10 @@
         Some(key) => run_once(&mut course, key, &mut body, &mut outlet).await,
     }
     body.close();
-    drop(outlet);
-    // The flow may be closed only after the caller has the answer.
-    ended.wait().await;
+    if outlet.is_finished() {
+        // The flow may be closed only after the caller has the answer.
+        ended.wait().await;
+    }
 }
 
 /// Runs a request under an idempotency key, unless one has run under it before. It runs to its end whatever its caller
@@ -316,7 +334,11 @@
             notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
         }
-        Verdict::Run(_) | Verdict::Running | Verdict::Unavailable => {
+        // The earlier request may yet run: a caller that took this for "not run" could ask again under another key.
+        Verdict::Running => {
+            return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
+        }
+        Verdict::Run(_) | Verdict::Unavailable => {
             return answer(course, outlet, Outcome::NotRun { retry_ms: REPEAT_MS }).await;
         }
     };
