--- a/crates/standin/src/capacity/fit.rs
+++ b/crates/standin/src/capacity/fit.rs
@@ -91,3 +91,21 @@
         Value { mean: self.base.mean + self.slope.mean * x, error }
     }
 }
+
+/// A number to three digits.
+pub fn digits(value: f64) -> String {
+    if value == 0.0 {
+        return "0".to_owned();
+    }
+    let whole = value.abs().log10().floor() as i32;
+    if !(-4..7).contains(&whole) {
+        return format!("{value:.2e}");
+    }
+    let places = usize::try_from(2 - whole).unwrap_or(0);
+    format!("{value:.places$}")
+}
+
+/// A count to three digits, a whole one as it is.
+pub fn count(value: f64) -> String {
+    if value.fract() == 0.0 { value.to_string() } else { digits(value) }
+}
--- a/crates/standin/src/capacity/output.rs
+++ b/crates/standin/src/capacity/output.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 
 use super::{
-    fit::Value,
+    fit::{Value, count, digits},
     plot,
     series::{Measured, Series, Total},
 };
@@ -175,7 +175,7 @@
             it.resource,
             shown(it.value()),
             it.unit,
-            it.budget,
+            count(it.budget),
             100.0 * it.share(),
             parts.join("; "),
         ),
@@ -183,7 +183,7 @@
 }
 
 fn sizes(it: &Series, between: &str) -> String {
-    it.sizes().iter().map(f64::to_string).collect::<Vec<_>>().join(between)
+    it.sizes().into_iter().map(count).collect::<Vec<_>>().join(between)
 }
 
 /// A value with its error, to three digits.
@@ -191,18 +191,6 @@
     format!("{} ± {}", digits(value.mean), digits(value.error))
 }
 
-fn digits(value: f64) -> String {
-    if value == 0.0 {
-        return "0".to_owned();
-    }
-    let whole = value.abs().log10().floor() as i32;
-    if !(-4..7).contains(&whole) {
-        return format!("{value:.2e}");
-    }
-    let places = usize::try_from(2 - whole).unwrap_or(0);
-    format!("{value:.places$}")
-}
-
 fn line(text: &mut String, args: std::fmt::Arguments<'_>) {
     writeln!(text, "{args}").expect("writing to a string does not fail");
 }
--- a/crates/standin/src/capacity/series.rs
+++ b/crates/standin/src/capacity/series.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::fit::{Fit, Point, Value};
+use super::fit::{self, Fit, Point, Value};
 
 /// What a series was measured on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -151,7 +151,9 @@
     /// Adds the slope of a series times a count.
     pub fn slope(mut self, measured: &Measured, id: &str, count: f64) -> Total {
         match measured.fit(id) {
-            Some(fit) => self.push(format!("{count} x slope of {id}"), fit.slope.times(count)),
+            Some(fit) => {
+                self.push(format!("{} x slope of {id}", fit::count(count)), fit.slope.times(count))
+            }
             None => self.missing.push(id.to_owned()),
         }
         self
@@ -162,7 +164,9 @@
         match measured.fit(id) {
             Some(fit) => {
                 let value = fit.at(size).times(times);
-                self.push(format!("{times:.4} x {id} at {size}"), value);
+                let times =
+                    if times == 1.0 { String::new() } else { format!("{} x ", fit::count(times)) };
+                self.push(format!("{times}{id} at {}", fit::count(size)), value);
             }
             None => self.missing.push(id.to_owned()),
         }
