--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -30,8 +30,9 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    absent::Absent,
     link::{Dial, Links},
-    meter,
+    meter, notice,
     rosters::Rosters,
     service::Service,
     socket::DataSocket,
@@ -105,6 +106,8 @@
     pub(crate) rosters: Mutex<Rosters>,
     /// Keyed requests in hand.
     pub(crate) open: Mutex<BTreeSet<RequestId>>,
+    /// Agents found dead.
+    pub(crate) absent: Absent,
     /// Flows and requests in progress.
     pub(crate) tasks: TaskTracker,
     snapshot: ArcSwap<Snapshot>,
@@ -112,6 +115,7 @@
     flows: Arc<AtomicU32>,
     stopping: AtomicBool,
     draining: AtomicBool,
+    drained: AtomicBool,
     reachable: watch::Sender<bool>,
     changed: watch::Sender<u64>,
 }
@@ -157,12 +161,14 @@
             claims: Mutex::new(Claims::new()),
             rosters: Mutex::new(Rosters::new(&settings.name)),
             open: Mutex::default(),
+            absent: Absent::default(),
             tasks: TaskTracker::new(),
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
             flows: Arc::default(),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            drained: AtomicBool::new(false),
             reachable: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             settings,
@@ -179,6 +185,7 @@
         self.apply_keys(&snapshot);
         self.snapshot.store(Arc::clone(&snapshot));
         self.rosters.lock().apply(&snapshot, clock::now_ms());
+        self.absent.apply(&snapshot);
         self.hints.lock().retain(|it| snapshot.agents.contains_key(it));
         self.refresh();
         for service in self.services() {
@@ -307,7 +314,7 @@
             Err(e) => {
                 drop(services);
                 let about = About::new().with_service(&entry.name);
-                event::emit(Id::ConfigRefused, about, &format!("{e:#}"));
+                notice::emit(Id::ConfigRefused, about, &format!("{e:#}"));
                 None
             }
         }
@@ -327,6 +334,16 @@
         })
     }
 
+    /// Says once that a drain is done: no flow and no request is left.
+    pub(crate) fn report_drained(&self) {
+        let done = self.drains() && self.flows() == 0 && self.work.busy() == 0;
+        if self.drained.swap(done, Ordering::SeqCst) || !done {
+            return;
+        }
+        let about = About::new().with_upstream(&self.settings.name);
+        event::emit(Id::DrainDone, about, "no flow is left");
+    }
+
     fn refresh(&self) {
         let it = &self.settings;
         let planned = self.snapshot.load().drains(&it.name, &it.vm, &it.zone);
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -2,7 +2,7 @@
 
 mod bench;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 
@@ -97,6 +97,21 @@
     assert!(reply.text().contains("\"size\":500000"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_requests_of_other_agents_flows() {
+    let mut bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    bench.faults(0, r#"{"shed":1.0}"#).await;
+    let start = Instant::now();
+    let feed = tokio::spawn(flow.call(Call::new(Method::GET, "/feed?ms=1500&every=100&echo=f")));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(bench.stop(1).await);
+    assert!(start.elapsed() >= Duration::from_millis(1500), "stopped after {:?}", start.elapsed());
+    let feed = feed.await.expect("the caller's task ends");
+    assert_eq!(feed.header("camphorwinch-upstream"), "agent-1");
+    assert!(feed.text().contains("sum "), "the feed ended with its last line");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_agent_passes_flows_and_requests_on() {
     let bench = Bench::start(2).await;
@@ -146,6 +161,7 @@
     };
     assert_eq!(second.text(), first.text());
     assert_eq!(second.header("camphorwinch-upstream"), "agent-0");
+    assert_eq!(second.header("camphorwinch-agent"), "agent-1", "the flow lives there");
     let mismatch = Call::new(Method::POST, "/other").with_header("idempotency-key", "k");
     let reply = other.call(mismatch).await;
     assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY);
@@ -312,3 +328,15 @@
     assert_eq!(reply.broken.as_deref(), Some("H3_INTERNAL_ERROR"));
     assert!(bench.stop(0).await, "all flows ended");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flows_of_an_agent_held_for_dead_live_on() {
+    let bench = Bench::start(2).await;
+    let flow = bench.open().await;
+    bench.down(0);
+    for _ in 0..5 {
+        let reply = flow.call(Call::new(Method::GET, "/screen")).await;
+        assert_eq!(reply.header("camphorwinch-agent"), "agent-0", "{reply:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
