Suspects::due returns findings in place of tuples

Name and verdict of a member have a type, and the findings are taken out of the table in one pass. The two callers outside (the control plane's tick and the system test) changed by one pattern each. Tests of suspect and system pass.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -29,6 +29,15 @@
     Dead,
 }
 
+/// A member whose grace period is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Name of the member.
+    pub name: String,
+    /// What it counts as.
+    pub verdict: Verdict,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     version: Version,
@@ -81,8 +90,9 @@
     /// Members that count as silent or dead now. `version` gives the version at which a member is known at present.
     ///
     /// After a pause of this process every suspicion starts anew, and nobody counts as dead for a while: it was this
-    /// process that did not listen, and its links were lost for that. `connected` says whether this process hears of the others at all; while it does not, nobody counts as dead.
-    pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<(String, Verdict)>
+    /// process that did not listen, and its links were lost for that. `connected` says whether this process hears of the
+    /// others at all; while it does not, nobody counts as dead.
+    pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<Finding>
     where
         F: Fn(&str) -> Option<Version>,
     {
@@ -101,10 +111,7 @@
         if now_ms < self.quiet_ms {
             return Vec::new();
         }
-        let due = |it: &Suspect| it.due_ms <= now_ms;
-        let over = self.entries.iter().filter(|(_, it)| due(it));
-        let found = over.map(|(name, it)| (name.clone(), it.verdict)).collect();
-        self.entries.retain(|_, it| !due(it));
-        found
+        let over = self.entries.extract_if(.., |_, it| it.due_ms <= now_ms);
+        over.map(|(name, it)| Finding { name, verdict: it.verdict }).collect()
     }
 }
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -2,7 +2,7 @@
 
 use camphorwinch_core::{
     record::Version,
-    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, PAUSE_MS, Suspects, Verdict},
+    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, Finding, PAUSE_MS, Suspects, Verdict},
 };
 
 const OLD: Version = Version { major: 1, minor: 0 };
@@ -11,7 +11,7 @@
     let mut dead = Vec::new();
     let mut now = from;
     while now <= until {
-        for (name, verdict) in suspects.due(now, true, |_| Some(version)) {
+        for Finding { name, verdict } in suspects.due(now, true, |_| Some(version)) {
             assert_eq!(verdict, Verdict::Dead);
             dead.push(name);
         }
--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -14,7 +14,9 @@
     place::Placer,
     record::{Mark, Member, Record, Role, Version},
     snapshot::Snapshot,
-    suspect::{AGENT_GRACE_MS, BALANCER_GRACE_MS, PAUSE_MS, SILENT_GRACE_MS, Suspects, Verdict},
+    suspect::{
+        AGENT_GRACE_MS, BALANCER_GRACE_MS, Finding, PAUSE_MS, SILENT_GRACE_MS, Suspects, Verdict,
+    },
     view::{Adoption, BUCKETS, Scope, Summary, View},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -446,7 +448,7 @@
         let view = &it.view;
         let due = it.suspects.due(now, true, |name| view.member(name).map(|it| it.version));
         let mut records = Vec::new();
-        for (name, verdict) in due {
+        for Finding { name, verdict } in due {
             let Some(member) = view.member(&name).filter(|it| !it.is_down()) else {
                 continue;
             };
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -6,7 +6,8 @@
     mesh,
     record::{Member, Record, Role},
     suspect::{
-        AGENT_GRACE_MS, BALANCER_GRACE_MS, ORPHAN_GRACE_MS, PAUSE_MS, SILENT_GRACE_MS, Verdict,
+        AGENT_GRACE_MS, BALANCER_GRACE_MS, Finding, ORPHAN_GRACE_MS, PAUSE_MS, SILENT_GRACE_MS,
+        Verdict,
     },
 };
 use camphorwinch_wire::message::{Beat, Body};
@@ -161,7 +162,7 @@
     let view = &state.view;
     let found = state.suspects.due(now, connected, |name| view.member(name).map(|it| it.version));
     let mut news = Vec::new();
-    for (name, verdict) in found {
+    for Finding { name, verdict } in found {
         let Some(member) = view.member(&name).filter(|it| !it.is_down()) else {
             continue;
         };
