--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -95,14 +95,19 @@
 }
 
 /// Identity of an event and its place in causal order.
-pub type EventKey = (Stamp, String, u64);
+///
+/// The stamp belongs to it because a process that starts again counts from 0 again.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EventKey {
+    stamp: Stamp,
+    process: String,
+    seq: u64,
+}
 
 impl Event {
     /// The event's identity, ordered so that no event comes before one that it depends on.
-    ///
-    /// The stamp belongs to it because a process that starts again counts from 0 again.
     pub fn key(&self) -> EventKey {
-        (self.stamp, self.process.clone(), self.seq)
+        EventKey { stamp: self.stamp, process: self.process.clone(), seq: self.seq }
     }
 }
 
