--- a/crates/cli/src/write.rs
+++ b/crates/cli/src/write.rs
@@ -120,18 +120,29 @@
             if !lost {
                 continue;
             }
-            match self.find(platform, &writer, &mut retry).await {
-                Ok(Found::Written(object)) => return Ok(object),
-                Ok(Found::Unchanged) => {}
-                Ok(Found::Replaced(current)) => {
-                    let reason =
-                        "the answer was lost, and another writer has changed the object since";
-                    return Err(self.unknown(platform, "put", &writer, reason, stored(&current)));
-                }
-                Err(e) => {
-                    let reason = format!("the answer was lost: {e}");
-                    return Err(self.unknown(platform, "put", &writer, &reason, not_read()));
-                }
+            if let Some(object) = self.settle(platform, &writer, &mut retry).await? {
+                return Ok(object);
+            }
+        }
+    }
+
+    /// Finds out what came of a put whose answer was lost: the object if it was written, none if it may be sent again.
+    async fn settle(
+        &self,
+        platform: &Platform,
+        writer: &str,
+        retry: &mut Retry,
+    ) -> Result<Option<Object>, Error> {
+        match self.find(platform, writer, retry).await {
+            Ok(Found::Written(object)) => Ok(Some(object)),
+            Ok(Found::Unchanged) => Ok(None),
+            Ok(Found::Replaced(current)) => {
+                let reason = "the answer was lost, and another writer has changed the object since";
+                Err(self.unknown(platform, "put", writer, reason, stored(&current)))
+            }
+            Err(e) => {
+                let reason = format!("the answer was lost: {e}");
+                Err(self.unknown(platform, "put", writer, &reason, not_read()))
             }
         }
     }
