cli: tables of the status have a file of their own

A table knows itself whether it is empty. Output is the same; the tests of the command-line tool pass.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod status;
+mod status_table;
 pub mod timeline;
 pub mod watch;
 pub mod write;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -57,6 +57,11 @@
         self.rows.push(cells.into_iter().map(clean).collect());
     }
 
+    /// Whether there is no row below the headings.
+    pub fn is_empty(&self) -> bool {
+        self.rows.len() <= 1
+    }
+
     fn widths(&self) -> Vec<usize> {
         let mut widths = Vec::new();
         for row in &self.rows {
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -8,11 +8,7 @@
 };
 use serde::{Deserialize as _, Serialize};
 
-use crate::{
-    apply::services,
-    output::{Table, age, utc},
-    rollout::reports,
-};
+use crate::{apply::services, rollout::reports};
 
 /// State of the whole deployment, from the objects in the platform.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -131,17 +127,6 @@
     Empty,
 }
 
-impl Progress {
-    fn as_str(self) -> &'static str {
-        match self {
-            Progress::Waiting => "waiting",
-            Progress::Draining => "draining",
-            Progress::Done => "done",
-            Progress::Empty => "no upstream",
-        }
-    }
-}
-
 /// A planned change and its progress.
 #[derive(Clone, Debug, Serialize)]
 pub struct Drain {
@@ -185,147 +170,6 @@
         self.balancers.clear();
         true
     }
-
-    /// The status as tables; empty ones are left out.
-    pub fn tables(&self, now_ms: u64) -> String {
-        let everywhere =
-            self.in_force.map_or_else(|| "nothing reported".into(), |it| it.to_string());
-        let mut text = format!("In force everywhere: {everywhere}\n");
-        let tables = [
-            (self.zones.len(), self.zone_table(now_ms)),
-            (self.objects.len(), self.object_table()),
-            (self.services.len(), self.service_table()),
-            (self.drains.len(), self.drain_table()),
-            (self.upstreams.len(), self.upstream_table(now_ms)),
-            (self.balancers.len(), self.balancer_table()),
-        ];
-        for (rows, table) in tables {
-            if rows > 0 {
-                text.push_str(&format!("\n{table}"));
-            }
-        }
-        text
-    }
-
-    fn zone_table(&self, now_ms: u64) -> Table {
-        let mut table =
-            Table::new(&["ZONE", "IN FORCE", "KNOWN", "PROCESSES", "REPORT AGE", "BEHIND"]);
-        for it in &self.zones {
-            let behind: Vec<&str> = it.behind.iter().map(|it| it.name.as_str()).collect();
-            table.push([
-                it.zone.clone(),
-                it.in_force.to_string(),
-                it.known.to_string(),
-                it.processes.to_string(),
-                age(now_ms, it.at_ms),
-                behind.join(" "),
-            ]);
-        }
-        table
-    }
-
-    fn object_table(&self) -> Table {
-        let mut table = Table::new(&["OBJECT", "VERSION", "IN FORCE", "SINCE", "TOOK"]);
-        for it in &self.objects {
-            let place = match (it.everywhere, it.zones.is_empty()) {
-                (true, _) => "everywhere".to_owned(),
-                (false, true) => "nowhere".to_owned(),
-                (false, false) => it.zones.join(" "),
-            };
-            table.push([
-                it.object.clone(),
-                it.version.to_string(),
-                place,
-                utc(it.since_ms.unwrap_or(0)),
-                it.took_ms.map_or_else(|| "-".to_owned(), |ms| format!("{ms} ms")),
-            ]);
-        }
-        table
-    }
-
-    fn service_table(&self) -> Table {
-        let mut table = Table::new(&[
-            "SERVICE",
-            "ADDRESS",
-            "POOL",
-            "UPSTREAMS",
-            "READY",
-            "DRAINING",
-            "DOWN",
-            "FLOWS",
-            "BUSY",
-        ]);
-        for it in &self.services {
-            table.push([
-                it.service.clone(),
-                it.address.clone(),
-                it.pool.clone(),
-                it.load.upstreams.to_string(),
-                it.load.ready.to_string(),
-                it.load.draining.to_string(),
-                it.load.down.to_string(),
-                it.load.flows.to_string(),
-                format!("{}/{}", it.load.busy, it.load.slots),
-            ]);
-        }
-        table
-    }
-
-    fn drain_table(&self) -> Table {
-        let mut table =
-            Table::new(&["CHANGE", "TARGET", "PROGRESS", "UPSTREAMS", "FLOWS LEFT", "BUSY"]);
-        for it in &self.drains {
-            table.push([
-                it.change.clone(),
-                target_text(&it.target),
-                it.progress.as_str().to_owned(),
-                it.load.upstreams.to_string(),
-                it.load.flows.to_string(),
-                it.load.busy.to_string(),
-            ]);
-        }
-        table
-    }
-
-    fn upstream_table(&self, now_ms: u64) -> Table {
-        let mut table =
-            Table::new(&["UPSTREAM", "POOL", "VM", "ZONE", "STATE", "FOR", "FLOWS", "BUSY"]);
-        for it in &self.upstreams {
-            table.push([
-                it.name.clone(),
-                it.pool.clone(),
-                it.vm.clone(),
-                it.zone.clone(),
-                it.state.as_str().to_owned(),
-                age(now_ms, it.since_ms),
-                it.flows.to_string(),
-                format!("{}/{}", it.busy, it.slots),
-            ]);
-        }
-        table
-    }
-
-    fn balancer_table(&self) -> Table {
-        let mut table = Table::new(&["BALANCER", "VM", "ZONE", "STATE", "IN FORCE"]);
-        for it in &self.balancers {
-            table.push([
-                it.name.clone(),
-                it.vm.clone(),
-                it.zone.clone(),
-                it.state.as_str().to_owned(),
-                it.in_force.to_string(),
-            ]);
-        }
-        table
-    }
-}
-
-fn target_text(target: &Target) -> String {
-    match target {
-        Target::Upstream(it) => format!("upstream {it}"),
-        Target::Vm(it) => format!("VM {it}"),
-        Target::Zone(it) => format!("zone {it}"),
-    }
 }
 
 fn zone(it: &Report) -> Zone {
