--- a/crates/daemon/src/agent/flow.rs
+++ b/crates/daemon/src/agent/flow.rs
@@ -33,7 +33,9 @@
 const GRACE_REQUESTS: usize = 1 << 20;
 const GRACE: Duration = Duration::from_secs(1);
 /// How long a flow without requests stays open after the last GOAWAY, for the caller to close it.
-const LINGER: Duration = Duration::from_secs(3);
+const LINGER: Duration = Duration::from_secs(4);
+/// A caller that acknowledges nothing for so long, with answers on their way, has gone.
+const GONE: Duration = Duration::from_secs(10);
 
 /// Takes new flows of a service until its endpoint closes.
 pub(crate) async fn accept(node: Arc<Node>, service: Arc<Service>, endpoint: Endpoint) {
@@ -119,14 +121,14 @@
     drop(pending);
     meter::count(&meter::FLOWS, "accepted");
     let ends = Ends::default();
-    let quic = Connection::new(conn, ends.clone());
+    let quic = Connection::new(conn.clone(), ends.clone());
     let built = server::builder().max_field_section_size(MAX_HEAD).build::<_, Bytes>(quic).await;
     let Ok(h3) = built else {
         meter::count(&meter::FLOWS, "failed");
         return;
     };
     let leaving = service.leaving();
-    let flow = Flow { node, service, h3, ends, requests: TaskTracker::new(), accepted: 0 };
+    let flow = Flow { node, service, conn, h3, ends, requests: TaskTracker::new(), accepted: 0 };
     flow.run(leaving).await;
 }
 
@@ -135,6 +137,7 @@
 struct Flow {
     node: Arc<Node>,
     service: Arc<Service>,
+    conn: quinn::Connection,
     h3: H3,
     ends: Ends,
     requests: TaskTracker,
@@ -160,12 +163,17 @@
         let mut limit = u64::MAX;
         loop {
             let requests = self.requests.clone();
+            let (conn, ends) = (self.conn.clone(), self.ends.clone());
             tokio::select! {
                 accepted = self.h3.accept() => match accepted {
                     Ok(Some(resolver)) => {
                         let turn = self.accepted;
                         self.accepted += 1;
                         self.spawn(resolver, turn < limit);
+                        if let Phase::Idle { until } = &mut phase {
+                            // The caller has not heard of GOAWAY yet, and must get its rejection.
+                            *until = Instant::now() + LINGER;
+                        }
                     }
                     Ok(None) => break,
                     Err(e) => {
@@ -195,6 +203,10 @@
                 () = requests.wait(), if matches!(phase, Phase::Closing { .. }) => {
                     phase = Phase::Idle { until: Instant::now() + LINGER };
                 },
+                () = gone(&conn, &ends, &requests), if matches!(phase, Phase::Closing { .. }) => {
+                    meter::count(&meter::FLOWS, "gone");
+                    return;
+                },
                 () = sleep(phase), if matches!(phase, Phase::Idle { .. }) => break,
             }
         }
@@ -219,6 +231,20 @@
     let _ = leaving.wait_for(|it| *it).await;
 }
 
+/// Completes when nothing is left but answers that the caller does not acknowledge.
+async fn gone(conn: &quinn::Connection, ends: &Ends, requests: &TaskTracker) {
+    let mut heard = conn.stats().udp_rx.datagrams;
+    let mut since = Instant::now();
+    while since.elapsed() < GONE {
+        time::sleep(GONE / 10).await;
+        let now = conn.stats().udp_rx.datagrams;
+        if now != heard || requests.len() > ends.unacknowledged() {
+            heard = now;
+            since = Instant::now();
+        }
+    }
+}
+
 async fn sleep(phase: Phase) {
     match phase {
         Phase::Leaving { until } | Phase::Idle { until } => time::sleep_until(until).await,
--- a/crates/daemon/src/agent/quic.rs
+++ b/crates/daemon/src/agent/quic.rs
@@ -8,7 +8,10 @@
     collections::BTreeMap,
     future::Future,
     pin::{Pin, pin},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll, ready},
 };
 
@@ -67,6 +70,16 @@
 #[derive(Clone, Default)]
 pub(crate) struct Ends {
     by_stream: Arc<Mutex<BTreeMap<u64, Ended>>>,
+    delivering: Arc<AtomicUsize>,
+}
+
+/// Counts an answer that was sent and not yet acknowledged.
+pub(crate) struct Delivering(Arc<AtomicUsize>);
+
+impl Drop for Delivering {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Ends {
@@ -75,6 +88,17 @@
         self.by_stream.lock().remove(&stream.into_inner())
     }
 
+    /// Notes that an answer was sent to its end.
+    pub(crate) fn delivering(&self) -> Delivering {
+        self.delivering.fetch_add(1, Ordering::Relaxed);
+        Delivering(Arc::clone(&self.delivering))
+    }
+
+    /// Answers that were sent and not yet acknowledged.
+    pub(crate) fn unacknowledged(&self) -> usize {
+        self.delivering.load(Ordering::Relaxed)
+    }
+
     fn put(&self, send: &quinn::SendStream) {
         let stopped = send.stopped();
         let ended = async move {
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -264,12 +264,13 @@
         return;
     }
     let ask = Ask::new(request.into_parts().0);
-    run(Course::new(node, service, ask), stream, &mut ended).await;
+    run(Course::new(node, service, ask), stream, &ends, &mut ended).await;
 }
 
 async fn run(
     mut course: Course,
     stream: RequestStream<BidiStream<Bytes>, Bytes>,
+    ends: &Ends,
     ended: &mut Ended,
 ) {
     let (send, recv) = stream.split();
@@ -285,6 +286,7 @@
     body.close();
     if outlet.is_finished() {
         // The flow may be closed only after the caller has the answer.
+        let _delivering = ends.delivering();
         ended.wait().await;
     }
 }
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -340,3 +340,15 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_are_gone_do_not_hold_up_a_stop() {
+    let mut bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    let call = tokio::spawn(flow.call(Call::new(Method::POST, "/transfer?work_ms=500")));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // From here on nothing passes between this caller and the agent.
+    bench.cut_callers();
+    assert!(bench.stop(0).await, "all flows ended");
+    call.abort();
+}
--- a/crates/daemon/src/agent/tests/bench.rs
+++ b/crates/daemon/src/agent/tests/bench.rs
@@ -51,7 +51,7 @@
 
 pub(crate) const SERVICE: &str = "ledger";
 const POOL: &str = "ledger";
-const PATIENCE: Duration = Duration::from_secs(10);
+const PATIENCE: Duration = Duration::from_secs(15);
 
 /// Each bench has loopback addresses of its own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -216,6 +216,11 @@
         records.filter_map(|it| it.keys.get(key).map(|it| it.started)).sum()
     }
 
+    /// Ends the relay.
+    pub(crate) fn cut_callers(&self) {
+        self.relay.abort();
+    }
+
     /// Stops an agent at once.
     pub(crate) async fn kill(&mut self, at: usize) {
         let running = self.seats[at].running.take().expect("the agent runs");
