--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -14,7 +14,7 @@
 const MIN_SLOTS: usize = 1_024;
 const MAX_SLOTS: usize = 1 << 20;
 /// Most members of one table; further ones get no slot.
-pub const MAX_MEMBERS: usize = u16::MAX as usize;
+const MAX_MEMBERS: usize = u16::MAX as usize;
 /// Turns in which members take their shares, so that nobody has all of its slots before others begin.
 const ROUNDS: usize = 64;
 /// Lookups before the search for a further distinct member goes on in order.
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! One consistent picture of configuration and members, as the data path reads it.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::collections::BTreeMap;
 
 use crate::{
     member::{Agent, Balancer},
@@ -52,11 +52,6 @@
 }
 
 impl Snapshot {
-    /// The service whose address is `address`.
-    pub fn service_at(&self, address: SocketAddr) -> Option<(ServiceId, &ServiceEntry)> {
-        self.services.iter().find(|(_, it)| it.spec.address == address).map(|(id, it)| (*id, it))
-    }
-
     /// Whether a planned drain covers the process with this name, VM and zone.
     pub fn drains(&self, name: &str, vm: &str, zone: &str) -> bool {
         let covers = |target: &Target| target.covers(name, vm, zone);
