--- a/crates/core/benches/place.rs
+++ b/crates/core/benches/place.rs
@@ -2,13 +2,16 @@
 
 #![allow(missing_docs, reason = "criterion's macros make public functions")]
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::{
     hint::black_box,
     net::{SocketAddr, SocketAddrV4},
 };
 
 use camphorwinch_core::{
-    member::{Agent, AgentState, Place},
+    member::{Agent, AgentState},
     object::{KeySpec, KeyUse, Keys, Service, ServiceId},
     place::{MIN_INITIAL, Placer},
     seal::{CID_LEN, Home, KeyRing},
@@ -34,17 +37,7 @@
 
 fn agent(number: usize) -> Agent {
     let data = SocketAddr::V4(data(number));
-    Agent {
-        name: format!("ledger-{number}"),
-        place: Place::default(),
-        pool: SERVICE.to_owned(),
-        data,
-        control: data,
-        weight: 1.0,
-        slots: 7,
-        connections: 2_000,
-        state: AgentState::Ready,
-    }
+    support::agent(&format!("ledger-{number}"), SERVICE, data)
 }
 
 fn address() -> SocketAddr {
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -1,10 +1,12 @@
 //! Placing of datagrams: established flows, new flows, forged and stale IDs, changes of the configuration.
 
+mod support;
+
 use std::net::{SocketAddr, SocketAddrV4};
 
 use camphorwinch_core::{
     invariant::{self, Invariant},
-    member::{Agent, AgentState, Place},
+    member::{Agent, AgentState},
     object::{Action, Change, KeySpec, KeyUse, Keys, Service, ServiceId, Target},
     place::{FORMER_MS, MIN_INITIAL, Placement, Placer, Refusal},
     seal::{Home, KeyRing},
@@ -22,17 +24,7 @@
 
 fn agent(name: &str, pool: &str, number: u8) -> Agent {
     let data = SocketAddr::from(([10, 0, 0, number], 7000));
-    Agent {
-        name: name.to_owned(),
-        place: Place::default(),
-        pool: pool.to_owned(),
-        data,
-        control: data,
-        weight: 1.0,
-        slots: 7,
-        connections: 2_000,
-        state: AgentState::Ready,
-    }
+    support::agent(name, pool, data)
 }
 
 fn service(address_: &str, pool: &str) -> Service {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,13 +2,15 @@
 
 #![allow(dead_code, reason = "each test uses its part")]
 
+#[path = "../../../core/tests/support/mod.rs"]
+mod support;
+
 use std::{
     net::{SocketAddr, SocketAddrV4},
     sync::LazyLock,
 };
 
 use camphorwinch_core::{
-    member::{Agent, AgentState, Place},
     object::{KeySpec, KeyUse, Keys, Service, ServiceId},
     seal::{Home, KeyRing},
     snapshot::{ServiceEntry, Snapshot},
@@ -35,17 +37,7 @@
     snapshot.services.insert(ServiceId::new(SERVICE), entry);
     for (number, &data) in agents.iter().enumerate() {
         let name = format!("ledger-{number}");
-        let agent = Agent {
-            name: name.clone(),
-            place: Place::default(),
-            pool: SERVICE.to_owned(),
-            data,
-            control: data,
-            weight: 1.0,
-            slots: 7,
-            connections: 2_000,
-            state: AgentState::Ready,
-        };
+        let agent = support::agent(&name, SERVICE, data);
         snapshot.agents.insert(name, agent);
     }
     snapshot
