core: headers of QUIC packets have a module of their own

place.rs did two jobs: reading headers, and deciding. Whether an agent answers is an enum in place of a bool with a comment. Tests of core (place, slots, view, system, mutants) and relay pass; the benchmark of placing was not run again.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member;
 pub mod mesh;
 pub mod object;
+pub mod packet;
 pub mod peers;
 pub mod place;
 pub mod record;
--- /dev/null
+++ b/crates/core/src/packet.rs
@@ -0,0 +1,69 @@
+//! Headers of QUIC packets, as far as placing reads them (RFC 8999 and RFC 9000, section 17).
+
+use crate::seal::CID_LEN;
+
+const LONG_FORM: u8 = 0x80;
+const LONG_TYPE: u8 = 0x30;
+const LONG_INITIAL: u8 = 0x00;
+const LONG_ZERO_RTT: u8 = 0x10;
+const VERSION_END: usize = 5;
+const VERSION_1: u32 = 1;
+const VERSION_NEGOTIATION: u32 = 0;
+const MIN_FIRST_CID: usize = 8;
+
+/// What a packet's header tells before anything is decrypted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Form {
+    /// Long header that may start a flow.
+    First,
+    /// Any other long header.
+    Long,
+    /// Short header.
+    Short,
+}
+
+/// What placing needs of a QUIC packet.
+pub(crate) struct Packet<'a> {
+    pub(crate) form: Form,
+    pub(crate) cid: &'a [u8],
+    pub(crate) len: usize,
+}
+
+impl<'a> Packet<'a> {
+    /// Reads the header; none if no caller could have sent it.
+    // The fixed bit is not looked at: callers may grease it (RFC 9287).
+    #[inline]
+    pub(crate) fn parse(datagram: &'a [u8]) -> Option<Packet<'a>> {
+        let len = datagram.len();
+        let first = *datagram.first()?;
+        if first & LONG_FORM == 0 {
+            let cid = datagram.get(1..1 + CID_LEN)?;
+            return Some(Packet { form: Form::Short, cid, len });
+        }
+        let version = datagram.get(1..VERSION_END)?;
+        let version = u32::from_be_bytes([version[0], version[1], version[2], version[3]]);
+        let start = VERSION_END + 1;
+        let cid_len = usize::from(*datagram.get(VERSION_END)?);
+        let cid = datagram.get(start..start + cid_len)?;
+        let form = match (version, first & LONG_TYPE) {
+            (VERSION_NEGOTIATION, _) => return None,
+            (VERSION_1, LONG_INITIAL | LONG_ZERO_RTT) => {
+                if !(MIN_FIRST_CID..=CID_LEN).contains(&cid_len) {
+                    return None;
+                }
+                Form::First
+            }
+            (VERSION_1, _) => Form::Long,
+            // The agent answers other versions with the ones it knows.
+            _ => Form::First,
+        };
+        Some(Packet { form, cid, len })
+    }
+}
+
+/// Whether two datagrams from one caller to one address are surely placed alike: short headers with the same ID.
+#[inline]
+pub fn same_flow(first: &[u8], second: &[u8]) -> bool {
+    let id = |it: &[u8]| it.get(..1 + CID_LEN).is_some_and(|it| it[0] & LONG_FORM == 0);
+    id(first) && id(second) && first[1..1 + CID_LEN] == second[1..1 + CID_LEN]
+}
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -19,7 +19,8 @@
     invariant::{self, Invariant},
     member::Agent,
     object::ServiceId,
-    seal::{CID_LEN, Home, KeyRing, sealable},
+    packet::{Form, Packet},
+    seal::{Home, KeyRing, sealable},
     slots::{Member, Slots},
     snapshot::{ServiceEntry, Snapshot},
 };
@@ -29,15 +30,6 @@
 /// For how long an address goes on serving flows of a service that had it before, in milliseconds.
 pub const FORMER_MS: u64 = 24 * 3_600 * 1_000;
 
-const LONG_FORM: u8 = 0x80;
-const LONG_TYPE: u8 = 0x30;
-const LONG_INITIAL: u8 = 0x00;
-const LONG_ZERO_RTT: u8 = 0x10;
-const VERSION_END: usize = 5;
-const VERSION_1: u32 = 1;
-const VERSION_NEGOTIATION: u32 = 0;
-const MIN_FIRST_CID: usize = 8;
-
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -162,14 +154,20 @@
     }
 }
 
+/// Whether an agent answers at a data address. A live one goes before a dead one that had the address earlier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Liveness {
+    Dead,
+    Alive,
+}
+
 /// Everything that placing needs, built from a snapshot and never changed.
 #[derive(Debug)]
 pub struct Placer {
     ring: Option<KeyRing>,
     listeners: BTreeMap<SocketAddr, Listener>,
     pools: FxHashMap<ServiceId, Arc<Pool>>,
-    // By data address: whether the agent answers.
-    agents: FxHashMap<SocketAddrV4, bool>,
+    agents: FxHashMap<SocketAddrV4, Liveness>,
 }
 
 impl Placer {
@@ -229,9 +227,9 @@
             return Placement::Drop(Refusal::WrongService);
         }
         match self.agents.get(&home.agent) {
-            Some(true) => Placement::Owner { home, known: true },
+            Some(Liveness::Alive) => Placement::Owner { home, known: true },
             None => Placement::Owner { home, known: false },
-            Some(false) => self.reset(caller, packet, home.service),
+            Some(Liveness::Dead) => self.reset(caller, packet, home.service),
         }
     }
 
@@ -275,13 +273,6 @@
     }
 }
 
-/// Whether two datagrams from one caller to one address are surely placed alike: short headers with the same ID.
-#[inline]
-pub fn same_flow(first: &[u8], second: &[u8]) -> bool {
-    let id = |it: &[u8]| it.get(..1 + CID_LEN).is_some_and(|it| it[0] & LONG_FORM == 0);
-    id(first) && id(second) && first[1..1 + CID_LEN] == second[1..1 + CID_LEN]
-}
-
 fn checked(listener: &Listener, placement: Placement) -> Placement {
     let service = match placement {
         Placement::Owner { home, .. } | Placement::Reset(home) => home.service,
@@ -310,54 +301,6 @@
     hasher.finish()
 }
 
-/// What a packet's header tells before anything is decrypted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Form {
-    /// Long header that may start a flow.
-    First,
-    /// Any other long header.
-    Long,
-    /// Short header.
-    Short,
-}
-
-struct Packet<'a> {
-    form: Form,
-    cid: &'a [u8],
-    len: usize,
-}
-
-impl<'a> Packet<'a> {
-    // The fixed bit is not looked at: callers may grease it (RFC 9287).
-    #[inline]
-    fn parse(datagram: &'a [u8]) -> Option<Packet<'a>> {
-        let len = datagram.len();
-        let first = *datagram.first()?;
-        if first & LONG_FORM == 0 {
-            let cid = datagram.get(1..1 + CID_LEN)?;
-            return Some(Packet { form: Form::Short, cid, len });
-        }
-        let version = datagram.get(1..VERSION_END)?;
-        let version = u32::from_be_bytes([version[0], version[1], version[2], version[3]]);
-        let start = VERSION_END + 1;
-        let cid_len = usize::from(*datagram.get(VERSION_END)?);
-        let cid = datagram.get(start..start + cid_len)?;
-        let form = match (version, first & LONG_TYPE) {
-            (VERSION_NEGOTIATION, _) => return None,
-            (VERSION_1, LONG_INITIAL | LONG_ZERO_RTT) => {
-                if !(MIN_FIRST_CID..=CID_LEN).contains(&cid_len) {
-                    return None;
-                }
-                Form::First
-            }
-            (VERSION_1, _) => Form::Long,
-            // The agent answers other versions with the ones it knows.
-            _ => Form::First,
-        };
-        Some(Packet { form, cid, len })
-    }
-}
-
 fn listeners(
     snapshot: &Snapshot,
     previous: Option<&Placer>,
@@ -409,14 +352,15 @@
     if seats.is_empty() { agents.iter().filter_map(|it| seat(it, 1.0)).collect() } else { seats }
 }
 
-fn agents(snapshot: &Snapshot) -> FxHashMap<SocketAddrV4, bool> {
+fn agents(snapshot: &Snapshot) -> FxHashMap<SocketAddrV4, Liveness> {
     let mut agents = FxHashMap::default();
     for agent in snapshot.agents.values() {
         let Some(data) = sealable(agent.data) else {
             continue;
         };
-        // An address may have gone from a dead agent to one under a new name.
-        *agents.entry(data).or_insert(false) |= agent.state.answers();
+        let found = if agent.state.answers() { Liveness::Alive } else { Liveness::Dead };
+        let known = agents.entry(data).or_insert(found);
+        *known = found.max(*known);
     }
     agents
 }
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -5,7 +5,8 @@
 use camphorwinch_core::{
     candidates::Candidates,
     object::ServiceId,
-    place::{Listener, Placement, Placer, Refusal, same_flow},
+    packet::same_flow,
+    place::{Listener, Placement, Placer, Refusal},
     seal::KeyRing,
 };
 use camphorwinch_wire::encap::{Encoder, Header, MAX_PAYLOAD};
