--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -620,6 +620,11 @@
 
     fn keep_lease(&mut self, index: usize) {
         let now = self.now;
+        let watches = |it: &Process| it.up && it.frozen_until <= now && it.keeper.last().is_some();
+        if !self.processes[..BALANCERS].iter().any(watches) {
+            // Both holders of this only zone were lost: until a lease has expired nobody reads the platform.
+            self.platform.disturbed = self.platform.disturbed.max(now);
+        }
         if self.processes[index].writing {
             return;
         }
