--- a/crates/standin/src/cmd/capacity.rs
+++ b/crates/standin/src/cmd/capacity.rs
@@ -10,12 +10,15 @@
 use anyhow::Context;
 use bpaf::Bpaf;
 
-use crate::capacity::{
-    Part, Plan,
-    output::{self, Circumstances},
-    series::Measured,
-    size,
-    usage::load_average,
+use crate::{
+    capacity::{
+        Part, Plan,
+        output::{self, Circumstances},
+        series::Measured,
+        size,
+        usage::load_average,
+    },
+    stop::Stop,
 };
 
 /// Measure cost against size, and work out the size designed for
@@ -46,10 +49,19 @@
         let logs = env::temp_dir().join(format!("camphorwinch-capacity-{}", std::process::id()));
         let plan = Plan { quick: self.quick, bin: self.bin()?, logs };
         let load = load_average();
+        let commit = commit();
         let parts = if self.part.is_empty() { Part::ALL.to_vec() } else { self.part.clone() };
-        let (measured, failed) = measure(&plan, &parts).await;
+        let mut stop = Stop::new()?;
+        let (measured, failed) = tokio::select! {
+            it = measure(&plan, &parts) => it,
+            // Dropping the fleet kills its processes.
+            () = stop.wait() => {
+                remove(&plan.logs);
+                return Ok(ExitCode::FAILURE);
+            }
+        };
         let run = Circumstances {
-            commit: commit(),
+            commit,
             cores: std::thread::available_parallelism().map_or(0, usize::from),
             load: [load, load_average()],
             quick: self.quick,
