--- a/crates/standin/src/capacity/decisions.rs
+++ b/crates/standin/src/capacity/decisions.rs
@@ -16,7 +16,9 @@
     snapshot::Snapshot,
     view::{Scope, View},
 };
+use camphorwinch_wire::message::{Body, Frame, RecordPart, Update};
 use nix::time::{ClockId, clock_gettime};
+use prost::Message;
 use rand::{SeedableRng, rngs::StdRng};
 use serde_json::json;
 
@@ -46,6 +48,7 @@
     series.extend(by_members(&config, batches)?);
     series.extend(by_services(&config, batches)?);
     series.push(report_bytes()?);
+    series.push(record_bytes());
     Ok(series)
 }
 
@@ -264,8 +267,7 @@
 }
 
 fn report_bytes() -> anyhow::Result<Series> {
-    let mut bytes =
-        decided("report", "report of a zone in its lease object", "bytes", "upstreams of the zone");
+    let mut bytes = decided("report", "whole report of a zone", "bytes", "upstreams of the zone");
     for size in [60, 120, 250, 500, 1_000] {
         let mut report = Report { zone: "zone-0".to_owned(), at_ms: NOW_MS, ..Report::default() };
         for i in 0..size {
@@ -288,6 +290,17 @@
     Ok(bytes)
 }
 
+fn record_bytes() -> Series {
+    let mut bytes = decided("record", "message with members", "bytes", "members");
+    for size in [1, 2, 5, 10, 20] {
+        let part = |i| RecordPart::from(&Record::Member(member(i, 680, 1)));
+        let records = (1..=size).map(part).collect();
+        let update = Update { records, ..Update::default() };
+        bytes.push(size as f64, Frame::new(Body::Update(update)).encoded_len() as f64);
+    }
+    bytes
+}
+
 /// Processor time of one call in microseconds: the least of several batches, as the machine is shared.
 fn micros<F, T>(batches: usize, mut call: F) -> anyhow::Result<f64>
 where
--- a/crates/standin/src/capacity/mod.rs
+++ b/crates/standin/src/capacity/mod.rs
@@ -167,7 +167,7 @@
     }
 
     fn changes(&self) -> usize {
-        if self.quick { 10 } else { 30 }
+        if self.quick { 10 } else { 100 }
     }
 
     fn flows(&self) -> &'static [usize] {
--- a/crates/standin/src/capacity/output.rs
+++ b/crates/standin/src/capacity/output.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, fs, path::Path};
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 
 use super::{
     fit::{Value, count, digits},
@@ -32,6 +32,9 @@
     measured: &Measured,
     totals: &[Total],
 ) -> anyhow::Result<()> {
+    if let Some(name) = commas(measured, totals) {
+        bail!("write {}: the name {name:?} holds a comma", dir.display());
+    }
     fs::create_dir_all(dir).with_context(|| format!("create {}", dir.display()))?;
     save(&dir.join("points.csv"), &points_csv(measured))?;
     save(&dir.join("slopes.csv"), &slopes_csv(measured))?;
@@ -43,6 +46,13 @@
     Ok(())
 }
 
+/// Commas separate fields, and no field is quoted: names hold none.
+fn commas(measured: &Measured, totals: &[Total]) -> Option<String> {
+    let series = measured.series.iter().flat_map(|it| [it.id, it.axis, it.unit]);
+    let names = totals.iter().flat_map(|it| [it.role, it.resource, it.unit]);
+    series.chain(names).find(|it| it.contains(',')).map(str::to_owned)
+}
+
 fn save(path: &Path, text: &str) -> anyhow::Result<()> {
     fs::write(path, text).with_context(|| format!("write {}", path.display()))
 }
--- a/crates/standin/src/capacity/scale.rs
+++ b/crates/standin/src/capacity/scale.rs
@@ -15,6 +15,8 @@
 
 const BALANCERS: usize = 4;
 const CALM: Duration = Duration::from_secs(4);
+/// Windows in which several reports and renewals of a lease happen.
+const REPORT_WINDOWS: u32 = 2;
 const POLL: Duration = Duration::from_millis(100);
 
 fn on_processes(
@@ -28,7 +30,7 @@
 
 /// Grows the number of members that real balancers know, by made-up agents, in six zones with three balancers each.
 pub async fn members(plan: &Plan) -> anyhow::Result<Vec<Series>> {
-    const AXIS: &str = "members, most made up";
+    const AXIS: &str = "members (most made up)";
     const EACH_ZONE: usize = 3;
     const SERVICES: usize = 60;
     let zones = if plan.quick { 2 } else { 6 };
@@ -54,7 +56,9 @@
         tell(&fleet, told, count).await?;
         told = count;
         announce(&fleet, &reporters, count).await?;
-        let window = quiet(&fleet, plan).await.with_context(|| format!("with {count} members"))?;
+        let window = quiet_for(&fleet, plan.window() * REPORT_WINDOWS)
+            .await
+            .with_context(|| format!("with {count} members"))?;
         let x = count as f64;
         let values = [
             (x, window.plain.cpu),
@@ -244,9 +248,13 @@
 }
 
 async fn quiet(fleet: &Fleet, plan: &Plan) -> anyhow::Result<Window> {
+    quiet_for(fleet, plan.window()).await
+}
+
+async fn quiet_for(fleet: &Fleet, length: Duration) -> anyhow::Result<Window> {
     fleet.settle(Plan::LIMIT).await?;
     time::sleep(CALM).await;
-    fleet.window(plan.window()).await
+    fleet.window(length).await
 }
 
 /// Adds one measurement to each series.
--- a/crates/standin/src/capacity/size.rs
+++ b/crates/standin/src/capacity/size.rs
@@ -143,8 +143,8 @@
     let total = total
         .at(measured, "seed-bytes-members", MEMBERS, 1.0)
         .slope(measured, "seed-bytes-balancers", BALANCERS / ZONES - MADE_UP_BALANCERS)
-        .counted("whole report, limit", WHOLE_LIMIT)
-        .counted("timeline, limit", TIMELINE_LIMIT);
+        .counted("limit of the whole report", WHOLE_LIMIT)
+        .counted("limit of the timeline", TIMELINE_LIMIT);
     own_bytes(total, measured)
 }
 
@@ -190,7 +190,7 @@
         .at(measured, "calls-balancers", 0.0, ZONES)
         .slope(measured, "calls-balancers", BALANCERS)
         .slope(measured, "calls-agents", AGENTS)
-        .counted("watches that return, one for each change and holder", changes_per_s() * HOLDERS)
+        .counted("watches that return (one for each change and holder)", changes_per_s() * HOLDERS)
 }
 
 fn platform_answers(measured: &Measured) -> Total {
@@ -200,7 +200,7 @@
 }
 
 fn in_force(measured: &Measured) -> Total {
-    Total::new("fleet", "change in force, worst", "s", IN_FORCE_S).at(
+    Total::new("fleet", "worst time of a change to be in force", "s", IN_FORCE_S).at(
         measured,
         "in-force-worst",
         MEMBERS,
@@ -209,20 +209,20 @@
 }
 
 fn start_bytes(measured: &Measured) -> Total {
-    Total::new("agent", "control at its start, against a minute", "bytes", MINUTE * BYTES_BUDGET)
+    Total::new("agent", "control at its start (budget of a minute)", "bytes", MINUTE * BYTES_BUDGET)
         .at(measured, "agent-start-bytes", SERVICES, 1.0)
 }
 
 fn storm_cpu(measured: &Measured) -> Total {
     let budget = MINUTE * CPU_BUDGET / 100.0;
-    Total::new("balancer", "time when all agents start in a minute", "s", budget)
+    Total::new("balancer", "time while all agents start in a minute", "s", budget)
         .slope(measured, "storm-cpu", AGENTS)
         .at(measured, "snapshot", MEMBERS, MINUTE / REBUILD_S * 1e-6)
 }
 
 fn storm_bytes(measured: &Measured) -> Total {
     let budget = MINUTE * BYTES_BUDGET;
-    Total::new("balancer", "control when all agents start in a minute", "bytes", budget).slope(
+    Total::new("balancer", "control while all agents start in a minute", "bytes", budget).slope(
         measured,
         "storm-bytes",
         AGENTS,
--- a/crates/standin/tests/capacity.rs
+++ b/crates/standin/tests/capacity.rs
@@ -7,6 +7,10 @@
     series::{Ground, Measured, Series, Total},
     usage::Usage,
 };
+use camphorwinch_standin::capacity::{
+    output::{self, Circumstances},
+    size,
+};
 use quickcheck::quickcheck;
 
 fn points(pairs: &[(f64, f64)]) -> Vec<Point> {
@@ -108,3 +112,26 @@
     assert!(after.rss_mib > 0.0 && after.own_mib <= after.rss_mib);
     assert!(Usage::read(u32::MAX).is_err());
 }
+
+#[test]
+fn writes_tables_that_can_be_read_back() {
+    let dir = std::env::temp_dir().join(format!("camphorwinch-capacity-{}", std::process::id()));
+    let mut measured = Measured::default();
+    measured.extend([series("links", &[(1.0, 2.0), (2.0, 3.0), (3.0, 5.0), (4.0, 6.0)])]);
+    let totals = size::totals(&measured);
+    output::write(&dir, &Circumstances::default(), &measured, &totals).unwrap();
+    let read = |name: &str| std::fs::read_to_string(dir.join(name)).unwrap();
+    for name in ["points.csv", "slopes.csv", "totals.csv"] {
+        let text = read(name);
+        let columns = text.lines().next().unwrap().split(',').count();
+        assert!(text.lines().all(|it| it.split(',').count() == columns), "{name}: {text}");
+    }
+    assert_eq!(read("points.csv").lines().count(), 5);
+    assert!(read("links.svg").contains("<svg"));
+    let partial = read("tables.md").lines().filter(|it| it.contains("(partial)")).count();
+    assert_eq!(partial, totals.len(), "a sum that lacks a line is marked");
+    let comma = Series::new("a,b", "cost", "s", "size", Ground::Decisions);
+    measured.extend([comma]);
+    assert!(output::write(&dir, &Circumstances::default(), &measured, &totals).is_err());
+    std::fs::remove_dir_all(dir).unwrap();
+}
