--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
 //! the time come in as arguments, effects go out as return values.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod admit;
 pub mod assemble;
 pub mod budget;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,11 @@
 //! Messages and framing between camphorwinch processes.
 
+#![warn(clippy::unwrap_used)]
+
 mod convert;
 pub mod encap;
 pub mod frame;
+#[allow(clippy::impl_trait_in_params, reason = "derived by prost")]
 pub mod handover;
+#[allow(clippy::impl_trait_in_params, reason = "derived by prost")]
 pub mod message;
