--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -10,7 +10,7 @@
     manifest::rank,
     output::pretty,
     platform::{List, Platform},
-    write::Write,
+    write::{self, Write},
 };
 
 /// What became of an object.
@@ -126,7 +126,7 @@
                 at: format!("{kind}/{}", object.name),
                 reason: format!("version {} is asked for; {version} is stored", object.version),
                 ours: pretty(object),
-                stored: stored.map_or_else(|| "(nothing)".to_owned(), pretty),
+                stored: write::stored(stored),
             });
         }
         Ok(())
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,7 @@
 //! The parts of the camphorwinch command-line tool.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod app;
 pub mod apply;
 pub mod cmd;
--- a/crates/cli/src/write.rs
+++ b/crates/cli/src/write.rs
@@ -138,7 +138,7 @@
             Ok(Found::Unchanged) => Ok(None),
             Ok(Found::Replaced(current)) => {
                 let reason = "the answer was lost, and another writer has changed the object since";
-                Err(self.unknown(platform, "put", writer, reason, stored(&current)))
+                Err(self.unknown(platform, "put", writer, reason, stored(current.as_ref())))
             }
             Err(e) => {
                 let reason = format!("the answer was lost: {e}");
@@ -164,7 +164,13 @@
                 }
                 Attempt::Conflict(current) if lost => {
                     let reason = "the answer was lost, and the object has changed since";
-                    return Err(self.unknown(platform, "delete", "", reason, stored(&current)));
+                    return Err(self.unknown(
+                        platform,
+                        "delete",
+                        "",
+                        reason,
+                        stored(current.as_ref()),
+                    ));
                 }
                 Attempt::Conflict(current) => return Err(self.conflict("", current)),
                 Attempt::Refused(it) => {
@@ -217,7 +223,7 @@
             at: self.at(),
             reason,
             ours: pretty(&self.ours(writer)),
-            stored: stored(&current),
+            stored: stored(current.as_ref()),
         }
     }
 
@@ -282,8 +288,9 @@
     }
 }
 
-fn stored(current: &Option<Object>) -> String {
-    current.as_ref().map_or_else(|| "(nothing)".to_owned(), pretty)
+/// What the platform holds, for an error.
+pub(crate) fn stored(current: Option<&Object>) -> String {
+    current.map_or_else(|| "(nothing)".to_owned(), pretty)
 }
 
 fn not_read() -> String {
