standin: time from accepted to in force at every process is measured

After each change of configuration the site follows the status of every daemon that is not under a fault, and complains after 5 s unless a fault kept news away.

--- a/crates/standin/src/site/faults/act.rs
+++ b/crates/standin/src/site/faults/act.rs
@@ -216,7 +216,7 @@
         before: &BTreeMap<String, u64>,
         after: &BTreeMap<String, u64>,
     ) {
-        if self.platform_disturbed(since) {
+        if self.disturbed(since) {
             return;
         }
         for (name, &count) in after {
@@ -231,8 +231,8 @@
         }
     }
 
-    /// Whether the platform or the fabric was disturbed since then, so that news may come late.
-    fn platform_disturbed(&self, since: Duration) -> bool {
+    /// Whether something disturbed since then by which news may come late.
+    pub(super) fn disturbed(&self, since: Duration) -> bool {
         let placed = self.log.placed();
         placed.iter().any(|it| {
             let news =
--- a/crates/standin/src/site/faults/configure.rs
+++ b/crates/standin/src/site/faults/configure.rs
@@ -53,8 +53,8 @@
             }
         };
         let _mark = self.begin(Kind::Config, text);
-        self.shared.objects.put(Object::Service, name, &spec).await?;
-        Ok(())
+        let object = self.shared.objects.put(Object::Service, name, &spec).await?;
+        self.follow(object.version).await
     }
 
     async fn rotate_keys(&self, rng: &mut StdRng) -> anyhow::Result<()> {
@@ -70,8 +70,8 @@
         for key in &mut keys.keys {
             key.usage = if key.epoch == epoch { KeyUse::Seal } else { KeyUse::Open };
         }
-        self.shared.objects.put(Object::Keys, name, &keys).await?;
-        Ok(())
+        let object = self.shared.objects.put(Object::Keys, name, &keys).await?;
+        self.follow(object.version).await
     }
 
     async fn rotate_certificate(&self, rng: &mut StdRng) -> anyhow::Result<()> {
@@ -81,8 +81,8 @@
         let _mark = self.begin(Kind::Config, format!("certificate {name}"));
         let leaf = self.shared.authority.leaf(service.name, &[])?;
         let spec = objects::certificate(&leaf);
-        self.shared.objects.put(Object::Certificate, &name, &spec).await?;
-        Ok(())
+        let object = self.shared.objects.put(Object::Certificate, &name, &spec).await?;
+        self.follow(object.version).await
     }
 
     /// Two operators write one service from the same version: one write at most may take effect.
--- a/crates/standin/src/site/faults/mod.rs
+++ b/crates/standin/src/site/faults/mod.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod configure;
 mod pick;
+mod rollout;
 
 use std::{str::FromStr, sync::Arc, time::Duration};
 
@@ -136,6 +137,7 @@
 pub struct Log {
     placed: Mutex<Vec<Placed>>,
     broken: Mutex<Vec<String>>,
+    rollouts: Mutex<Vec<Duration>>,
 }
 
 impl Log {
@@ -149,6 +151,13 @@
         self.broken.lock().clone()
     }
 
+    /// How long changes took from accepted to in force in every process that was not under a fault, shortest first.
+    pub fn rollouts(&self) -> Vec<Duration> {
+        let mut rollouts = self.rollouts.lock().clone();
+        rollouts.sort();
+        rollouts
+    }
+
     fn add(&self, placed: Placed) -> usize {
         println!("{:6.1} s: {} {}", placed.at.as_secs_f64(), placed.kind.as_str(), placed.text);
         let mut all = self.placed.lock();
--- a/crates/standin/src/site/faults/pick.rs
+++ b/crates/standin/src/site/faults/pick.rs
@@ -43,7 +43,8 @@
         fresh.then(|| Hold { busy: self.clone(), name: name.to_owned() })
     }
 
-    fn is_free(&self, name: &str) -> bool {
+    /// Whether no fault holds the name.
+    pub(super) fn is_free(&self, name: &str) -> bool {
         !self.names.lock().contains(name)
     }
 }
--- a/crates/standin/src/site/print.rs
+++ b/crates/standin/src/site/print.rs
@@ -41,6 +41,7 @@
         println!("{name:<24} {load:>8.3} slots busy");
     }
     println!("{} runs of requests that are not idempotent", findings.verdict.runs);
+    rollouts(&log.rollouts());
     some("ran twice", &findings.verdict.twice);
     some("not run, but was", &findings.verdict.untrue);
     let incidents: Vec<String> =
@@ -55,6 +56,16 @@
     }
 }
 
+fn rollouts(sorted: &[Duration]) {
+    let (Some(median), Some(worst)) = (sorted.get(sorted.len() / 2), sorted.last()) else {
+        return;
+    };
+    println!(
+        "{} changes in force everywhere: {median:.2?} in the median, {worst:.2?} at worst",
+        sorted.len()
+    );
+}
+
 /// Faults and incidents around the first incident that nothing explains.
 fn timeline(first: &Incident, tally: &Tally, log: &Log) {
     let (from, to) = (first.at.saturating_sub(AROUND), first.at + AROUND);
