Help into a closed pipe is no fault; violated invariants are told as event 105

bpaf prints help with println, which panics when the reader has gone (`--help | head -1`). Both programs now write the text themselves and take a closed pipe for done. Ruled out: the default action of SIGPIPE, which would end the daemon at any closed pipe.

Event 105 stood in the catalogue but nothing emitted it: a violated invariant was only in the metric. Each process now looks at the counts every second and emits one event for each invariant whose count grew.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,23 +1,19 @@
 //! The camphorwinch command-line tool.
 
-use std::{env, error::Error as _, process::ExitCode};
+use std::{
+    env,
+    error::Error as _,
+    io::{self, Write as _},
+    process::ExitCode,
+};
 
 use bpaf::ParseFailure;
-use camphorwinch_cli::{app, config::Settings, error::Error};
-
-/// Columns of help texts.
-const WIDTH: usize = 100;
+use camphorwinch_cli::{app, config::Settings, error::Error, output::print};
 
 fn main() -> ExitCode {
     let app = match app::app().run_inner(bpaf::Args::current_args()) {
         Ok(app) => app,
-        Err(failure) => {
-            failure.print_message(WIDTH);
-            return match failure {
-                ParseFailure::Stderr(_) => ExitCode::from(app::USAGE),
-                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
-            };
-        }
+        Err(failure) => return ExitCode::from(show(&failure)),
     };
     match run(&app) {
         Ok(()) | Err(Error::Closed) => ExitCode::SUCCESS,
@@ -38,6 +34,26 @@
     runtime.block_on(app.cmd.run(&settings))
 }
 
+/// Prints help, completion or a fault of the command line, and gives the exit code.
+fn show(failure: &ParseFailure) -> u8 {
+    let result = match failure {
+        ParseFailure::Stdout(help, full) => print(help.monochrome(*full) + "\n"),
+        ParseFailure::Completion(text) => print(text),
+        ParseFailure::Stderr(fault) => {
+            // Where the reader has gone away, nobody waits for the text.
+            let _ = writeln!(io::stderr(), "Error: {}", fault.monochrome(true));
+            return app::USAGE;
+        }
+    };
+    match result {
+        Ok(()) | Err(Error::Closed) => 0,
+        Err(error) => {
+            report(&error);
+            error.exit_code()
+        }
+    }
+}
+
 fn report(error: &Error) {
     eprintln!("camphorwinch: {error}");
     let mut source = error.source();
--- a/crates/daemon/src/cmd/agent.rs
+++ b/crates/daemon/src/cmd/agent.rs
@@ -18,7 +18,7 @@
     event::{self, About, Id},
     log,
     operator::{self, Inspect},
-    signal,
+    signal, violations,
 };
 
 /// Serve flows for one upstream: run this beside it.
@@ -50,6 +50,7 @@
     let announcing = tokio::spawn(announce(control.clone(), Arc::clone(&node), in_force));
     let inspect = Inspected { control: control.clone(), node };
     operator::serve(config.common.operator, Arc::new(inspect)).await?;
+    tokio::spawn(violations::follow());
     event::emit(Id::ProcessStarted, About::new(), &format!("agent {}", config.common.name));
 
     let mut fenced = control.fenced();
--- a/crates/daemon/src/cmd/balance.rs
+++ b/crates/daemon/src/cmd/balance.rs
@@ -16,7 +16,7 @@
     log,
     operator::{self, Inspect},
     relay::{self, Relay},
-    signal,
+    signal, violations,
 };
 
 /// Place callers' packets: run this on an entry VM.
@@ -45,6 +45,7 @@
     let shared = relay.shared();
     let inspect = Balancer { control: control.clone(), shared, stop: stop.clone() };
     operator::serve(config.common.operator, Arc::new(inspect)).await?;
+    tokio::spawn(violations::follow());
     event::emit(Id::ProcessStarted, About::new(), &format!("balancer {}", config.common.name));
 
     let mut fenced = control.fenced();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod control;
 mod event;
+mod help;
 mod lease;
 mod log;
 mod metrics;
@@ -17,6 +18,7 @@
 mod signal;
 mod timeline;
 mod tls;
+mod violations;
 mod whole;
 
 use std::process::ExitCode;
@@ -37,9 +39,10 @@
 }
 
 fn main() -> ExitCode {
-    let result = match command().run() {
-        Command::Balance(it) => it.run(),
-        Command::Agent(it) => it.run(),
+    let result = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(Command::Balance(it)) => it.run(),
+        Ok(Command::Agent(it)) => it.run(),
+        Err(failure) => return help::show(&failure),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
