--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -22,7 +22,7 @@
         reason: String,
     },
     /// An object is not valid.
-    #[error("not valid: {0}")]
+    #[error("an object is not valid")]
     Spec(#[from] SpecError),
     /// Another writer changed the object.
     #[error("conflict at {at}: {reason}\nyours:\n{ours}\nstored:\n{stored}")]
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -79,7 +79,7 @@
     305 MemberBack "member-back" Info "a member that was found dead is alive";
     306 MemberChanged "member-changed" Info "a member joined or changed its state";
     401 DrainStarted "drain-started" Info "a drain began: no new work is taken";
-    402 DrainDone "drain-done" Info "a drain is done: no request is in progress";
+    402 DrainDone "drain-done" Info "a drain is done: no flow and no request is left";
     403 DrainEnded "drain-ended" Info "a drain was taken back: new work is taken again";
     404 UpstreamLost "upstream-lost" Warn "the upstream does not accept connections";
     405 UpstreamBack "upstream-back" Info "the upstream accepts connections again";
