--- a/crates/standin/src/capacity/output.rs
+++ b/crates/standin/src/capacity/output.rs
@@ -2,10 +2,10 @@
 
 use std::{fmt::Write, fs, path::Path};
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 
 use super::{
-    fit::Value,
+    fit::{Value, count, digits},
     plot,
     series::{Measured, Series, Total},
 };
@@ -32,6 +32,9 @@
     measured: &Measured,
     totals: &[Total],
 ) -> anyhow::Result<()> {
+    if let Some(name) = commas(measured, totals) {
+        bail!("write {}: the name {name:?} holds a comma", dir.display());
+    }
     fs::create_dir_all(dir).with_context(|| format!("create {}", dir.display()))?;
     save(&dir.join("points.csv"), &points_csv(measured))?;
     save(&dir.join("slopes.csv"), &slopes_csv(measured))?;
@@ -43,6 +46,13 @@
     Ok(())
 }
 
+/// Commas separate fields, and no field is quoted: names hold none.
+fn commas(measured: &Measured, totals: &[Total]) -> Option<String> {
+    let series = measured.series.iter().flat_map(|it| [it.id, it.axis, it.unit]);
+    let names = totals.iter().flat_map(|it| [it.role, it.resource, it.unit]);
+    series.chain(names).find(|it| it.contains(',')).map(str::to_owned)
+}
+
 fn save(path: &Path, text: &str) -> anyhow::Result<()> {
     fs::write(path, text).with_context(|| format!("write {}", path.display()))
 }
@@ -175,7 +185,7 @@
             it.resource,
             shown(it.value()),
             it.unit,
-            it.budget,
+            count(it.budget),
             100.0 * it.share(),
             parts.join("; "),
         ),
@@ -183,7 +193,7 @@
 }
 
 fn sizes(it: &Series, between: &str) -> String {
-    it.sizes().iter().map(f64::to_string).collect::<Vec<_>>().join(between)
+    it.sizes().into_iter().map(count).collect::<Vec<_>>().join(between)
 }
 
 /// A value with its error, to three digits.
@@ -191,18 +201,6 @@
     format!("{} ± {}", digits(value.mean), digits(value.error))
 }
 
-fn digits(value: f64) -> String {
-    if value == 0.0 {
-        return "0".to_owned();
-    }
-    let whole = value.abs().log10().floor() as i32;
-    if !(-4..7).contains(&whole) {
-        return format!("{value:.2e}");
-    }
-    let places = usize::try_from(2 - whole).unwrap_or(0);
-    format!("{value:.places$}")
-}
-
 fn line(text: &mut String, args: std::fmt::Arguments<'_>) {
     writeln!(text, "{args}").expect("writing to a string does not fail");
 }
