Roster: holders, all_holders and successors in place of few, all and heirs

The names say who is meant without the comment. The two callers in the daemon and the tests follow. Tests of suspicion have names without metaphors; their content is the same.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -158,8 +158,8 @@
         }
     }
 
-    /// Whether a claim may be recorded here: `asked` is the digest of the members that are all asked, or none if only the
-    /// few are asked that a settled pool needs.
+    /// Whether a claim may be recorded here: `asked` is the digest of the members if all of them are asked, or none if
+    /// only those are asked that suffice in a settled pool.
     pub fn admits(&self, asked: Option<u64>, now: u64, window: u64) -> bool {
         match asked {
             Some(digest) => digest == self.digest(),
@@ -173,7 +173,7 @@
     }
 
     /// Who must record a claim that `me` makes on `key` while the members are settled, the arbiter first.
-    pub fn few(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
+    pub fn holders(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
         let order = self.order(key);
         let mut members: Vec<&str> = order.first().copied().into_iter().collect();
         if let Some((name, _)) = self.live.get_key_value(me).filter(|_| !members.contains(&me)) {
@@ -184,7 +184,7 @@
     }
 
     /// Who must record a claim on `key` while the members are not settled, the arbiter first.
-    pub fn all(&self, key: &ClaimKey) -> Vec<&str> {
+    pub fn all_holders(&self, key: &ClaimKey) -> Vec<&str> {
         let mut members = self.order(key);
         for (name, it) in &self.live {
             if it.part == Part::Former {
@@ -209,12 +209,12 @@
     }
 
     /// To whom `me` hands a claim on `key` over when it leaves.
-    pub fn heirs(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
+    pub fn successors(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
         let mut order = self.order(key);
         order.retain(|it| *it != me);
-        let mut heirs: Vec<&str> = order.first().copied().into_iter().collect();
-        self.add_witnesses(&order, &mut heirs);
-        heirs
+        let mut successors: Vec<&str> = order.first().copied().into_iter().collect();
+        self.add_witnesses(&order, &mut successors);
+        successors
     }
 
     /// Adds to those that must record a claim, in further zones as far as there are any.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -161,7 +161,7 @@
     fn claim_at(&mut self, key: &ClaimKey, me: &str, claim: &Claim, all: bool) -> Claimed {
         let roster = &self.members[me].roster;
         let all = all && self.without != Without::Everyone;
-        let asked = if all { roster.all(key) } else { roster.few(key, me) };
+        let asked = if all { roster.all_holders(key) } else { roster.holders(key, me) };
         let names: Vec<String> = asked.into_iter().map(str::to_owned).collect();
         let members = all.then(|| roster.digest());
         let mut granted: Vec<String> = Vec::new();
@@ -213,7 +213,7 @@
         let mut told = Vec::new();
         for (key, claim) in handed {
             let heirs: Vec<String> =
-                leaver.roster.heirs(&key, name).into_iter().map(str::to_owned).collect();
+                leaver.roster.successors(&key, name).into_iter().map(str::to_owned).collect();
             told.push((heirs, key, claim));
         }
         if self.without == Without::HandOver {
@@ -347,7 +347,7 @@
         pool.members.iter().map(|(name, it)| (name.as_str(), it.zone)).collect();
     for number in 0..50 {
         for (me, member) in &pool.members {
-            let asked = member.roster.few(&key(number), me);
+            let asked = member.roster.holders(&key(number), me);
             let reached: BTreeSet<&str> = asked.iter().map(|it| zones[it]).collect();
             assert!((3..=4).contains(&asked.len()), "{asked:?}");
             assert!(asked.contains(&me.as_str()) && reached.len() == 3, "{asked:?}");
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn silence_is_death_after_the_grace() {
+fn a_member_is_dead_after_the_grace_period() {
     let mut suspects = Suspects::new();
     suspects.suspect("a", OLD, AGENT_GRACE_MS, Verdict::Dead);
     assert!(tick_until(&mut suspects, 0, AGENT_GRACE_MS - 1, OLD).is_empty());
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn a_new_announcement_or_link_is_life() {
+fn a_new_announcement_or_link_ends_the_suspicion() {
     let mut suspects = Suspects::new();
     suspects.suspect("a", OLD, AGENT_GRACE_MS, Verdict::Dead);
     assert!(tick_until(&mut suspects, 0, 60_000, OLD.next()).is_empty());
@@ -40,30 +40,30 @@
 }
 
 #[test]
-fn a_process_that_slept_or_is_alone_declares_nobody_dead() {
+fn a_process_that_was_paused_or_is_alone_declares_nobody_dead() {
     let mut suspects = Suspects::new();
     assert!(suspects.due(0, true, |_| Some(OLD)).is_empty());
     suspects.suspect("a", OLD, 2_000, Verdict::Dead);
-    let woken = 5_000 + PAUSE_MS;
-    assert!(suspects.due(woken, true, |_| Some(OLD)).is_empty());
+    let resumed = 5_000 + PAUSE_MS;
+    assert!(suspects.due(resumed, true, |_| Some(OLD)).is_empty());
     assert!(
-        tick_until(&mut suspects, woken + 250, woken + BALANCER_GRACE_MS - 250, OLD).is_empty()
+        tick_until(&mut suspects, resumed + 250, resumed + BALANCER_GRACE_MS - 250, OLD).is_empty()
     );
     assert!(suspects.contains("a"));
-    assert!(suspects.due(woken + BALANCER_GRACE_MS, false, |_| Some(OLD)).is_empty());
+    assert!(suspects.due(resumed + BALANCER_GRACE_MS, false, |_| Some(OLD)).is_empty());
     assert_eq!(suspects.len(), 1);
 }
 
 #[test]
-fn a_link_lost_by_the_own_pause_kills_nobody() {
+fn a_link_lost_by_the_own_pause_makes_nobody_dead() {
     let mut suspects = Suspects::new();
     assert!(suspects.due(0, true, |_| Some(OLD)).is_empty());
-    let woken = 5_000 + PAUSE_MS;
-    assert!(suspects.due(woken, true, |_| Some(OLD)).is_empty());
+    let resumed = 5_000 + PAUSE_MS;
+    assert!(suspects.due(resumed, true, |_| Some(OLD)).is_empty());
     // Only now does the process notice that its peers closed their links meanwhile.
-    suspects.suspect("a", OLD, woken + AGENT_GRACE_MS, Verdict::Dead);
-    let quiet = woken + BALANCER_GRACE_MS;
-    assert!(tick_until(&mut suspects, woken + 250, quiet - 250, OLD).is_empty());
+    suspects.suspect("a", OLD, resumed + AGENT_GRACE_MS, Verdict::Dead);
+    let quiet = resumed + BALANCER_GRACE_MS;
+    assert!(tick_until(&mut suspects, resumed + 250, quiet - 250, OLD).is_empty());
     assert_eq!(tick_until(&mut suspects, quiet, quiet, OLD), ["a"]);
 }
 
--- a/crates/core/tests/system/keys.rs
+++ b/crates/core/tests/system/keys.rs
@@ -137,7 +137,7 @@
         let Some(roster) = &self.processes[at.agent].work.keys.roster else {
             return self.refuse(at, Told::NotRun);
         };
-        let names = if all { roster.all(&key) } else { roster.few(&key, &me) };
+        let names = if all { roster.all_holders(&key) } else { roster.holders(&key, &me) };
         let mut names: Vec<usize> = names.into_iter().map(index_of).collect();
         let digest = all.then(|| roster.digest());
         if alone {
--- a/crates/daemon/src/agent/rosters.rs
+++ b/crates/daemon/src/agent/rosters.rs
@@ -73,14 +73,14 @@
         let Some(it) = self.services.get(&key.service) else {
             return Vec::new();
         };
-        let names = if all { it.roster.all(key) } else { it.roster.few(key, &self.me) };
+        let names = if all { it.roster.all_holders(key) } else { it.roster.holders(key, &self.me) };
         names.into_iter().map(str::to_owned).collect()
     }
 
     /// Names of the agents to which this one hands a claim on `key` over when it leaves.
     pub(crate) fn heirs(&self, key: &ClaimKey) -> Vec<String> {
         let entry = self.services.get(&key.service);
-        let heirs = entry.map(|it| it.roster.heirs(key, &self.me)).unwrap_or_default();
+        let heirs = entry.map(|it| it.roster.successors(key, &self.me)).unwrap_or_default();
         heirs.into_iter().map(str::to_owned).collect()
     }
 
