--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -84,6 +84,31 @@
     }
 }
 
+/// Why an attempt failed, when another may follow.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Time after which the platform wants to be asked again, if it said.
+    pub after: Option<Duration>,
+    /// The cause, for people.
+    pub reason: String,
+}
+
+impl Failure {
+    /// A failure after which the platform named no time.
+    pub fn new<R>(reason: R) -> Failure
+    where
+        R: Into<String>,
+    {
+        Failure { after: None, reason: reason.into() }
+    }
+}
+
+impl From<&Answer> for Failure {
+    fn from(it: &Answer) -> Failure {
+        Failure { after: it.after, reason: it.reason() }
+    }
+}
+
 /// Why a call got no answer.
 #[derive(Clone, Debug)]
 pub enum Lost {
@@ -224,23 +249,22 @@
         T: DeserializeOwned,
     {
         loop {
-            let (after, reason) =
-                match self.call(Method::GET, path, Bytes::new(), retry.limit()).await {
-                    Ok(it) if it.status == StatusCode::OK => {
-                        return self.parse(step, &it.body).map(Some);
-                    }
-                    Ok(it) if matches!(it.status, StatusCode::NOT_FOUND | StatusCode::GONE) => {
-                        return Ok(None);
-                    }
-                    Ok(it) if is_passing(it.status) => (it.after, it.reason()),
-                    Ok(it) => return Err(self.refused(step, &it)),
-                    Err(lost) => (None, lost.reason()),
-                };
-            if !retry.pause(after).await {
+            let failure = match self.call(Method::GET, path, Bytes::new(), retry.limit()).await {
+                Ok(it) if it.status == StatusCode::OK => {
+                    return self.parse(step, &it.body).map(Some);
+                }
+                Ok(it) if matches!(it.status, StatusCode::NOT_FOUND | StatusCode::GONE) => {
+                    return Ok(None);
+                }
+                Ok(it) if is_passing(it.status) => Failure::from(&it),
+                Ok(it) => return Err(self.refused(step, &it)),
+                Err(lost) => Failure::new(lost.reason()),
+            };
+            if !retry.pause(failure.after).await {
                 return Err(Error::Unavailable {
                     step: step.to_owned(),
                     peer: self.peer(),
-                    reason,
+                    reason: failure.reason,
                 });
             }
         }
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     error::Error,
-    platform::{Events, Platform, Seen, WatchEvent, is_passing},
+    platform::{Events, Failure, Platform, Seen, WatchEvent, is_passing},
 };
 
 /// Time between lists, which find what the watch left out.
@@ -19,7 +19,7 @@
 /// What one call came to.
 enum Step {
     Events(Vec<WatchEvent>),
-    Retry(Option<Duration>, String),
+    Retry(Failure),
 }
 
 /// A watch on some kinds. It never returns an older state of an object after a newer one.
@@ -49,22 +49,23 @@
         let mut retry = self.platform.retry();
         let mut told = false;
         loop {
-            let (after, reason) = match self.step().await {
+            let failure = match self.step().await {
                 Ok(Step::Events(events)) if events.is_empty() => {
                     retry = self.platform.retry();
                     told = false;
                     continue;
                 }
                 Ok(Step::Events(events)) => return Ok(events),
-                Ok(Step::Retry(after, reason)) => (after, reason),
-                Err(Error::Unavailable { reason, .. }) => (None, reason),
+                Ok(Step::Retry(failure)) => failure,
+                Err(Error::Unavailable { reason, .. }) => Failure::new(reason),
                 Err(error) => return Err(error),
             };
             if !told {
+                let reason = &failure.reason;
                 eprintln!("watch: {}: {reason}; trying again", self.platform.peer());
                 told = true;
             }
-            if !retry.pause(after).await {
+            if !retry.pause(failure.after).await {
                 retry = self.platform.retry();
             }
         }
@@ -80,9 +81,9 @@
                 Ok(Step::Events(self.take(events)))
             }
             Ok(it) if it.status == StatusCode::GONE => self.relist().await.map(Step::Events),
-            Ok(it) if is_passing(it.status) => Ok(Step::Retry(it.after, it.reason())),
+            Ok(it) if is_passing(it.status) => Ok(Step::Retry(Failure::from(&it))),
             Ok(it) => Err(self.platform.refused("watch", &it)),
-            Err(lost) => Ok(Step::Retry(None, lost.reason())),
+            Err(lost) => Ok(Step::Retry(Failure::new(lost.reason()))),
         }
     }
 
--- a/crates/cli/src/write.rs
+++ b/crates/cli/src/write.rs
@@ -14,7 +14,7 @@
 use crate::{
     error::Error,
     output::pretty,
-    platform::{Answer, Lost, Platform, is_passing},
+    platform::{Answer, Failure, Lost, Platform, is_passing},
     retry::Retry,
 };
 
@@ -64,8 +64,8 @@
 enum Attempt<T> {
     Done(T),
     Conflict(Option<Object>),
-    NotRun(Option<std::time::Duration>, String),
-    Unclear(Option<std::time::Duration>, String),
+    NotRun(Failure),
+    Unclear(Failure),
     Refused(Answer),
 }
 
@@ -100,22 +100,22 @@
         loop {
             let answer =
                 platform.call(Method::PUT, &self.path(), body.clone(), retry.limit()).await;
-            let (after, reason) = match attempt(answer) {
+            let failure = match attempt(answer) {
                 Attempt::Done(object) => return Ok(object),
                 Attempt::Conflict(Some(current)) if current.writer == writer => return Ok(current),
                 Attempt::Conflict(current) if !lost => return Err(self.conflict(&writer, current)),
-                Attempt::Conflict(_) => (None, "the object changed".to_owned()),
+                Attempt::Conflict(_) => Failure::new("the object changed"),
                 Attempt::Refused(it) => {
                     return Err(platform.refused(&format!("put {}", self.at()), &it));
                 }
-                Attempt::NotRun(after, reason) => (after, reason),
-                Attempt::Unclear(after, reason) => {
+                Attempt::NotRun(failure) => failure,
+                Attempt::Unclear(failure) => {
                     lost = true;
-                    (after, reason)
+                    failure
                 }
             };
-            if !retry.pause(after).await {
-                return Err(self.given_up(platform, "put", &writer, lost, reason));
+            if !retry.pause(failure.after).await {
+                return Err(self.given_up(platform, "put", &writer, lost, &failure));
             }
             if !lost {
                 continue;
@@ -154,7 +154,7 @@
         let mut lost = false;
         loop {
             let answer = platform.call(Method::DELETE, &path, Bytes::new(), retry.limit()).await;
-            let (after, reason) = match attempt::<DeleteBody>(answer) {
+            let failure = match attempt::<DeleteBody>(answer) {
                 Attempt::Done(it) => return Ok(Some(it.revision)),
                 Attempt::Refused(it) if it.status == StatusCode::NOT_FOUND && lost => {
                     return Ok(None);
@@ -176,14 +176,14 @@
                 Attempt::Refused(it) => {
                     return Err(platform.refused(&format!("delete {}", self.at()), &it));
                 }
-                Attempt::NotRun(after, reason) => (after, reason),
-                Attempt::Unclear(after, reason) => {
+                Attempt::NotRun(failure) => failure,
+                Attempt::Unclear(failure) => {
                     lost = true;
-                    (after, reason)
+                    failure
                 }
             };
-            if !retry.pause(after).await {
-                return Err(self.given_up(platform, "delete", "", lost, reason));
+            if !retry.pause(failure.after).await {
+                return Err(self.given_up(platform, "delete", "", lost, &failure));
             }
         }
     }
@@ -250,8 +250,9 @@
         step: &str,
         writer: &str,
         lost: bool,
-        reason: String,
+        failure: &Failure,
     ) -> Error {
+        let reason = &failure.reason;
         if lost {
             let reason = format!("the answer was lost: {reason}");
             return self.unknown(platform, step, writer, &reason, not_read());
@@ -270,24 +271,28 @@
 {
     let answer = match answer {
         Ok(answer) => answer,
-        Err(Lost::NotSent(reason)) => return Attempt::NotRun(None, reason),
-        Err(Lost::MaybeSent(reason)) => return Attempt::Unclear(None, reason),
+        Err(Lost::NotSent(reason)) => return Attempt::NotRun(Failure::new(reason)),
+        Err(Lost::MaybeSent(reason)) => return Attempt::Unclear(Failure::new(reason)),
     };
     match answer.status {
         StatusCode::OK => match serde_json::from_slice(&answer.body) {
             Ok(it) => Attempt::Done(it),
-            Err(e) => Attempt::Unclear(None, format!("an answer that is not readable: {e}")),
+            Err(e) => unreadable(&e),
         },
         StatusCode::CONFLICT => match serde_json::from_slice::<ConflictBody>(&answer.body) {
             Ok(it) => Attempt::Conflict(it.current),
-            Err(e) => Attempt::Unclear(None, format!("an answer that is not readable: {e}")),
+            Err(e) => unreadable(&e),
         },
-        StatusCode::TOO_MANY_REQUESTS => Attempt::NotRun(answer.after, answer.reason()),
-        status if is_passing(status) => Attempt::Unclear(answer.after, answer.reason()),
+        StatusCode::TOO_MANY_REQUESTS => Attempt::NotRun(Failure::from(&answer)),
+        status if is_passing(status) => Attempt::Unclear(Failure::from(&answer)),
         _ => Attempt::Refused(answer),
     }
 }
 
+fn unreadable<T>(error: &serde_json::Error) -> Attempt<T> {
+    Attempt::Unclear(Failure::new(format!("an answer that is not readable: {error}")))
+}
+
 /// What the platform holds, for an error.
 pub(crate) fn stored(current: Option<&Object>) -> String {
     current.map_or_else(|| "(nothing)".to_owned(), pretty)
