--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -10,8 +10,8 @@
 
 use crate::{error::Error, platform::Platform};
 
-/// The freshest report of each zone, out of lease objects with brief reports and of whole reports. An object that is not
-/// readable counts as none.
+/// The freshest report of each zone, out of lease objects with brief reports and of whole reports. An object that is
+/// not readable counts as none.
 pub fn reports(objects: &[Object]) -> BTreeMap<String, Report> {
     let mut brief = Vec::new();
     for object in objects {
@@ -62,8 +62,8 @@
     wait_by(platform, revision, Kind::Lease, reports).await
 }
 
-/// Waits until whole reports say that a revision is in force in every zone, for at most the timeout. They come later than
-/// the brief ones, but what they say about upstreams was true after the revision was in force.
+/// Waits until whole reports say that a revision is in force in every zone, for at most the timeout. They come later
+/// than the brief ones, but what they say about upstreams was true after the revision was in force.
 pub async fn wait_whole(
     platform: &Platform,
     revision: u64,
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -1,8 +1,8 @@
 //! Claims on idempotency keys: which request runs under a key, and what it was answered.
 //!
-//! Before a keyed request runs, the agents that the [`Roster`](crate::roster::Roster) names must have recorded its claim;
-//! a second request under the key then finds it. Claims live in the agents' memory. An agent that leaves hands its
-//! claims over.
+//! Before a keyed request runs, the agents that the [`Roster`](crate::roster::Roster) names must have recorded its
+//! claim; a second request under the key then finds it. Claims live in the agents' memory. An agent that leaves hands
+//! its claims over.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -233,7 +233,8 @@
         Step::Offer { to }
     }
 
-    /// An agent that was offered a request passes it on only if it can't run any: else offers would multiply under load.
+    /// An agent that was offered a request passes it on only if it can't run any: else offers would multiply under
+    /// load.
     fn most_offers(&self, view: &View<'_>) -> u8 {
         match self.request.hop {
             0 => MAX_OFFERS,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -5,7 +5,8 @@
 /// A probe that has not reported by then no longer holds others back.
 const PROBE_MS: u64 = 1_000;
 
-/// Whether requests are sent to an upstream at all. What counts is how it answered requests, not what it says of itself.
+/// Whether requests are sent to an upstream at all. What counts is how it answered requests, not what it says of
+/// itself.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     wait: u64,
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -1,8 +1,8 @@
 //! What the holders of leases report about their zones.
 //!
-//! A lease and the brief report of its zone are one object, so that a write by a former holder fails on its version. The
-//! lease is written and read often, so what grows with the zone is kept out of it: the whole report, with a line for each
-//! upstream, is an object of its own, which the holder writes more rarely the larger it is.
+//! A lease and the brief report of its zone are one object, so that a write by a former holder fails on its version.
+//! The lease is written and read often, so what grows with the zone is kept out of it: the whole report, with a line
+//! for each upstream, is an object of its own, which the holder writes more rarely the larger it is.
 
 use std::collections::BTreeMap;
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -1,11 +1,11 @@
 //! Members of a service's pool over time, and which of them must record a claim on an idempotency key.
 //!
-//! A claim lives in the memory of three or four agents, in three zones if the pool has so many: the key's arbiter, which is
-//! the first member by rendezvous, the agent that claims, and witnesses. Two claims on a key therefore meet at the arbiter.
-//! For a while after the members changed, the arbiter may be another one than before: then all members must record the
-//! claim, so that it meets any earlier one. An agent that has started lately, and so can't know what was before, demands
-//! the same of whoever asks it. Only if members in as many zones lost their memory within that time can an earlier claim
-//! have been forgotten by all; the roster then calls the key doubtful.
+//! A claim lives in the memory of three or four agents, in three zones if the pool has so many: the key's arbiter,
+//! which is the first member by rendezvous, the agent that claims, and witnesses. Two claims on a key therefore meet at
+//! the arbiter. For a while after the members changed, the arbiter may be another one than before: then all members
+//! must record the claim, so that it meets any earlier one. An agent that has started lately, and so can't know what
+//! was before, demands the same of whoever asks it. Only if members in as many zones lost their memory within that time
+//! can an earlier claim have been forgotten by all; the roster then calls the key doubtful.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -194,8 +194,8 @@
         members
     }
 
-    /// Digest of the members. Whoever is asked while the members are not settled must see the same ones: else one of them
-    /// may have been lost without the other knowing.
+    /// Digest of the members. Whoever is asked while the members are not settled must see the same ones: else one of
+    /// them may have been lost without the other knowing.
     pub fn digest(&self) -> u64 {
         let mut hasher = SipHasher13::new();
         for (name, it) in &self.live {
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -2,7 +2,8 @@
 //!
 //! The table is filled as Maglev does it (Eisenbud et al., NSDI 2016): every member has a permutation of the slots of
 //! its own and takes its next free slot when it is its turn. Shares are exact to one slot, a change of membership moves
-//! few slots, and equal members and weights give the same table on every machine, as no transcendental function is used.
+//! few slots, and equal members and weights give the same table on every machine, as no transcendental function is
+//! used.
 
 use std::hash::Hasher;
 
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -1,8 +1,8 @@
 //! Members whose link was lost: when one counts as silent or dead.
 //!
 //! A member that lives announces itself again within the grace period, through another link or the same one once it is
-//! back; its version then differs from the one at the loss. One that does not is dead if its process closed the link, as
-//! a kernel does for a process that ended. If the link just fell silent, the process may be paused: its flows would
+//! back; its version then differs from the one at the loss. One that does not is dead if its process closed the link,
+//! as a kernel does for a process that ended. If the link just fell silent, the process may be paused: its flows would
 //! break for nothing if others reset them, so an agent counts as silent first, and as dead much later.
 
 use std::collections::BTreeMap;
@@ -90,8 +90,8 @@
     /// Members that count as silent or dead now. `version` gives the version at which a member is known at present.
     ///
     /// After a pause of this process every suspicion starts anew, and nobody counts as dead for a while: it was this
-    /// process that did not listen, and its links were lost for that. `connected` says whether this process hears of the
-    /// others at all; while it does not, nobody counts as dead.
+    /// process that did not listen, and its links were lost for that. `connected` says whether this process hears of
+    /// the others at all; while it does not, nobody counts as dead.
     pub fn due<F>(&mut self, now_ms: u64, connected: bool, version: F) -> Vec<Finding>
     where
         F: Fn(&str) -> Option<Version>,
