Silent members do not stop keyed requests; keys that can't be remembered are refused; flows report their key epochs

An idempotency key that was too long or not ASCII was ignored and its request ran unprotected. Nothing told which key epochs flows need, so keys could only be pruned by force. Now a silent member counts like one that died until it wakes, and a process that was paused counts itself as new.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -39,6 +39,8 @@
     Member,
     /// Belongs to a pool that the service had before.
     Former,
+    /// Belongs to the service's pool but has not been heard of for some seconds. It may be paused and wake again.
+    Silent,
     /// Leaves, and has handed its claims over.
     Leaving,
 }
@@ -65,6 +67,12 @@
     pub at: u64,
 }
 
+/// A member that can't be asked.
+struct Missing<'a> {
+    name: &'a str,
+    zone: &'a str,
+}
+
 /// Members of one service's pool, as one process has seen them come and go.
 #[derive(Clone, Debug)]
 pub struct Roster {
@@ -103,6 +111,14 @@
         self.lost.retain(|it| now.saturating_sub(it.at) < window);
     }
 
+    /// Takes note that this process, named `me`, was paused: it does not know what was recorded meanwhile.
+    pub fn wake(&mut self, me: &str, now: u64) {
+        self.changed = now;
+        if let Some(own) = self.live.get_mut(me) {
+            own.joined = Some(now);
+        }
+    }
+
     fn see(&mut self, now: u64, it: &Seen<'_>) {
         let Some(old) = self.live.get_mut(it.name) else {
             let back = self
@@ -120,6 +136,10 @@
         if old.incarnation == it.incarnation {
             if old.part != it.part {
                 self.changed = now;
+                if old.part == Part::Silent {
+                    // It does not know what was recorded meanwhile.
+                    old.joined = Some(now);
+                }
                 old.part = it.part;
             }
             return;
@@ -234,17 +254,16 @@
 
     /// Whether an earlier claim on `key` may have been forgotten by everyone who had recorded it.
     pub fn is_doubtful(&self, key: &ClaimKey, now: u64, window: u64) -> bool {
-        let lost: Vec<&Lost> =
-            self.lost.iter().filter(|it| now.saturating_sub(it.at) < window).collect();
-        if !self.spans(&lost, now, window) {
+        let missing = self.missing(now, window);
+        if !self.spans(&missing, now, window) {
             return false;
         }
         // The arbiter at that time was the first of the members then. If it still lives, it remembers.
-        let mut names: BTreeSet<&str> = lost.iter().map(|it| it.name.as_str()).collect();
+        let mut names: BTreeSet<&str> = missing.iter().map(|it| it.name).collect();
         let stays = self.live.iter().filter(|(_, it)| it.part != Part::Leaving);
         names.extend(stays.map(|(name, _)| name.as_str()));
         for name in key.order(names) {
-            if lost.iter().any(|it| it.name == name) {
+            if missing.iter().any(|it| it.name == name) {
                 return true;
             }
             let joined = self.live.get(name).and_then(|it| it.joined);
@@ -255,20 +274,36 @@
         true
     }
 
-    /// Whether the lost members could be all that recorded one claim, given who was there at the time.
-    fn spans(&self, lost: &[&Lost], now: u64, window: u64) -> bool {
-        let gone: BTreeSet<&str> = lost.iter().map(|it| it.zone.as_str()).collect();
+    /// Members that can't tell what they recorded: those that died lately, and those that are silent.
+    fn missing(&self, now: u64, window: u64) -> Vec<Missing<'_>> {
+        let mut missing = Vec::new();
+        for it in &self.lost {
+            if now.saturating_sub(it.at) < window {
+                missing.push(Missing { name: &it.name, zone: &it.zone });
+            }
+        }
+        for (name, it) in &self.live {
+            if it.part == Part::Silent {
+                missing.push(Missing { name, zone: &it.zone });
+            }
+        }
+        missing
+    }
+
+    /// Whether the missing members could be all that recorded one claim, given who was there at the time.
+    fn spans(&self, missing: &[Missing<'_>], now: u64, window: u64) -> bool {
+        let gone: BTreeSet<&str> = missing.iter().map(|it| it.zone).collect();
         let mut zones = gone.clone();
-        let mut members = lost.len();
+        let mut members = missing.len();
         for it in self.live.values() {
             let new = it.joined.is_some_and(|at| now.saturating_sub(at) < window);
-            if new || it.part == Part::Leaving {
+            if new || matches!(it.part, Part::Leaving | Part::Silent) {
                 continue;
             }
             zones.insert(&it.zone);
             members += 1;
         }
-        let enough = !lost.is_empty() && lost.len() >= HOLDERS.min(members);
+        let enough = !missing.is_empty() && missing.len() >= HOLDERS.min(members);
         enough && gone.len() >= HOLDERS.min(zones.len())
     }
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -20,6 +20,10 @@
     Crash { member: u8 },
     /// All members in a zone die.
     CrashZone { zone: u8 },
+    /// A member pauses, and the others find it silent after a while.
+    Pause { member: u8 },
+    /// A member that paused wakes; it learns of the others like any other.
+    Wake { member: u8 },
     /// A member dies, and a new process starts under its name.
     Restart { member: u8 },
     /// A member leaves after handing its claims over.
@@ -41,8 +45,10 @@
             2 => Op::Leave { member },
             3 | 4 => Op::Join { zone: member },
             5 if member < 64 => Op::CrashZone { zone: member },
-            5..8 => Op::Learn { member },
-            8..11 => Op::Pass { ms: u16::arbitrary(g) % 4_000 },
+            5 => Op::Pause { member },
+            6 => Op::Wake { member },
+            7 | 8 => Op::Learn { member },
+            9..12 => Op::Pass { ms: u16::arbitrary(g) % 4_000 },
             n => Op::Ask { key: n % 4, member },
         }
     }
@@ -66,6 +72,7 @@
     zone: &'static str,
     claims: Claims,
     roster: Roster,
+    paused: bool,
 }
 
 struct Pool {
@@ -108,11 +115,11 @@
     fn start(&mut self, name: &str, zone: &'static str) {
         self.next += 1;
         let incarnation = self.next;
-        let mut seen: Vec<(String, u64, &'static str)> = self.shown();
-        seen.retain(|(it, _, _)| it != name);
-        seen.push((name.to_owned(), incarnation, zone));
+        let mut seen = self.shown();
+        seen.retain(|it| it.name != name);
+        seen.push(Shown { name: name.to_owned(), incarnation, zone, paused: false });
         let roster = Roster::new(name, self.now, &as_seen(&seen, ""));
-        let member = Member { incarnation, zone, claims: Claims::new(), roster };
+        let member = Member { incarnation, zone, claims: Claims::new(), roster, paused: false };
         self.members.insert(name.to_owned(), member);
     }
 
@@ -121,18 +128,27 @@
         self.start(&name, ZONES[usize::from(zone) % ZONES.len()]);
     }
 
-    fn shown(&self) -> Vec<(String, u64, &'static str)> {
-        self.members.iter().map(|(name, it)| (name.clone(), it.incarnation, it.zone)).collect()
+    fn shown(&self) -> Vec<Shown> {
+        let mut shown = Vec::new();
+        for (name, it) in &self.members {
+            let Member { incarnation, zone, paused, .. } = *it;
+            shown.push(Shown { name: name.clone(), incarnation, zone, paused });
+        }
+        shown
     }
 
     fn learn(&mut self, name: &str) {
         let seen = self.shown();
         let now = self.now;
-        if let Some(member) = self.members.get_mut(name) {
+        if let Some(member) = self.members.get_mut(name).filter(|it| !it.paused) {
             member.roster.update(now, WINDOW, &as_seen(&seen, ""));
         }
     }
 
+    fn awake(&self) -> usize {
+        self.members.values().filter(|it| !it.paused).count()
+    }
+
     fn learn_all(&mut self) {
         for name in self.names() {
             self.learn(&name);
@@ -191,7 +207,7 @@
     ) -> Option<Claimed> {
         let now = self.now;
         let without = self.without;
-        let member = self.members.get_mut(name)?;
+        let member = self.members.get_mut(name).filter(|it| !it.paused)?;
         let doubtful = without != Without::Doubt && member.roster.is_doubtful(key, now, WINDOW);
         let admitted = without == Without::Everyone || member.roster.admits(members, now, WINDOW);
         match member.claims.claim(key, claim.clone(), now) {
@@ -225,7 +241,7 @@
         }
         for (heirs, key, claim) in told {
             for heir in heirs {
-                if let Some(member) = self.members.get_mut(&heir) {
+                if let Some(member) = self.members.get_mut(&heir).filter(|it| !it.paused) {
                     member.claims.adopt(&key, claim.clone(), self.now);
                 }
             }
@@ -237,7 +253,7 @@
     /// All learn that a member leaves, before it is gone.
     fn announce_leaving(&mut self, leaving: &str) {
         let seen = self.shown();
-        for member in self.members.values_mut() {
+        for member in self.members.values_mut().filter(|it| !it.paused) {
             member.roster.update(self.now, WINDOW, &as_seen(&seen, leaving));
         }
     }
@@ -245,7 +261,8 @@
     fn step(&mut self, op: &Op) {
         match op {
             Op::Ask { key, member } => {
-                if let Some(me) = self.pick(*member) {
+                let awake = |it: &String| !self.members[it].paused;
+                if let Some(me) = self.pick(*member).filter(awake) {
                     self.ask(*key, &me);
                 }
             }
@@ -260,6 +277,20 @@
                 let zone = ZONES[usize::from(*zone) % ZONES.len()];
                 self.members.retain(|_, it| it.zone != zone);
             }
+            Op::Pause { member } => {
+                if let Some(name) = self.pick(*member) {
+                    self.member(&name).paused = true;
+                }
+            }
+            Op::Wake { member } => {
+                if let Some(name) = self.pick(*member) {
+                    let now = self.now;
+                    let member = self.member(&name);
+                    if std::mem::take(&mut member.paused) {
+                        member.roster.wake(&name, now);
+                    }
+                }
+            }
             Op::Restart { member } => {
                 self.learn_all();
                 if let Some(name) = self.pick(*member) {
@@ -270,7 +301,8 @@
             Op::Leave { member } => {
                 // Once it is known who is there: an heir that died unnoticed takes nothing over.
                 self.learn_all();
-                if let Some(name) = self.pick(*member).filter(|_| self.members.len() > 2) {
+                let may = |it: &String| !self.members[it].paused && self.awake() > 2;
+                if let Some(name) = self.pick(*member).filter(may) {
                     self.leave(&name);
                 }
             }
@@ -288,10 +320,22 @@
     }
 }
 
-fn as_seen<'a>(shown: &'a [(String, u64, &'static str)], leaving: &str) -> Vec<Seen<'a>> {
-    let seen = |(name, incarnation, zone): &'a (String, u64, &'static str)| {
-        let part = if name == leaving { Part::Leaving } else { Part::Member };
-        Seen { name, incarnation: *incarnation, zone, part }
+/// A member as the others hear of it.
+struct Shown {
+    name: String,
+    incarnation: u64,
+    zone: &'static str,
+    paused: bool,
+}
+
+fn as_seen<'a>(shown: &'a [Shown], leaving: &str) -> Vec<Seen<'a>> {
+    let seen = |it: &'a Shown| {
+        let part = match it.paused {
+            _ if it.name == leaving => Part::Leaving,
+            true => Part::Silent,
+            false => Part::Member,
+        };
+        Seen { name: &it.name, incarnation: it.incarnation, zone: it.zone, part }
     };
     shown.iter().map(seen).collect()
 }
@@ -303,13 +347,13 @@
 fn runs_once(ops: &[Op], without: Without) -> bool {
     let mut pool = Pool::new(without);
     for op in ops {
-        // When the last member dies, nobody is left who could remember.
-        let dies = matches!(op, Op::Crash { .. } | Op::Restart { .. });
-        if dies && pool.members.len() == 1 {
+        // When the last member that is awake dies, nobody is left who could remember.
+        let dies = matches!(op, Op::Crash { .. } | Op::Restart { .. } | Op::Pause { .. });
+        if dies && pool.awake() <= 1 {
             break;
         }
         pool.step(op);
-        if pool.members.is_empty() {
+        if pool.awake() == 0 {
             break;
         }
     }
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -44,6 +44,8 @@
     Unknown,
     /// Nothing: the key was used for something else.
     Mismatch,
+    /// Nothing: the key can't be remembered.
+    BadKey,
     /// Nothing: an agent that must record the claim could not be asked.
     Unavailable,
 }
@@ -56,12 +58,21 @@
     open: Open,
 }
 
+/// An idempotency key that can't be remembered: empty, longer than [`MAX_KEY`] or with other than visible ASCII.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BadKey;
+
 /// The key under which a request must run once. Methods that are idempotent need none.
-pub(crate) fn key(ask: &Ask, service: ServiceId) -> Option<ClaimKey> {
+pub(crate) fn key(ask: &Ask, service: ServiceId) -> Result<Option<ClaimKey>, BadKey> {
     let keyed = !ask.is_idempotent() && ask.method != Method::CONNECT;
-    let text = ask.headers.get(KEY).filter(|_| keyed)?.to_str().ok()?;
-    let fits = (1..=MAX_KEY).contains(&text.len());
-    fits.then(|| ClaimKey { service, key: text.to_owned() })
+    let Some(value) = ask.headers.get(KEY).filter(|_| keyed) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| BadKey)?;
+    if !(1..=MAX_KEY).contains(&text.len()) {
+        return Err(BadKey);
+    }
+    Ok(Some(ClaimKey { service, key: text.to_owned() }))
 }
 
 /// What an agent that was asked said.
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -113,6 +113,7 @@
     snapshot: ArcSwap<Snapshot>,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
     flows: Arc<AtomicU32>,
+    epochs: Epochs,
     stopping: AtomicBool,
     draining: AtomicBool,
     drained: AtomicBool,
@@ -120,19 +121,25 @@
     changed: watch::Sender<u64>,
 }
 
+/// Flows by the epoch of the key that seals their connection IDs.
+type Epochs = Arc<Mutex<BTreeMap<u8, u32>>>;
+
 /// A flow counted at the agent; uncounted when dropped.
 #[derive(Debug)]
 pub(crate) struct FlowCount {
     all: Arc<AtomicU32>,
     own: Arc<AtomicU32>,
+    epochs: Epochs,
+    epoch: u8,
 }
 
 impl FlowCount {
-    fn new(all: &Arc<AtomicU32>, own: &Arc<AtomicU32>) -> FlowCount {
+    fn new(all: &Arc<AtomicU32>, own: &Arc<AtomicU32>, epochs: &Epochs, epoch: u8) -> FlowCount {
         all.fetch_add(1, Ordering::Relaxed);
         own.fetch_add(1, Ordering::Relaxed);
+        *epochs.lock().entry(epoch).or_default() += 1;
         meter::HELD.inc();
-        FlowCount { all: Arc::clone(all), own: Arc::clone(own) }
+        FlowCount { all: Arc::clone(all), own: Arc::clone(own), epochs: Arc::clone(epochs), epoch }
     }
 }
 
@@ -140,6 +147,14 @@
     fn drop(&mut self) {
         self.all.fetch_sub(1, Ordering::Relaxed);
         self.own.fetch_sub(1, Ordering::Relaxed);
+        let mut epochs = self.epochs.lock();
+        if let Some(count) = epochs.get_mut(&self.epoch) {
+            *count -= 1;
+            if *count == 0 {
+                epochs.remove(&self.epoch);
+            }
+        }
+        drop(epochs);
         meter::HELD.dec();
     }
 }
@@ -166,6 +181,7 @@
             snapshot: ArcSwap::default(),
             services: Mutex::default(),
             flows: Arc::default(),
+            epochs: Epochs::default(),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             drained: AtomicBool::new(false),
@@ -284,7 +300,14 @@
 
     /// Counts a flow of a service whose own count is `own`.
     pub(crate) fn count_flow(&self, own: &Arc<AtomicU32>) -> FlowCount {
-        FlowCount::new(&self.flows, own)
+        // A flow keeps the connection IDs that it began with, whatever key seals later ones.
+        let epoch = self.ring.load().as_ref().map_or(0, |it| it.epoch());
+        FlowCount::new(&self.flows, own, &self.epochs, epoch)
+    }
+
+    /// Epochs of the keys that flows held here need.
+    pub(crate) fn epochs(&self) -> Vec<u8> {
+        self.epochs.lock().keys().copied().collect()
     }
 
     /// The services that flows came for so far.
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -21,7 +21,7 @@
 
 use super::{
     body::{Body, Inlet, Outlet, Way},
-    claim::{self, Verdict},
+    claim::{self, BadKey, Verdict},
     handover, local, meter,
     node::Node,
     notice,
@@ -277,11 +277,12 @@
     let mut outlet = Outlet::new(Way::Flow(Box::new(send)));
     let mut body = Body::new(Inlet::Flow(recv), course.ask.has_body());
     match claim::key(&course.ask, course.service.id) {
-        None => {
+        Ok(None) => {
             let outcome = carry(&mut course, &mut body, &mut outlet, ended).await;
             answer(&course, &mut outlet, outcome.unwrap_or(Outcome::Relay)).await;
         }
-        Some(key) => run_once(&mut course, key, &mut body, &mut outlet).await,
+        Err(BadKey) => repeat(&course, &mut outlet, Verdict::BadKey).await,
+        Ok(Some(key)) => run_once(&mut course, key, &mut body, &mut outlet).await,
     }
     body.close();
     if outlet.is_finished() {
@@ -313,7 +314,7 @@
     answer(course, outlet, outcome.unwrap_or(Outcome::Relay)).await;
 }
 
-/// Answers a request whose key another request has.
+/// Answers a request that does not run, because of its key.
 async fn repeat(course: &Course, outlet: &mut Outlet, verdict: Verdict) {
     let about =
         || About::new().with_service(&course.service.name).with_request(&course.ask.id_text());
@@ -333,6 +334,12 @@
             put(&mut headers, OUTCOME, "not-run");
             (Ok(StatusCode::UNPROCESSABLE_ENTITY), Vec::new())
         }
+        Verdict::BadKey => {
+            meter::count(&meter::REQUESTS, "bad-key");
+            course.answer_headers(&mut headers, None);
+            put(&mut headers, OUTCOME, "not-run");
+            (Ok(StatusCode::BAD_REQUEST), Vec::new())
+        }
         Verdict::Unknown => {
             notice::emit(Id::ClaimRepeated, about(), "an earlier request may have run");
             return answer(course, outlet, Outcome::Unknown { retry_ms: REPEAT_MS }).await;
--- a/crates/daemon/src/agent/rosters.rs
+++ b/crates/daemon/src/agent/rosters.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Takes note that this process was paused.
+    pub(crate) fn wake(&mut self, now: u64) {
+        for it in self.services.values_mut() {
+            it.roster.wake(&self.me, now);
+        }
+    }
+
     /// Whether the members of the key's service have not changed for the time that a key is remembered.
     pub(crate) fn is_settled(&self, key: &ClaimKey, now: u64) -> bool {
         let entry = self.services.get(&key.service);
@@ -132,6 +139,8 @@
 fn part(agent: &Agent, service: &ServiceEntry) -> Part {
     if agent.state == AgentState::Leaving {
         Part::Leaving
+    } else if agent.pool == service.spec.pool && agent.state == AgentState::Silent {
+        Part::Silent
     } else if agent.pool == service.spec.pool {
         Part::Member
     } else {
--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use anyhow::Context;
-use camphorwinch_core::snapshot::Snapshot;
+use camphorwinch_core::{snapshot::Snapshot, suspect::PAUSE_MS};
 use serde::Deserialize;
 use tokio::{
     sync::{mpsc, watch},
@@ -13,11 +13,14 @@
 
 use super::{claim, datagram, handover, node::Node};
 use crate::{
+    clock,
     control::Accepted,
     event::{self, About, Id},
 };
 
 const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// Time between looks whether the process was paused.
+const PAUSE_LOOK: Duration = Duration::from_millis(100);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for other agents to take over the claims of this one.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
@@ -47,6 +50,7 @@
         tasks.spawn(follow(Arc::clone(&node), snapshots, applied));
         tasks.spawn(probe(Arc::clone(&node)));
         tasks.spawn(datagram::run(Arc::clone(&node)));
+        tasks.spawn(notice_pauses(Arc::clone(&node)));
         Running { node, tasks }
     }
 
@@ -114,6 +118,19 @@
     }
 }
 
+/// Notices that the process was paused: it may have been taken for dead, and knows nothing of what was claimed meanwhile.
+async fn notice_pauses(node: Arc<Node>) {
+    let mut last = clock::now_ms();
+    loop {
+        time::sleep(PAUSE_LOOK).await;
+        let now = clock::now_ms();
+        if now.saturating_sub(last) > PAUSE_MS {
+            node.rosters.lock().wake(now);
+        }
+        last = now;
+    }
+}
+
 async fn probe(node: Arc<Node>) {
     let mut ticks = time::interval(PROBE_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -256,6 +256,24 @@
     assert_eq!(other.call(Call::new(Method::GET, "/screen")).await.status, StatusCode::OK);
     let feed = feed.await.expect("the caller's task ends");
     assert!(feed.text().contains("sum "), "{feed:?}");
+    assert_eq!(bench.seats[0].node.epochs(), [1, 2], "each flow needs the key it began with");
+    drop(flow);
+    while bench.seats[0].node.epochs() != [2] {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_that_cant_be_remembered_is_refused() {
+    let bench = Bench::start(1).await;
+    let flow = bench.open().await;
+    for key in ["", "a\u{e9}", &"k".repeat(256)] {
+        let reply = flow.call(transfer(key, "one")).await;
+        assert_eq!(reply.status, StatusCode::BAD_REQUEST, "{key:?}: {reply:?}");
+        assert_eq!(reply.header("camphorwinch-outcome"), "not-run");
+        assert_eq!(bench.starts(key), 0);
+    }
+    assert_eq!(flow.call(transfer(&"k".repeat(255), "one")).await.status, StatusCode::OK);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/src/cmd/agent.rs
+++ b/crates/daemon/src/cmd/agent.rs
@@ -96,6 +96,7 @@
             },
         }
         control.applied(*in_force.borrow_and_update());
+        control.set_epochs(node.epochs());
         control.set_load(Load { flows: node.flows(), busy: node.work.busy() });
         let now = node.state();
         if now != state {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -182,10 +182,6 @@
     }
 
     /// Sets the key epochs of the flows, which are reported: a key may go once no flow has its epoch.
-    #[allow(
-        dead_code,
-        reason = "the agent does not count epochs yet; without them no key is pruned"
-    )]
     pub(crate) fn set_epochs(&self, epochs: Vec<u8>) {
         self.inner.state.lock().epochs = epochs;
     }
