--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing in this crate opens a socket, reads a clock, starts a task or draws from a global random source. Events and
 //! the time come in as arguments, effects go out as return values.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod admit;
 pub mod assemble;
 pub mod budget;
@@ -15,6 +17,7 @@
 pub mod member;
 pub mod mesh;
 pub mod object;
+pub mod packet;
 pub mod peers;
 pub mod place;
 pub mod record;
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -2,7 +2,8 @@
 //!
 //! The table is filled as Maglev does it (Eisenbud et al., NSDI 2016): every member has a permutation of the slots of
 //! its own and takes its next free slot when it is its turn. Shares are exact to one slot, a change of membership moves
-//! few slots, and equal members and weights give the same table on every machine, as no transcendental function is used.
+//! few slots, and equal members and weights give the same table on every machine, as no transcendental function is
+//! used.
 
 use std::hash::Hasher;
 
@@ -14,7 +15,7 @@
 const MIN_SLOTS: usize = 1_024;
 const MAX_SLOTS: usize = 1 << 20;
 /// Most members of one table; further ones get no slot.
-pub const MAX_MEMBERS: usize = u16::MAX as usize;
+const MAX_MEMBERS: usize = u16::MAX as usize;
 /// Turns in which members take their shares, so that nobody has all of its slots before others begin.
 const ROUNDS: usize = 64;
 /// Lookups before the search for a further distinct member goes on in order.
