Only deaths of members from before the present changes make a key doubtful; absent agents are known before they are dead

While the members change, all record each claim, so whoever judges holds what was claimed since; only older claims can be forgotten, by members from before the changes. A leaving agent hands its claims to all. A process that woke judges what happened while it slept by who was there then. Not covered: a claim that the only member of a pool recorded before it died.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -65,6 +65,8 @@
     pub zone: String,
     /// When it was missed.
     pub at: u64,
+    /// Whether it was a member when the members were last settled.
+    pub old: bool,
 }
 
 /// A member that can't be asked.
@@ -80,6 +82,10 @@
     lost: Vec<Lost>,
     began: u64,
     changed: u64,
+    /// When the members began to change, after they had been settled or this process had started.
+    unsettled: u64,
+    /// When this process last woke from a pause.
+    woke: Option<u64>,
 }
 
 impl Roster {
@@ -90,7 +96,7 @@
             let joined = (it.name == me).then_some(now);
             live.insert(it.name.to_owned(), Live::new(it, joined));
         }
-        Roster { live, lost: Vec::new(), began: now, changed: now }
+        Roster { live, lost: Vec::new(), began: now, changed: now, unsettled: now, woke: None }
     }
 
     /// Takes in the members of a newer snapshot. Lost members are remembered for `window` milliseconds.
@@ -98,12 +104,12 @@
         let mut present = BTreeSet::new();
         for it in seen {
             present.insert(it.name);
-            self.see(now, it);
+            self.see(now, window, it);
         }
         let gone: Vec<String> =
             self.live.keys().filter(|it| !present.contains(it.as_str())).cloned().collect();
         for name in gone {
-            self.changed = now;
+            self.change(now, window);
             if let Some(old) = self.live.remove(&name) {
                 self.lose(now, &name, &old);
             }
@@ -114,12 +120,30 @@
     /// Takes note that this process, named `me`, was paused: it does not know what was recorded meanwhile.
     pub fn wake(&mut self, me: &str, now: u64) {
         self.changed = now;
+        self.woke = Some(now);
         if let Some(own) = self.live.get_mut(me) {
             own.joined = Some(now);
         }
     }
 
-    fn see(&mut self, now: u64, it: &Seen<'_>) {
+    fn change(&mut self, now: u64, window: u64) {
+        if self.is_settled(now, window) {
+            self.unsettled = now;
+        }
+        self.changed = now;
+    }
+
+    /// Whether a member was one when the members were last settled. What was recorded since was recorded by all, this
+    /// process included, so only what those recorded can be forgotten.
+    fn is_old(&self, it: &Live) -> bool {
+        it.joined.is_none_or(|at| at < self.unsettled)
+    }
+
+    fn see(&mut self, now: u64, window: u64, it: &Seen<'_>) {
+        let known = self.live.get(it.name);
+        if known.is_none_or(|old| old.incarnation != it.incarnation || old.part != it.part) {
+            self.change(now, window);
+        }
         let Some(old) = self.live.get_mut(it.name) else {
             let back = self
                 .lost
@@ -129,23 +153,14 @@
             if let Some(at) = back {
                 self.lost.remove(at);
             }
-            self.changed = now;
             self.live.insert(it.name.to_owned(), Live::new(it, Some(now)));
             return;
         };
         if old.incarnation == it.incarnation {
-            if old.part != it.part {
-                self.changed = now;
-                if old.part == Part::Silent {
-                    // It does not know what was recorded meanwhile.
-                    old.joined = Some(now);
-                }
-                old.part = it.part;
-            }
+            old.part = it.part;
             return;
         }
         let old = std::mem::replace(old, Live::new(it, Some(now)));
-        self.changed = now;
         self.lose(now, it.name, &old);
     }
 
@@ -154,7 +169,8 @@
             return;
         }
         let (incarnation, zone) = (old.incarnation, old.zone.clone());
-        self.lost.push(Lost { name: name.to_owned(), incarnation, zone, at: now });
+        let old = self.is_old(old);
+        self.lost.push(Lost { name: name.to_owned(), incarnation, zone, at: now, old });
     }
 
     /// Names of the members.
@@ -228,12 +244,11 @@
         hasher.finish()
     }
 
-    /// To whom `me` hands a claim on `key` over when it leaves.
+    /// To whom `me` hands a claim on `key` over when it leaves: to all, because what they record from then on is what all
+    /// know.
     pub fn successors(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
-        let mut order = self.order(key);
-        order.retain(|it| *it != me);
-        let mut successors: Vec<&str> = order.first().copied().into_iter().collect();
-        self.add_witnesses(&order, &mut successors);
+        let mut successors = self.order(key);
+        successors.retain(|it| *it != me);
         successors
     }
 
@@ -254,8 +269,11 @@
 
     /// Whether an earlier claim on `key` may have been forgotten by everyone who had recorded it.
     pub fn is_doubtful(&self, key: &ClaimKey, now: u64, window: u64) -> bool {
+        if self.woke.is_some_and(|at| now.saturating_sub(at) < window && self.lost_since(at)) {
+            return true;
+        }
         let missing = self.missing(now, window);
-        if !self.spans(&missing, now, window) {
+        if !spans(&missing, self.live.values().filter(|it| self.is_old(it))) {
             return false;
         }
         // The arbiter at that time was the first of the members then. If it still lives, it remembers.
@@ -266,8 +284,7 @@
             if missing.iter().any(|it| it.name == name) {
                 return true;
             }
-            let joined = self.live.get(name).and_then(|it| it.joined);
-            if joined.is_none_or(|at| now.saturating_sub(at) >= window) {
+            if self.live.get(name).is_some_and(|it| self.is_old(it)) {
                 return false;
             }
         }
@@ -278,33 +295,28 @@
     fn missing(&self, now: u64, window: u64) -> Vec<Missing<'_>> {
         let mut missing = Vec::new();
         for it in &self.lost {
-            if now.saturating_sub(it.at) < window {
+            if it.old && now.saturating_sub(it.at) < window {
                 missing.push(Missing { name: &it.name, zone: &it.zone });
             }
         }
         for (name, it) in &self.live {
-            if it.part == Part::Silent {
+            if it.part == Part::Silent && self.is_old(it) {
                 missing.push(Missing { name, zone: &it.zone });
             }
         }
         missing
     }
 
-    /// Whether the missing members could be all that recorded one claim, given who was there at the time.
-    fn spans(&self, missing: &[Missing<'_>], now: u64, window: u64) -> bool {
-        let gone: BTreeSet<&str> = missing.iter().map(|it| it.zone).collect();
-        let mut zones = gone.clone();
-        let mut members = missing.len();
-        for it in self.live.values() {
-            let new = it.joined.is_some_and(|at| now.saturating_sub(at) < window);
-            if new || matches!(it.part, Part::Leaving | Part::Silent) {
-                continue;
+    /// Whether those that died since `at` could be all that recorded a claim while this process was paused until then.
+    fn lost_since(&self, at: u64) -> bool {
+        let mut missing = Vec::new();
+        for it in &self.lost {
+            if it.at >= at {
+                missing.push(Missing { name: &it.name, zone: &it.zone });
             }
-            zones.insert(&it.zone);
-            members += 1;
         }
-        let enough = !missing.is_empty() && missing.len() >= HOLDERS.min(members);
-        enough && gone.len() >= HOLDERS.min(zones.len())
+        let there = |it: &&Live| it.joined.is_none_or(|joined| joined < at);
+        spans(&missing, self.live.values().filter(there))
     }
 
     /// Members that take part in new claims, by rendezvous.
@@ -317,6 +329,25 @@
     }
 }
 
+/// Whether the missing members could be all that recorded one claim, given those that stayed of the members at the time.
+fn spans<'a, I>(missing: &[Missing<'_>], stayed: I) -> bool
+where
+    I: Iterator<Item = &'a Live>,
+{
+    let gone: BTreeSet<&str> = missing.iter().map(|it| it.zone).collect();
+    let mut zones = gone.clone();
+    let mut members = missing.len();
+    for it in stayed {
+        if matches!(it.part, Part::Leaving | Part::Silent) {
+            continue;
+        }
+        zones.insert(&it.zone);
+        members += 1;
+    }
+    let enough = !missing.is_empty() && missing.len() >= HOLDERS.min(members);
+    enough && gone.len() >= HOLDERS.min(zones.len())
+}
+
 impl Live {
     fn new(it: &Seen<'_>, joined: Option<u64>) -> Live {
         let Seen { incarnation, part, .. } = *it;
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -85,7 +85,15 @@
 }
 
 impl Pool {
+    /// A pool that has been settled for long.
     fn new(without: Without) -> Pool {
+        let mut pool = Pool::young(without);
+        pool.now = 4 * WINDOW;
+        pool
+    }
+
+    /// A pool that has just started.
+    fn young(without: Without) -> Pool {
         let mut pool = Pool {
             members: BTreeMap::new(),
             now: 0,
@@ -98,7 +106,6 @@
             pool.join(n);
         }
         pool.learn_all();
-        pool.now = 4 * WINDOW;
         pool
     }
 
@@ -402,8 +409,8 @@
 /// Orders of events that an earlier version got wrong.
 #[test]
 fn found_before() {
-    use Op::{Ask, Crash, Join, Leave, Restart};
-    let found: [&[Op]; 4] = [
+    use Op::{Ask, Crash, CrashZone, Join, Leave, Pass, Pause, Restart, Wake};
+    let found: [&[Op]; 7] = [
         // The arbiter starts anew, and the others have not heard.
         &[Ask { key: 1, member: 201 }, Restart { member: 241 }, Ask { key: 1, member: 212 }],
         // A new member knows of deaths that those it asks have not heard of.
@@ -439,6 +446,46 @@
             Leave { member: 1 },
             Ask { key: 1, member: 1 },
         ],
+        // A member that paused, woke and paused again was taken for one that knows nothing.
+        &[
+            Ask { key: 0, member: 1 },
+            Leave { member: 201 },
+            Pause { member: 69 },
+            CrashZone { zone: 24 },
+            Crash { member: 42 },
+            Wake { member: 140 },
+            Pass { ms: 1301 },
+            Pause { member: 231 },
+            Pause { member: 80 },
+            Ask { key: 0, member: 13 },
+        ],
+        // What a member handed over on leaving died with a member that had joined late.
+        &[
+            Ask { key: 1, member: 188 },
+            Join { zone: 155 },
+            Leave { member: 44 },
+            Restart { member: 239 },
+            Join { zone: 8 },
+            Restart { member: 1 },
+            Pause { member: 94 },
+            Pass { ms: 372 },
+            Ask { key: 1, member: 253 },
+        ],
+        // A member that woke forgot who had joined late.
+        &[
+            Crash { member: 101 },
+            Ask { key: 3, member: 75 },
+            Crash { member: 70 },
+            Crash { member: 27 },
+            Crash { member: 71 },
+            Restart { member: 150 },
+            Restart { member: 229 },
+            Join { zone: 90 },
+            Join { zone: 153 },
+            Pause { member: 136 },
+            Wake { member: 156 },
+            Ask { key: 3, member: 220 },
+        ],
     ];
     for ops in found {
         assert!(runs_once(ops, Without::Nothing), "{ops:?}");
@@ -454,3 +501,17 @@
     roster.update(10, 1_000, &[seen("one"), seen("two")]);
     assert!(!roster.is_doubtful(&key, 20, 1_000));
 }
+
+#[test]
+fn one_death_in_a_young_pool_makes_no_key_doubtful() {
+    // The first two members may have been the only ones that recorded a claim.
+    let mut pool = Pool::young(Without::Nothing);
+    let names = pool.names();
+    pool.members.remove(&names[2]);
+    pool.learn_all();
+    for number in 0..50 {
+        for member in pool.members.values() {
+            assert!(!member.roster.is_doubtful(&key(number), pool.now, WINDOW));
+        }
+    }
+}
--- a/crates/daemon/src/agent/absent.rs
+++ b/crates/daemon/src/agent/absent.rs
@@ -34,22 +34,10 @@
 }
 
 impl Absent {
-    /// Takes in a snapshot, and asks agents newly found dead whether they refuse connections.
-    pub(crate) fn apply(&self, snapshot: &Snapshot) {
-        let mut down = BTreeMap::new();
-        for agent in snapshot.agents.values() {
-            let Some(data) = seal::sealable(agent.data) else {
-                continue;
-            };
-            if agent.state.answers() {
-                down.remove(&data);
-            } else {
-                down.insert(data, agent.control);
-            }
-        }
+    /// Takes in the agents that a snapshot newly shows as dead, and asks them whether they refuse connections.
+    pub(crate) fn add(&self, snapshot: &Snapshot) {
         let mut by_data = self.by_data.lock();
-        by_data.retain(|data, _| down.contains_key(data));
-        for (data, control) in down {
+        for (data, control) in down(snapshot) {
             if by_data.contains_key(&data) {
                 continue;
             }
@@ -58,6 +46,12 @@
         }
     }
 
+    /// Drops the agents that a snapshot no longer shows as dead, once that snapshot is in force.
+    pub(crate) fn retain(&self, snapshot: &Snapshot) {
+        let down = down(snapshot);
+        self.by_data.lock().retain(|data, _| down.contains_key(data));
+    }
+
     /// Whether the agent may yet wake and find its flows.
     pub(crate) fn may_wake(&self, data: SocketAddrV4) -> bool {
         let by_data = self.by_data.lock();
@@ -76,3 +70,19 @@
         }
     }
 }
+
+/// Data and control addresses of the agents found dead.
+fn down(snapshot: &Snapshot) -> BTreeMap<SocketAddrV4, SocketAddr> {
+    let mut down = BTreeMap::new();
+    for agent in snapshot.agents.values() {
+        let Some(data) = seal::sealable(agent.data) else {
+            continue;
+        };
+        if agent.state.answers() {
+            down.remove(&data);
+        } else {
+            down.insert(data, agent.control);
+        }
+    }
+    down
+}
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -199,9 +199,11 @@
     /// Puts a snapshot in force.
     pub(crate) fn apply(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
         self.apply_keys(&snapshot);
+        // Whoever sees an agent as dead must find it among the absent: else it resets flows of one that is only paused.
+        self.absent.add(&snapshot);
         self.snapshot.store(Arc::clone(&snapshot));
+        self.absent.retain(&snapshot);
         self.rosters.lock().apply(&snapshot, clock::now_ms());
-        self.absent.apply(&snapshot);
         self.hints.lock().retain(|it| snapshot.agents.contains_key(it));
         self.refresh();
         for service in self.services() {
