--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -475,6 +475,7 @@
             incarnation: it.incarnation,
             zone: it.zone,
             age_ms: now.saturating_sub(it.at),
+            old: it.old,
         });
     }
     let purpose = ClaimPurpose::Losses as i32;
@@ -495,6 +496,7 @@
             incarnation: it.incarnation,
             zone: it.zone.clone(),
             at: now.saturating_sub(it.age_ms),
+            old: it.old,
         };
         rosters.add_losses(ServiceId(it.service), &[lost]);
     }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -232,6 +232,9 @@
     /// For how long it has been missed, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub age_ms: u64,
+    /// Whether it was a member when the members were last settled.
+    #[prost(bool, tag = "6")]
+    pub old: bool,
 }
 
 /// Purpose of a claim message.
