Agent: a handshake gets 30 s

The agent gave up after 10 s and closed a flow that the caller held for open. What is pending stays bounded by the proof of address.

Ruled out: other agents (the keys of the handshake are this one's), a balancer that dropped it for good.

--- a/crates/daemon/src/agent/flow.rs
+++ b/crates/daemon/src/agent/flow.rs
@@ -25,8 +25,9 @@
     service::{self, Service},
 };
 
-/// A handshake that is not done by then is given up.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
+/// A handshake that is not done by then is given up. A caller whose first round trip met a paused agent or balancer repeats
+/// its last message only after seconds, and later each time; by then it holds the flow for open.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest head of a request, in bytes.
 const MAX_HEAD: u64 = 64 << 10;
 /// Requests still taken between the first GOAWAY and the last; those on their way must not be cut.
