--- a/crates/standin/src/cmd/capacity.rs
+++ b/crates/standin/src/cmd/capacity.rs
@@ -25,7 +25,7 @@
 ///
 /// Starts real processes on loopback addresses, at five sizes or more of each axis, and measures the decision crate at
 /// larger sizes. Writes points.csv, slopes.csv, totals.csv, tables.md and a plot for each line into the folder. Needs a
-/// release build of the whole workspace; up to 190 processes, 6 GB and 12 minutes, or 2 minutes with --quick.
+/// release build of the whole workspace; up to 170 processes, 2 GB and 13 minutes, or 6 minutes with --quick.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command)]
 pub struct Capacity {
