--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -1,21 +1,24 @@
-//! Claims on idempotency keys, as the agent of a flow makes them and as the agents that are asked record them.
+//! Claims on idempotency keys, as the agent of a flow makes them. The messages are in `call`, the side that is asked in
+//! `answer`, the graceful stop in `leave`.
 
-use std::{hash::Hasher, io, net::SocketAddr, sync::Arc, time::Duration};
+mod answer;
+mod call;
+mod leave;
+
+use std::{hash::Hasher, sync::Arc, time::Duration};
 
 use camphorwinch_core::{
-    claims::{Answer, Claim, ClaimKey, Claimed, MAX_KEY, RequestId, State},
+    claims::{Answer, Claim, ClaimKey, MAX_KEY, RequestId, State},
     object::ServiceId,
-    roster::Lost,
-};
-use camphorwinch_wire::handover::{
-    ClaimCall, ClaimPurpose, ClaimRecord, ClaimReply, ClaimVerdict, HandoverError, Kind, Loss,
-    request_id,
 };
-use futures::{StreamExt, future, stream};
+use camphorwinch_wire::handover::{ClaimCall, ClaimPurpose, ClaimRecord, ClaimVerdict};
+use futures::future;
 use http::{HeaderName, Method};
 use siphasher::sip::SipHasher13;
 use tokio::time;
 
+use self::call::{CLAIM_TIMEOUT, ask, call, is_refused, tell};
+pub(crate) use self::{answer::answer, leave::hand_over};
 use super::{
     node::Node,
     request::{Ask, Course},
@@ -23,14 +26,8 @@
 use crate::clock;
 
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Longest wait for another agent's word on a claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
-/// Claims that are handed over at once when the agent leaves.
-const HANDED_AT_ONCE: usize = 16;
 /// Waits between attempts to claim a key that another request has.
 const REPEAT_WAITS_MS: [u64; 8] = [0, 10, 20, 40, 80, 150, 300, 400];
-/// Waits before what came of a claim is sent again to an agent that did not take it.
-const SETTLE_WAITS_MS: [u64; 8] = [0, 100, 500, 2_000, 5_000, 10_000, 20_000, 20_000];
 
 /// What a request under an idempotency key may do.
 pub(crate) enum Verdict {
@@ -257,251 +254,6 @@
     }
 }
 
-async fn call(
-    node: &Arc<Node>,
-    owner: &str,
-    key: &ClaimKey,
-    claim: &Claim,
-    members: Option<u64>,
-) -> Word {
-    if owner == node.settings.name {
-        return word(record(node, key, claim.clone(), members));
-    }
-    let record = ClaimRecord::new(key, claim);
-    let claim_call = ClaimCall {
-        record: Some(record),
-        purpose: ClaimPurpose::Claim as i32,
-        members,
-        losses: Vec::new(),
-    };
-    let asked = ask(node, owner, claim_call);
-    match time::timeout(CLAIM_TIMEOUT, asked).await {
-        Ok(Ok(reply)) => read(&reply).unwrap_or(Word::Unavailable),
-        Ok(Err(_)) | Err(_) => Word::Unavailable,
-    }
-}
-
-/// A process that refuses connections is dead, and its memory with it; one that is silent may hold claims.
-fn is_refused(e: &anyhow::Error) -> bool {
-    let refused = |it: &io::Error| it.kind() == io::ErrorKind::ConnectionRefused;
-    e.chain().any(|it| it.downcast_ref::<io::Error>().is_some_and(refused))
-}
-
-/// Records a claim as one that is asked.
-fn record(node: &Node, key: &ClaimKey, claim: Claim, members: Option<u64>) -> Claimed {
-    let now = clock::now_ms();
-    let (doubtful, admitted) = {
-        let rosters = node.rosters.lock();
-        (rosters.is_doubtful(key, now), rosters.admits(key, members, now))
-    };
-    let mut claims = node.claims.lock();
-    match claims.claim(key, claim.clone(), now) {
-        Claimed::Granted if doubtful => {
-            claims.release(key, claim.request);
-            Claimed::Doubtful
-        }
-        Claimed::Granted if !admitted => {
-            claims.release(key, claim.request);
-            Claimed::Unsettled
-        }
-        other => other,
-    }
-}
-
-fn word(claimed: Claimed) -> Word {
-    match claimed {
-        Claimed::Granted => Word::Granted,
-        Claimed::Doubtful => Word::Doubtful,
-        Claimed::Unsettled => Word::Unsettled,
-        Claimed::Taken(claim) => Word::Taken(claim),
-        Claimed::Mismatch => Word::Mismatch,
-        Claimed::Full => Word::Unavailable,
-    }
-}
-
-fn read(reply: &ClaimReply) -> Result<Word, HandoverError> {
-    match ClaimVerdict::try_from(reply.verdict) {
-        Ok(ClaimVerdict::Granted) => Ok(Word::Granted),
-        Ok(ClaimVerdict::Mismatch) => Ok(Word::Mismatch),
-        Ok(ClaimVerdict::Doubtful) => Ok(Word::Doubtful),
-        Ok(ClaimVerdict::Unsettled) => Ok(Word::Unsettled),
-        Ok(ClaimVerdict::Full) | Err(_) => Ok(Word::Unavailable),
-        Ok(ClaimVerdict::Taken) => {
-            let holder = reply.holder.as_ref().ok_or(HandoverError("holder of a claim"))?;
-            Ok(holder.claim()?.map_or(Word::Unavailable, Word::Taken))
-        }
-    }
-}
-
-/// Sends a record until the other agent has taken it, or it is clear that it won't.
-pub(crate) async fn tell(
-    node: &Arc<Node>,
-    owner: &str,
-    purpose: ClaimPurpose,
-    record: &ClaimRecord,
-) {
-    if owner == node.settings.name {
-        let call = ClaimCall {
-            record: Some(record.clone()),
-            purpose: purpose as i32,
-            ..ClaimCall::default()
-        };
-        // A record of our own is well-formed.
-        let _ = answer(node, &call);
-        return;
-    }
-    for wait in SETTLE_WAITS_MS {
-        time::sleep(Duration::from_millis(wait)).await;
-        let lives = node.snapshot().agents.get(owner).is_some_and(|it| it.state.answers());
-        if !lives {
-            return;
-        }
-        let call = ClaimCall {
-            record: Some(record.clone()),
-            purpose: purpose as i32,
-            ..ClaimCall::default()
-        };
-        let asked = ask(node, owner, call);
-        match time::timeout(CLAIM_TIMEOUT, asked).await {
-            Ok(Ok(_)) => return,
-            Ok(Err(e)) if is_refused(&e) => return,
-            Ok(Err(e)) => tracing::debug!("tell {owner} of a claim: {e:#}"),
-            Err(_) => tracing::debug!("tell {owner} of a claim: no answer in time"),
-        }
-    }
-}
-
-async fn ask(node: &Node, owner: &str, call: ClaimCall) -> anyhow::Result<ClaimReply> {
-    if let Some(mut link) = node.links.kept(owner) {
-        if link.sink.send(Kind::Claim(call.clone())).await.is_ok() {
-            if let Ok(Kind::Reply(reply)) = link.recv().await {
-                node.links.keep(link);
-                return Ok(reply);
-            }
-        }
-    }
-    let mut link = node.links.open(owner, address(node, owner)?).await?;
-    link.sink.send(Kind::Claim(call)).await?;
-    let Kind::Reply(reply) = link.recv().await? else {
-        anyhow::bail!("{owner} answered a claim with something else");
-    };
-    node.links.keep(link);
-    Ok(reply)
-}
-
-fn address(node: &Node, owner: &str) -> anyhow::Result<SocketAddr> {
-    let snapshot = node.snapshot();
-    let Some(agent) = snapshot.agents.get(owner) else {
-        anyhow::bail!("it has gone");
-    };
-    Ok(agent.control)
-}
-
-/// Answers a claim message as the agent that is asked.
-pub(crate) fn answer(node: &Node, call: &ClaimCall) -> Result<ClaimReply, HandoverError> {
-    let purpose = ClaimPurpose::try_from(call.purpose).map_err(|_| HandoverError("purpose"))?;
-    if purpose == ClaimPurpose::Losses {
-        take_losses(node, &call.losses);
-        return Ok(ClaimReply { verdict: ClaimVerdict::Granted as i32, holder: None });
-    }
-    let record = call.record.as_ref().ok_or(HandoverError("claim"))?;
-    let key = record.claim_key();
-    if !(1..=MAX_KEY).contains(&key.key.len()) {
-        return Err(HandoverError("idempotency key"));
-    }
-    let now = clock::now_ms();
-    let claimed = match (purpose, record.claim()?) {
-        (ClaimPurpose::Claim, Some(claim)) => self::record(node, &key, claim, call.members),
-        (ClaimPurpose::Settle, Some(claim)) => {
-            node.claims.lock().settle(&key, claim.request, claim.state, now);
-            Claimed::Granted
-        }
-        (ClaimPurpose::Settle, None) => {
-            node.claims.lock().release(&key, request_id(&record.request)?);
-            Claimed::Granted
-        }
-        (ClaimPurpose::Adopt, Some(claim)) => {
-            node.claims.lock().adopt(&key, claim, now);
-            Claimed::Granted
-        }
-        (ClaimPurpose::Probe, _) => {
-            let open = node.open.lock().contains(&request_id(&record.request)?);
-            if open { Claimed::Granted } else { Claimed::Mismatch }
-        }
-        (ClaimPurpose::Claim | ClaimPurpose::Adopt, None) | (ClaimPurpose::Losses, _) => {
-            return Err(HandoverError("state of a claim"));
-        }
-    };
-    let (verdict, holder) = match claimed {
-        Claimed::Granted => (ClaimVerdict::Granted, None),
-        Claimed::Taken(claim) => (ClaimVerdict::Taken, Some(ClaimRecord::new(&key, &claim))),
-        Claimed::Mismatch => (ClaimVerdict::Mismatch, None),
-        Claimed::Doubtful => (ClaimVerdict::Doubtful, None),
-        Claimed::Unsettled => (ClaimVerdict::Unsettled, None),
-        Claimed::Full => (ClaimVerdict::Full, None),
-    };
-    Ok(ClaimReply { verdict: verdict as i32, holder })
-}
-
-/// Gives the claims of an agent that leaves to those that would record them now, waiting at most `limit`.
-pub(crate) async fn hand_over(node: &Arc<Node>, limit: Duration) {
-    let mut told = Vec::new();
-    for (key, claim) in node.claims.lock().close() {
-        let heirs = node.rosters.lock().heirs(&key);
-        told.push((heirs, ClaimRecord::new(&key, &claim)));
-    }
-    let count = told.len();
-    let losses = node.rosters.lock().losses();
-    let tell_all =
-        stream::iter(told).for_each_concurrent(HANDED_AT_ONCE, |(names, record)| async move {
-            let told = names.iter().map(|it| tell(node, it, ClaimPurpose::Adopt, &record));
-            future::join_all(told).await;
-        });
-    let tell_losses = future::join_all(losses.into_iter().map(|it| tell_losses(node, it)));
-    if time::timeout(limit, future::join(tell_all, tell_losses)).await.is_err() {
-        tracing::warn!("not all of {count} claims were handed over within {limit:?}");
-    }
-}
-
-/// Tells the members of a service's pool which others died lately.
-async fn tell_losses(node: &Node, losses: (ServiceId, Vec<Lost>, Vec<String>)) {
-    let (service, lost, names) = losses;
-    let now = clock::now_ms();
-    let mut parts = Vec::new();
-    for it in lost {
-        parts.push(Loss {
-            service: service.0,
-            name: it.name,
-            incarnation: it.incarnation,
-            zone: it.zone,
-            age_ms: now.saturating_sub(it.at),
-            old: it.old,
-        });
-    }
-    let purpose = ClaimPurpose::Losses as i32;
-    let call = ClaimCall { purpose, losses: parts, ..ClaimCall::default() };
-    for name in names {
-        if let Ok(Err(e)) = time::timeout(CLAIM_TIMEOUT, ask(node, &name, call.clone())).await {
-            tracing::debug!("tell {name} of members that died: {e:#}");
-        }
-    }
-}
-
-fn take_losses(node: &Node, losses: &[Loss]) {
-    let now = clock::now_ms();
-    let mut rosters = node.rosters.lock();
-    for it in losses {
-        let lost = Lost {
-            name: it.name.clone(),
-            incarnation: it.incarnation,
-            zone: it.zone.clone(),
-            at: now.saturating_sub(it.age_ms),
-            old: it.old,
-        };
-        rosters.add_losses(ServiceId(it.service), &[lost]);
-    }
-}
-
 /// Digest of what was asked for. The query is left out: it may differ between two attempts.
 fn digest(ask: &Ask) -> u64 {
     let mut hasher = SipHasher13::new();
