Agent: a late request's rejection is delivered before a leaving flow closes

Cause: when a request arrives after the last GOAWAY and no other is in progress, h3's accept() resets its stream and returns None in one step. The agent took None for the end and dropped the connection, which cut the reset: the caller saw H3_NO_ERROR with a request under way. Ruled out: a longer wait after GOAWAY (15 s failed three tests of drains, and would not help). Now the flow waits for its caller to close, at most as long as an idle one. No test of its own: callers' library refuses to send after GOAWAY, so it needs a lost one.

--- a/crates/daemon/src/agent/flow.rs
+++ b/crates/daemon/src/agent/flow.rs
@@ -176,7 +176,12 @@
                             *until = Instant::now() + LINGER;
                         }
                     }
-                    Ok(None) => break,
+                    Ok(None) => {
+                        // The library rejected a late request, or the caller is done. Closed at once, the flow would
+                        // cut the rejection.
+                        let _ = time::timeout(LINGER, conn.closed()).await;
+                        break;
+                    }
                     Err(e) => {
                         tracing::debug!("flow of {} ended: {e}", self.service.name);
                         return;
