--- a/crates/daemon/src/agent/flow.rs
+++ b/crates/daemon/src/agent/flow.rs
@@ -176,12 +176,7 @@
                             *until = Instant::now() + LINGER;
                         }
                     }
-                    Ok(None) => {
-                        // The library rejected a late request, or the caller is done. Closed at once, the flow would
-                        // cut the rejection.
-                        let _ = time::timeout(LINGER, conn.closed()).await;
-                        break;
-                    }
+                    Ok(None) => break,
                     Err(e) => {
                         tracing::debug!("flow of {} ended: {e}", self.service.name);
                         return;
