Claims and capacity after a second reading: what stood twice, what could be derived, a lock held too long

Rosters::apply took an entry out and put it back: it updates in place. - ClaimCall::new serves four places that built the message by hand, one of them in a loop. - capacity's changes and events call on_processes of scale instead of naming the ground again.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -80,7 +80,7 @@
 pub struct Roster {
     live: BTreeMap<String, Live>,
     lost: Vec<Lost>,
-    began: u64,
+    /// When the members last changed, or this process started.
     changed: u64,
     /// When the members began to change, after they had been settled or this process had started.
     unsettled: u64,
@@ -96,7 +96,7 @@
             let joined = (it.name == me).then_some(now);
             live.insert(it.name.to_owned(), Live::new(it, joined));
         }
-        Roster { live, lost: Vec::new(), began: now, changed: now, unsettled: now, woke: None }
+        Roster { live, lost: Vec::new(), changed: now, unsettled: now, woke: None }
     }
 
     /// Takes in the members of a newer snapshot. Lost members are remembered for `window` milliseconds.
@@ -173,7 +173,8 @@
         self.lost.push(Lost { name: name.to_owned(), incarnation, zone, at: now, old });
     }
 
-    /// Names of the members.
+    /// Names of the members. One that leaves hands its claims to all others: what is recorded while the members change is
+    /// recorded by all.
     pub fn members(&self) -> impl Iterator<Item = &str> {
         let members = self.live.iter().filter(|(_, it)| it.part == Part::Member);
         members.map(|(name, _)| name.as_str())
@@ -205,7 +206,7 @@
 
     /// Whether the members have not changed for `window` milliseconds, as far as this process can know.
     pub fn is_settled(&self, now: u64, window: u64) -> bool {
-        now.saturating_sub(self.changed.max(self.began)) >= window
+        now.saturating_sub(self.changed) >= window
     }
 
     /// Who must record a claim that `me` makes on `key` while the members are settled, the arbiter first.
@@ -244,14 +245,6 @@
         hasher.finish()
     }
 
-    /// To whom `me` hands a claim on `key` over when it leaves: to all, because what they record from then on is what all
-    /// know.
-    pub fn successors(&self, key: &ClaimKey, me: &str) -> Vec<&str> {
-        let mut successors = self.order(key);
-        successors.retain(|it| *it != me);
-        successors
-    }
-
     /// Adds to those that must record a claim, in further zones as far as there are any.
     fn add_witnesses<'a>(&self, order: &[&'a str], members: &mut Vec<&'a str>) {
         loop {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -232,23 +232,19 @@
 
     fn leave(&mut self, name: &str) {
         let leaver = self.member(name);
-        let handed = leaver.claims.close();
-        let mut told = Vec::new();
-        for (key, claim) in handed {
-            let heirs: Vec<String> =
-                leaver.roster.successors(&key, name).into_iter().map(str::to_owned).collect();
-            told.push((heirs, key, claim));
-        }
+        let mut handed = leaver.claims.close();
+        let others = leaver.roster.members().filter(|it| *it != name);
+        let heirs: Vec<String> = others.map(str::to_owned).collect();
         if self.without == Without::HandOver {
-            told.clear();
+            handed.clear();
         }
         let losses = self.member(name).roster.losses().to_vec();
         for member in self.members.values_mut() {
             member.roster.add_losses(&losses);
         }
-        for (heirs, key, claim) in told {
-            for heir in heirs {
-                if let Some(member) = self.members.get_mut(&heir).filter(|it| !it.paused) {
+        for (key, claim) in handed {
+            for heir in &heirs {
+                if let Some(member) = self.members.get_mut(heir).filter(|it| !it.paused) {
                     member.claims.adopt(&key, claim.clone(), self.now);
                 }
             }
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -203,8 +203,7 @@
     }
     let key = ClaimKey { service: ServiceId(0), key: "-".to_owned() };
     let record = ClaimRecord::new(&key, claim);
-    let purpose = ClaimPurpose::Probe as i32;
-    let call = ClaimCall { record: Some(record), purpose, ..ClaimCall::default() };
+    let call = ClaimCall::new(ClaimPurpose::Probe, record);
     match time::timeout(CLAIM_TIMEOUT, ask(node, &claim.by, call)).await {
         Ok(Ok(reply)) => reply.verdict == ClaimVerdict::Granted as i32,
         Ok(Err(e)) => !is_refused(&e),
--- a/crates/daemon/src/agent/claim/call.rs
+++ b/crates/daemon/src/agent/claim/call.rs
@@ -30,12 +30,7 @@
         return word(record(node, key, claim.clone(), members));
     }
     let record = ClaimRecord::new(key, claim);
-    let claim_call = ClaimCall {
-        record: Some(record),
-        purpose: ClaimPurpose::Claim as i32,
-        members,
-        losses: Vec::new(),
-    };
+    let claim_call = ClaimCall { members, ..ClaimCall::new(ClaimPurpose::Claim, record) };
     let asked = ask(node, owner, claim_call);
     match time::timeout(CLAIM_TIMEOUT, asked).await {
         Ok(Ok(reply)) => read(&reply).unwrap_or(Word::Unavailable),
@@ -50,12 +45,8 @@
     purpose: ClaimPurpose,
     record: &ClaimRecord,
 ) {
+    let call = ClaimCall::new(purpose, record.clone());
     if owner == node.settings.name {
-        let call = ClaimCall {
-            record: Some(record.clone()),
-            purpose: purpose as i32,
-            ..ClaimCall::default()
-        };
         // A record of our own is well-formed.
         let _ = answer(node, &call);
         return;
@@ -66,12 +57,7 @@
         if !lives {
             return;
         }
-        let call = ClaimCall {
-            record: Some(record.clone()),
-            purpose: purpose as i32,
-            ..ClaimCall::default()
-        };
-        let asked = ask(node, owner, call);
+        let asked = ask(node, owner, call.clone());
         match time::timeout(CLAIM_TIMEOUT, asked).await {
             Ok(Ok(_)) => return,
             Ok(Err(e)) if is_refused(&e) => return,
--- a/crates/daemon/src/agent/claim/leave.rs
+++ b/crates/daemon/src/agent/claim/leave.rs
@@ -1,6 +1,6 @@
 //! Handing over what an agent remembers when it leaves.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use camphorwinch_core::{object::ServiceId, roster::Lost};
 use camphorwinch_wire::handover::{ClaimCall, ClaimPurpose, ClaimRecord, Loss};
@@ -16,9 +16,12 @@
 /// Gives the claims of an agent that leaves to those that would record them now, waiting at most `limit`.
 pub(crate) async fn hand_over(node: &Arc<Node>, limit: Duration) {
     let mut told = Vec::new();
-    for (key, claim) in node.claims.lock().close() {
-        let heirs = node.rosters.lock().heirs(&key);
-        told.push((heirs, ClaimRecord::new(&key, &claim)));
+    let claims = node.claims.lock().close();
+    let mut heirs: BTreeMap<ServiceId, Vec<String>> = BTreeMap::new();
+    for (key, claim) in claims {
+        let others = || node.rosters.lock().others(key.service);
+        let names = heirs.entry(key.service).or_insert_with(others).clone();
+        told.push((names, ClaimRecord::new(&key, &claim)));
     }
     let count = told.len();
     let losses = node.rosters.lock().losses();
@@ -27,15 +30,17 @@
             let told = names.iter().map(|it| tell(node, it, ClaimPurpose::Adopt, &record));
             future::join_all(told).await;
         });
-    let tell_losses = future::join_all(losses.into_iter().map(|it| tell_losses(node, it)));
+    let tell_losses = future::join_all(
+        losses.into_iter().map(|(service, lost)| tell_losses(node, service, lost)),
+    );
     if time::timeout(limit, future::join(tell_all, tell_losses)).await.is_err() {
         tracing::warn!("not all of {count} claims were handed over within {limit:?}");
     }
 }
 
 /// Tells the members of a service's pool which others died lately.
-async fn tell_losses(node: &Node, losses: (ServiceId, Vec<Lost>, Vec<String>)) {
-    let (service, lost, names) = losses;
+async fn tell_losses(node: &Node, service: ServiceId, lost: Vec<Lost>) {
+    let names = node.rosters.lock().others(service);
     let now = clock::now_ms();
     let mut parts = Vec::new();
     for it in lost {
--- a/crates/daemon/src/agent/rosters.rs
+++ b/crates/daemon/src/agent/rosters.rs
@@ -36,17 +36,14 @@
         self.services.retain(|id, _| snapshot.services.contains_key(id));
         for (id, service) in &snapshot.services {
             let window = u64::from(service.spec.key_window_s) * 1_000;
-            let known = self.services.remove(id);
-            let mut pools = known.as_ref().map(|it| it.pools.clone()).unwrap_or_default();
-            pools.insert(service.spec.pool.clone());
-            let seen = seen(snapshot, service, &pools);
-            let roster = match known {
-                Some(mut it) => {
-                    it.roster.update(now, window, &seen);
-                    it.roster
-                }
-                None => Roster::new(&self.me, now, &seen),
-            };
+            if let Some(it) = self.services.get_mut(id) {
+                it.window = window;
+                it.pools.insert(service.spec.pool.clone());
+                it.roster.update(now, window, &seen(snapshot, service, &it.pools));
+                continue;
+            }
+            let pools = BTreeSet::from([service.spec.pool.clone()]);
+            let roster = Roster::new(&self.me, now, &seen(snapshot, service, &pools));
             self.services.insert(*id, Entry { roster, window, pools });
         }
     }
@@ -84,23 +81,22 @@
         names.into_iter().map(str::to_owned).collect()
     }
 
-    /// Names of the agents to which this one hands a claim on `key` over when it leaves.
-    pub(crate) fn heirs(&self, key: &ClaimKey) -> Vec<String> {
-        let entry = self.services.get(&key.service);
-        let heirs = entry.map(|it| it.roster.successors(key, &self.me)).unwrap_or_default();
-        heirs.into_iter().map(str::to_owned).collect()
+    /// Names of the service's other members, to which this agent hands over what it knows when it leaves.
+    pub(crate) fn others(&self, service: ServiceId) -> Vec<String> {
+        let Some(it) = self.services.get(&service) else {
+            return Vec::new();
+        };
+        it.roster.members().filter(|name| *name != self.me).map(str::to_owned).collect()
     }
 
-    /// Members of all services that died lately, and for each service the agents that must know.
-    pub(crate) fn losses(&self) -> Vec<(ServiceId, Vec<Lost>, Vec<String>)> {
+    /// Members that died lately, by service.
+    pub(crate) fn losses(&self) -> Vec<(ServiceId, Vec<Lost>)> {
         let mut losses = Vec::new();
         for (id, it) in &self.services {
             let lost = it.roster.losses();
-            if lost.is_empty() {
-                continue;
+            if !lost.is_empty() {
+                losses.push((*id, lost.to_vec()));
             }
-            let members = it.roster.members().filter(|name| *name != self.me);
-            losses.push((*id, lost.to_vec(), members.map(str::to_owned).collect()));
         }
         losses
     }
--- a/crates/standin/src/capacity/changes.rs
+++ b/crates/standin/src/capacity/changes.rs
@@ -10,8 +10,8 @@
 use super::{
     Plan,
     fleet::Fleet,
-    scale::push,
-    series::{Ground, Series},
+    scale::{on_processes, push},
+    series::Series,
 };
 
 const ZONES: usize = 2;
@@ -23,25 +23,12 @@
 /// Writes changes at growing rates, then takes the time of single ones.
 pub async fn measure(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const RATE: &str = "changes/s";
-    let ground = Ground::Processes;
     let mut set = [
-        Series::new(
-            "balancer-cpu-changes",
-            "balancer under changes, time",
-            "% of a core",
-            RATE,
-            ground,
-        ),
-        Series::new(
-            "balancer-bytes-changes",
-            "balancer under changes, control",
-            "bytes/s",
-            RATE,
-            ground,
-        ),
-        Series::new("agent-cpu-changes", "agent under changes, time", "% of a core", RATE, ground),
-        Series::new("agent-bytes-changes", "agent under changes, control", "bytes/s", RATE, ground),
-        Series::new("calls-changes", "fleet under changes, platform", "calls/s", RATE, ground),
+        on_processes("balancer-cpu-changes", "balancer under changes, time", "% of a core", RATE),
+        on_processes("balancer-bytes-changes", "balancer under changes, control", "bytes/s", RATE),
+        on_processes("agent-cpu-changes", "agent under changes, time", "% of a core", RATE),
+        on_processes("agent-bytes-changes", "agent under changes, control", "bytes/s", RATE),
+        on_processes("calls-changes", "fleet under changes, platform", "calls/s", RATE),
     ];
     let mut fleet = plan.fleet("changes", ZONES).await?;
     fleet.add_services(20, 20).await?;
@@ -69,11 +56,10 @@
 /// Times of changes to be in force at every daemon, against the number of daemons.
 pub async fn times(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const AXIS: &str = "daemons";
-    let ground = Ground::Processes;
     let mut set = [
-        Series::new("in-force-p50", "accepted to in force at all, p50", "s", AXIS, ground),
-        Series::new("in-force-p99", "accepted to in force at all, p99", "s", AXIS, ground),
-        Series::new("in-force-worst", "accepted to in force at all, worst", "s", AXIS, ground),
+        on_processes("in-force-p50", "accepted to in force at all, p50", "s", AXIS),
+        on_processes("in-force-p99", "accepted to in force at all, p99", "s", AXIS),
+        on_processes("in-force-worst", "accepted to in force at all, worst", "s", AXIS),
     ];
     let mut fleet = plan.fleet("times", ZONES).await?;
     fleet.add_services(20, 20).await?;
--- a/crates/standin/src/capacity/events.rs
+++ b/crates/standin/src/capacity/events.rs
@@ -9,8 +9,8 @@
 use super::{
     Plan,
     fleet::Fleet,
-    scale::push,
-    series::{Ground, Series},
+    scale::{on_processes, push},
+    series::Series,
 };
 
 const ZONES: usize = 2;
@@ -22,21 +22,18 @@
 /// Replaces agents at growing rates: each dies without notice and is started again at once.
 pub async fn replacements(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const RATE: &str = "replacements/s";
-    let ground = Ground::Processes;
     let mut set = [
-        Series::new(
+        on_processes(
             "balancer-cpu-events",
             "balancer under replacements, time",
             "% of a core",
             RATE,
-            ground,
         ),
-        Series::new(
+        on_processes(
             "balancer-bytes-events",
             "balancer under replacements, control",
             "bytes/s",
             RATE,
-            ground,
         ),
     ];
     let mut fleet = plan.fleet("events", ZONES).await?;
@@ -77,12 +74,11 @@
 /// Starts growing numbers of agents at once.
 pub async fn storms(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const AXIS: &str = "agents that start at once";
-    let ground = Ground::Processes;
     let mut set = [
-        Series::new("storm-time", "until all agents are healthy", "s", AXIS, ground),
-        Series::new("storm-cpu", "time of a balancer", "s", AXIS, ground),
-        Series::new("storm-bytes", "control of a balancer", "bytes", AXIS, ground),
-        Series::new("storm-calls", "calls of the platform", "calls", AXIS, ground),
+        on_processes("storm-time", "until all agents are healthy", "s", AXIS),
+        on_processes("storm-cpu", "time of a balancer", "s", AXIS),
+        on_processes("storm-bytes", "control of a balancer", "bytes", AXIS),
+        on_processes("storm-calls", "calls of the platform", "calls", AXIS),
     ];
     for &count in plan.storms() {
         let mut fleet = plan.fleet("storm", ZONES).await?;
@@ -111,16 +107,9 @@
 /// Calls in the first seconds after an outage of the platform, against the number of balancers.
 pub async fn outages(plan: &Plan) -> anyhow::Result<Vec<Series>> {
     const AXIS: &str = "balancers";
-    let ground = Ground::Processes;
     let mut set = [
-        Series::new("outage-calls", "calls in an outage", "calls/s", AXIS, ground),
-        Series::new(
-            "after-outage-calls",
-            "calls in the 2 s after an outage",
-            "calls",
-            AXIS,
-            ground,
-        ),
+        on_processes("outage-calls", "calls in an outage", "calls/s", AXIS),
+        on_processes("after-outage-calls", "calls in the 2 s after an outage", "calls", AXIS),
     ];
     let mut fleet = plan.fleet("outages", ZONES).await?;
     fleet.add_services(20, 20).await?;
--- a/crates/standin/src/capacity/scale.rs
+++ b/crates/standin/src/capacity/scale.rs
@@ -19,7 +19,7 @@
 const REPORT_WINDOWS: u32 = 2;
 const POLL: Duration = Duration::from_millis(100);
 
-fn on_processes(
+pub(super) fn on_processes(
     id: &'static str,
     what: &'static str,
     unit: &'static str,
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -214,6 +214,13 @@
     pub losses: Vec<Loss>,
 }
 
+impl ClaimCall {
+    /// A message about one claim.
+    pub fn new(purpose: ClaimPurpose, record: ClaimRecord) -> ClaimCall {
+        ClaimCall { record: Some(record), purpose: purpose as i32, ..ClaimCall::default() }
+    }
+}
+
 /// A member of a service's pool that died, and its claims with it.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Loss {
