--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod mesh;
 pub mod object;
+pub mod opaque;
 pub mod packet;
 pub mod peers;
 pub mod place;
--- /dev/null
+++ b/crates/core/src/opaque/agent.rs
@@ -0,0 +1,661 @@
+//! Decisions of an agent on opaque flows.
+
+use std::net::SocketAddrV4;
+
+use rustc_hash::FxHashMap;
+
+use super::{
+    FlowKey, Head, Kind, PoolId,
+    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why},
+    fleet::{Plan, Report, Upstream, ZoneId},
+    flow::after,
+    load::Load,
+    walk::{CLOSED, Last, UNSURE, Walk},
+};
+use crate::invariant::{self, Invariant};
+
+/// Time after its start for which an agent may not know all flows of its upstream, unless it has seen the upstream
+/// start: longer than flows that must be kept may live.
+const LEARN_MS: u64 = 65_000;
+/// Time after which a flow without packets is forgotten. A packet that comes later is treated as after a restart.
+const FLOW_IDLE_MS: u64 = 65_000;
+/// Time for which an ended or absent flow is remembered, for packets that are still on their way.
+const ENDED_MS: u64 = 3_000;
+/// Time after which an upstream that has not bounced a packet is taken to hold its flow: a local round trip, many times.
+const PROBE_MS: u64 = 12;
+/// Heartbeats that may be missing before an upstream's state counts as unknown.
+const MISSED_BEATS: u64 = 3;
+/// Pause between two looks for old flows.
+const PRUNE_EVERY_MS: u64 = 1_000;
+/// Room above what the caller has acknowledged within which it may acknowledge the upstream's opening packet: what
+/// can be in flight, 16 packets of 1,200 bytes, four times.
+const ACK_WINDOW: u32 = 76_800;
+/// Former upstreams of this address that are remembered, so that a late heartbeat is not taken for a new one.
+const FORMER_KEPT: usize = 16;
+
+/// A heartbeat of the upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Name of the upstream process, new with each start.
+    pub id: String,
+    /// Number of the heartbeat.
+    pub seq: u64,
+    /// Whether the upstream leaves.
+    pub draining: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time for which it goes on being slow after its start.
+    pub cold_ms: u64,
+}
+
+/// What became of a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It told nothing new.
+    Same,
+    /// The state changed.
+    Changed,
+    /// It is older than what is known and was ignored.
+    Late,
+}
+
+#[derive(Clone, Debug)]
+struct Present {
+    id: String,
+    seq: u64,
+    state: Upstream,
+    slots: u32,
+    cold_until: u64,
+    beat_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The opening packet was given to the upstream, whose first number is known once it has answered.
+    Opening { walk: Option<Walk>, first: Option<u32> },
+    /// Packets went to and fro.
+    Open,
+    /// A packet of a flow that is not known was given to the upstream, which may bounce it.
+    Probing { since_ms: u64, ask: Ask },
+    /// The upstream does not hold the flow.
+    Absent,
+    /// Both ends have finished, or one has reset the flow.
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+struct Flow {
+    phase: Phase,
+    balancer: SocketAddrV4,
+    since_ms: u64,
+    seen_ms: u64,
+    busy: bool,
+    counted: bool,
+    caller_end: Option<u32>,
+    ack: u32,
+    caller_done: bool,
+    upstream_done: bool,
+}
+
+/// State of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    address: SocketAddrV4,
+    pool: PoolId,
+    zone: ZoneId,
+    incarnation: u64,
+    report_seq: u64,
+    report_ms: u32,
+    beat_ms: u64,
+    started_ms: u64,
+    learning: bool,
+    plan: Plan,
+    present: Option<Present>,
+    former: Vec<String>,
+    load: Load,
+    flows: FxHashMap<FlowKey, Flow>,
+    probing: usize,
+    pruned_ms: u64,
+}
+
+impl Agent {
+    /// An agent that other processes reach at `address`; `incarnation` differs between its starts and `beat_ms` is
+    /// the upstream's pause between heartbeats.
+    pub fn new(
+        address: SocketAddrV4,
+        pool: PoolId,
+        zone: ZoneId,
+        incarnation: u64,
+        beat_ms: u64,
+        now_ms: u64,
+    ) -> Agent {
+        Agent {
+            address,
+            pool,
+            zone,
+            incarnation,
+            report_seq: 0,
+            report_ms: 1_000,
+            beat_ms,
+            started_ms: now_ms,
+            learning: true,
+            plan: Plan::Stay,
+            present: None,
+            former: Vec::new(),
+            load: Load::default(),
+            flows: FxHashMap::default(),
+            probing: 0,
+            pruned_ms: now_ms,
+        }
+    }
+
+    /// Requests in progress.
+    pub fn busy(&self) -> u32 {
+        self.load.busy()
+    }
+
+    /// Flows that are open or opening.
+    pub fn flows(&self) -> u32 {
+        self.load.flows()
+    }
+
+    /// What the agent is about to do.
+    pub fn plan(&self) -> Plan {
+        self.plan
+    }
+
+    /// Sets what the agent is about to do.
+    pub fn set_plan(&mut self, plan: Plan, out: &mut Vec<Effect>) {
+        self.plan = plan;
+        out.push(Effect::Report);
+    }
+
+    /// State of the upstream.
+    pub fn upstream(&self, now_ms: u64) -> Upstream {
+        let Some(present) = &self.present else {
+            return Upstream::Unknown;
+        };
+        let silent = now_ms.saturating_sub(present.beat_ms) > self.beat_ms * MISSED_BEATS;
+        if present.state == Upstream::Ready && silent { Upstream::Unknown } else { present.state }
+    }
+
+    /// The next report to balancers.
+    pub fn next_report(&mut self, now_ms: u64) -> Report {
+        self.report_seq += 1;
+        Report {
+            incarnation: self.incarnation,
+            seq: self.report_seq,
+            pool: self.pool,
+            zone: self.zone,
+            upstream: self.upstream(now_ms),
+            plan: self.plan,
+            slots: self.present.as_ref().map_or(1, |it| it.slots),
+            load: self.own_load(now_ms),
+            learning: self.learning,
+            every_ms: self.report_ms,
+        }
+    }
+
+    /// Sets the pause between two reports.
+    pub fn set_report_pause(&mut self, pause_ms: u32) {
+        self.report_ms = pause_ms;
+    }
+
+    /// Takes a heartbeat of the upstream.
+    pub fn heartbeat(&mut self, beat: &Heartbeat, now_ms: u64, out: &mut Vec<Effect>) -> Heard {
+        if self.former.contains(&beat.id) {
+            return Heard::Late;
+        }
+        let before = self.upstream(now_ms);
+        match &self.present {
+            Some(it) if it.id == beat.id && beat.seq <= it.seq => return Heard::Late,
+            Some(it) if it.id != beat.id => {
+                let beat_ms = it.beat_ms;
+                self.replace_upstream(beat_ms, now_ms, out);
+            }
+            None if beat.seq <= 1 => self.learning = false,
+            _ => {}
+        }
+        let state = if beat.draining { Upstream::Draining } else { Upstream::Ready };
+        self.present = Some(Present {
+            id: beat.id.clone(),
+            seq: beat.seq,
+            state,
+            slots: beat.slots,
+            cold_until: now_ms + beat.cold_ms,
+            beat_ms: now_ms,
+        });
+        if state == before {
+            return Heard::Same;
+        }
+        out.push(Effect::Report);
+        Heard::Changed
+    }
+
+    /// The upstream says that it ends; whether it was the present one.
+    pub fn deregister(&mut self, id: &str, out: &mut Vec<Effect>) -> bool {
+        let Some(present) = self.present.as_mut().filter(|it| it.id == id) else {
+            return false;
+        };
+        present.state = Upstream::Ended;
+        out.push(Effect::Report);
+        true
+    }
+
+    /// The upstream's process is proven to have ended: its flows are reset.
+    pub fn upstream_ended(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        if let Some(present) = self.present.take() {
+            self.remember(present.id);
+            out.push(Effect::Report);
+        }
+        self.reset_flows(now_ms, now_ms, out);
+    }
+
+    /// Takes a caller's packet that another process sent.
+    pub fn relayed(&mut self, relay: &Relay, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        if relay.pool != self.pool {
+            answer(relay.balancer, head.key, Answer::WrongPool, false, out);
+            return drop(head.key, Drop::WrongPool, out);
+        }
+        match relay.ask {
+            Ask::Open(walk) => self.open(relay, head, walk, Last::No, now_ms, out),
+            Ask::Settle(walk) => self.open(relay, head, walk, Last::Yes, now_ms, out),
+            Ask::Deliver | Ask::Locate => self.carry(relay, head, now_ms, out),
+        }
+    }
+
+    /// Takes a packet that the upstream sent.
+    pub fn sent(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        if head.bounced {
+            return self.bounced(head, now_ms, out);
+        }
+        out.push(Effect::Reply);
+        let Some(flow) = self.flows.get_mut(&head.key) else {
+            // A flow from before this agent started.
+            if head.kind != Kind::Reset {
+                self.learn(head, now_ms);
+            }
+            return;
+        };
+        flow.seen_ms = now_ms;
+        if head.len > 0 && flow.busy {
+            flow.busy = false;
+            self.load.end(now_ms);
+        }
+        match flow.phase {
+            Phase::Opening { walk, first } if head.kind == Kind::Open => {
+                if first.is_none() {
+                    answer(flow.balancer, head.key, Answer::Here, false, out);
+                }
+                flow.phase = Phase::Opening { walk, first: Some(head.seq) };
+            }
+            Phase::Probing { .. } => {
+                answer(flow.balancer, head.key, Answer::Here, false, out);
+                self.settle_probe(head.key);
+            }
+            _ => {}
+        }
+        self.follow_end(head, Side::Upstream, now_ms);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        if self.probing > 0 {
+            self.end_probes(now_ms, out);
+        }
+        if now_ms.saturating_sub(self.started_ms) > LEARN_MS {
+            self.learning = false;
+        }
+        if now_ms.saturating_sub(self.pruned_ms) >= PRUNE_EVERY_MS {
+            self.pruned_ms = now_ms;
+            self.prune(now_ms);
+        }
+    }
+
+    fn open(
+        &mut self,
+        relay: &Relay,
+        head: &Head,
+        mut walk: Walk,
+        last: Last,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = self.flows.get_mut(&head.key);
+        if let Some(flow) = known.filter(|it| matches!(it.phase, Phase::Opening { .. })) {
+            // A copy: the upstream answers again.
+            flow.seen_ms = now_ms;
+            return out.push(Effect::Deliver { payload: Payload::Current });
+        }
+        let state = if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
+        let load = match state {
+            Upstream::Ready => self.own_load(now_ms),
+            Upstream::Unknown => UNSURE,
+            Upstream::Draining | Upstream::Ended => CLOSED,
+        };
+        let accepts = match last {
+            Last::No => load <= walk.limit,
+            Last::Yes => load != CLOSED,
+        };
+        if accepts {
+            return self.accept(relay, head, walk, load, last, now_ms, out);
+        }
+        if last == Last::Yes {
+            walk.record(CLOSED);
+            return self.settle(relay, head, walk, now_ms, out);
+        }
+        self.pass_on(relay, head, walk, load, now_ms, out);
+    }
+
+    fn accept(
+        &mut self,
+        relay: &Relay,
+        head: &Head,
+        walk: Walk,
+        load: u16,
+        last: Last,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let closed = matches!(self.upstream(now_ms), Upstream::Draining | Upstream::Ended);
+        if !invariant::check(Invariant::DrainHolds, !closed) {
+            return drop(head.key, Drop::NoUpstream, out);
+        }
+        let phase = Phase::Opening { walk: Some(walk), first: None };
+        self.insert(head.key, phase, relay.balancer, now_ms);
+        note(head.key, Decision::Accepted { load, last }, out);
+        out.push(Effect::Deliver { payload: Payload::Current });
+    }
+
+    fn pass_on(
+        &mut self,
+        relay: &Relay,
+        head: &Head,
+        mut walk: Walk,
+        load: u16,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(to) = walk.pass(load) else {
+            return self.settle(relay, head, walk, now_ms, out);
+        };
+        let limit = walk.limit;
+        note(head.key, Decision::PassedOn { to, load, limit }, out);
+        let relay = Relay { ask: Ask::Open(walk), ..*relay };
+        out.push(Effect::Relay { to, relay, payload: Payload::Current });
+    }
+
+    /// All candidates were asked: the least loaded one gets the flow.
+    fn settle(
+        &mut self,
+        relay: &Relay,
+        head: &Head,
+        mut walk: Walk,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(best) = walk.settle() else {
+            out.push(Effect::Reset { key: head.key, seq: 0 });
+            return note(head.key, Decision::Reset(Why::AllRefused), out);
+        };
+        if best == self.address {
+            let load = self.own_load(now_ms);
+            return self.accept(relay, head, walk, load, Last::Yes, now_ms, out);
+        }
+        let relay = Relay { ask: Ask::Settle(walk), ..*relay };
+        out.push(Effect::Relay { to: best, relay, payload: Payload::Current });
+    }
+
+    fn carry(&mut self, relay: &Relay, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get_mut(&head.key) else {
+            return self.carry_unknown(relay, head, now_ms, out);
+        };
+        flow.balancer = relay.balancer;
+        flow.seen_ms = now_ms;
+        if flow.phase == Phase::Absent || is_for_another(flow.phase, head) {
+            return answer_absent(relay, head.key, out);
+        }
+        if let Phase::Opening { first: Some(_), .. } = flow.phase
+            && head.kind != Kind::Open
+        {
+            flow.phase = Phase::Open;
+        }
+        if relay.ask == Ask::Locate && !matches!(flow.phase, Phase::Probing { .. }) {
+            answer(relay.balancer, head.key, Answer::Here, false, out);
+        }
+        self.deliver(head, now_ms, out);
+    }
+
+    fn carry_unknown(&mut self, relay: &Relay, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        if !self.learning || head.kind == Kind::Open {
+            return answer_absent(relay, head.key, out);
+        }
+        let phase = Phase::Probing { since_ms: now_ms, ask: relay.ask };
+        self.insert(head.key, phase, relay.balancer, now_ms);
+        self.probing += 1;
+        self.deliver(head, now_ms, out);
+    }
+
+    fn deliver(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        if let Some(flow) = self.flows.get_mut(&head.key) {
+            flow.ack = head.ack;
+            let new = flow.caller_end.is_none_or(|it| after(head.end(), it));
+            if head.len > 0 && new {
+                flow.caller_end = Some(head.end());
+                if !flow.busy && flow.counted {
+                    flow.busy = true;
+                    self.load.begin(now_ms);
+                }
+            }
+        }
+        out.push(Effect::Deliver { payload: Payload::Current });
+        self.follow_end(head, Side::Caller, now_ms);
+    }
+
+    fn bounced(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&head.key) else {
+            return drop(head.key, Drop::StrayBounce, out);
+        };
+        let balancer = flow.balancer;
+        match flow.phase {
+            Phase::Opening { walk: Some(walk), .. } if head.kind == Kind::Open => {
+                self.remove(head.key, now_ms);
+                note(head.key, Decision::Refused, out);
+                let relay = Relay { ask: Ask::Open(walk), pool: self.pool, balancer };
+                self.pass_on(&relay, head, walk, CLOSED, now_ms, out);
+            }
+            Phase::Probing { ask, .. } => {
+                self.probing -= 1;
+                self.end_flow(head.key, Phase::Absent, now_ms);
+                answer(balancer, head.key, Answer::Absent, ask != Ask::Locate, out);
+            }
+            Phase::Ended => {}
+            _ => {
+                self.end_flow(head.key, Phase::Absent, now_ms);
+                note(head.key, Decision::Absent, out);
+                answer(balancer, head.key, Answer::Absent, true, out);
+            }
+        }
+    }
+
+    fn learn(&mut self, head: &Head, now_ms: u64) {
+        let nobody = self.address;
+        self.insert(head.key, Phase::Open, nobody, now_ms);
+    }
+
+    fn insert(&mut self, key: FlowKey, phase: Phase, balancer: SocketAddrV4, now_ms: u64) {
+        self.remove(key, now_ms);
+        let counted = !matches!(phase, Phase::Probing { .. });
+        if counted {
+            self.load.add_flow();
+        }
+        let flow = Flow {
+            phase,
+            balancer,
+            since_ms: now_ms,
+            seen_ms: now_ms,
+            busy: false,
+            counted,
+            caller_end: None,
+            ack: 0,
+            caller_done: false,
+            upstream_done: false,
+        };
+        self.flows.insert(key, flow);
+    }
+
+    fn remove(&mut self, key: FlowKey, now_ms: u64) {
+        self.end_flow(key, Phase::Ended, now_ms);
+        if let Some(flow) = self.flows.remove(&key)
+            && matches!(flow.phase, Phase::Probing { .. })
+        {
+            self.probing -= 1;
+        }
+    }
+
+    /// Takes the flow out of the load and sets its last phase.
+    fn end_flow(&mut self, key: FlowKey, phase: Phase, now_ms: u64) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if flow.busy {
+            self.load.end(now_ms);
+        }
+        if flow.counted {
+            self.load.remove_flow();
+        }
+        flow.busy = false;
+        flow.counted = false;
+        if !matches!(flow.phase, Phase::Probing { .. }) || phase == Phase::Absent {
+            flow.phase = phase;
+        }
+    }
+
+    fn settle_probe(&mut self, key: FlowKey) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.phase = Phase::Open;
+        flow.counted = true;
+        self.probing -= 1;
+        self.load.add_flow();
+    }
+
+    fn end_probes(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        let due = self.flows.iter().filter(|(_, it)| match it.phase {
+            Phase::Probing { since_ms, .. } => now_ms.saturating_sub(since_ms) >= PROBE_MS,
+            _ => false,
+        });
+        let due: Vec<_> = due.map(|(&key, it)| (key, it.balancer)).collect();
+        for (key, balancer) in due {
+            self.settle_probe(key);
+            answer(balancer, key, Answer::Here, false, out);
+        }
+    }
+
+    fn follow_end(&mut self, head: &Head, side: Side, now_ms: u64) {
+        let Some(flow) = self.flows.get_mut(&head.key) else {
+            return;
+        };
+        match (head.kind, side) {
+            (Kind::Finish, Side::Caller) => flow.caller_done = true,
+            (Kind::Finish, Side::Upstream) => flow.upstream_done = true,
+            (Kind::Reset, _) => {
+                flow.caller_done = true;
+                flow.upstream_done = true;
+            }
+            _ => {}
+        }
+        let probing = matches!(flow.phase, Phase::Probing { .. });
+        if flow.caller_done && flow.upstream_done && !probing {
+            self.end_flow(head.key, Phase::Ended, now_ms);
+        }
+    }
+
+    fn replace_upstream(&mut self, beat_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
+        if let Some(present) = self.present.take() {
+            self.remember(present.id);
+        }
+        self.learning = false;
+        // Flows that were opened after the former upstream's last heartbeat may already be with the new one.
+        self.reset_flows(beat_ms, now_ms, out);
+    }
+
+    fn remember(&mut self, id: String) {
+        if self.former.len() == FORMER_KEPT {
+            self.former.remove(0);
+        }
+        self.former.push(id);
+    }
+
+    /// Resets the flows that began at `until_ms` or before.
+    fn reset_flows(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
+        let alive = |it: &Flow| matches!(it.phase, Phase::Open | Phase::Opening { .. });
+        let due = self.flows.iter().filter(|(_, it)| alive(it) && it.since_ms <= until_ms);
+        let due: Vec<_> = due.map(|(&key, it)| (key, it.ack)).collect();
+        for (key, seq) in due {
+            self.end_flow(key, Phase::Ended, now_ms);
+            out.push(Effect::Reset { key, seq });
+            note(key, Decision::Reset(Why::UpstreamEnded), out);
+        }
+    }
+
+    fn prune(&mut self, now_ms: u64) {
+        let old = self.flows.iter().filter(|(_, it)| {
+            let idle = now_ms.saturating_sub(it.seen_ms);
+            match it.phase {
+                Phase::Ended | Phase::Absent => idle > ENDED_MS,
+                _ => idle > FLOW_IDLE_MS,
+            }
+        });
+        let old: Vec<_> = old.map(|(&key, _)| key).collect();
+        for key in old {
+            self.remove(key, now_ms);
+        }
+    }
+
+    fn own_load(&mut self, now_ms: u64) -> u16 {
+        let (slots, cold) =
+            self.present.as_ref().map_or((1, false), |it| (it.slots, now_ms < it.cold_until));
+        self.load.per_mille(slots, cold, now_ms)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Caller,
+    Upstream,
+}
+
+/// Whether the caller acknowledges another upstream's answer to its opening packet.
+fn is_for_another(phase: Phase, head: &Head) -> bool {
+    match phase {
+        Phase::Opening { first: Some(first), .. } if head.kind != Kind::Open => {
+            head.ack.wrapping_sub(first) > ACK_WINDOW
+        }
+        _ => false,
+    }
+}
+
+fn answer_absent(relay: &Relay, key: FlowKey, out: &mut Vec<Effect>) {
+    let returned = relay.ask == Ask::Deliver;
+    answer(relay.balancer, key, Answer::Absent, returned, out);
+}
+
+fn answer(
+    to: SocketAddrV4,
+    key: FlowKey,
+    answer: Answer,
+    returned: bool,
+    out: &mut Vec<Effect>,
+) {
+    out.push(Effect::Answer { to, key, answer, returned });
+}
+
+fn note(key: FlowKey, decision: Decision, out: &mut Vec<Effect>) {
+    out.push(Effect::Note { key: Some(key), decision });
+}
+
+fn drop(key: FlowKey, why: Drop, out: &mut Vec<Effect>) {
+    note(key, Decision::Dropped(why), out);
+}
--- /dev/null
+++ b/crates/core/src/opaque/balancer.rs
@@ -0,0 +1,413 @@
+//! Decisions of a balancer on opaque flows.
+//!
+//! A balancer remembers where the flows are whose packets it gets, but nothing depends on that memory: what it does
+//! not know it searches for among the agents of the route's pools.
+
+use std::net::SocketAddrV4;
+
+use rustc_hash::FxHashMap;
+
+use super::{
+    FlowKey, Head, Kind, PoolId,
+    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why},
+    fleet::{Change, Fleet, Listed, Report, ZoneId},
+    hold::Hold,
+    route::{Lookup, RouteTable, Routes},
+    walk::Walk,
+};
+
+/// Time that a search lasts: the round trip to the farthest agent, ten times over.
+const SEARCH_MS: u64 = 60;
+/// Pause after a search in vain: the caller's next copy comes after 200 ms and should start a new one.
+const SEARCH_PAUSE_MS: u64 = 100;
+/// Agents asked in one search: more than a pool has at the size that is planned for.
+const MAX_ASKED: usize = 64;
+/// Time for which packets are held for an agent that restarts: a start takes about a second.
+const RESTART_HOLD_MS: u64 = 3_000;
+/// Time after which an unused flow is forgotten. It is searched for when it comes back.
+const FLOW_IDLE_MS: u64 = 20_000;
+/// Pause between two looks for such flows.
+const PRUNE_EVERY_MS: u64 = 5_000;
+/// Time after the first list of members from which the balancer takes its view of them for complete: the longest
+/// pause between two reports, twice.
+const SETTLED_AFTER_MS: u64 = 3_000;
+
+#[derive(Clone, Debug)]
+struct Search {
+    since_ms: u64,
+    waiting: Vec<SocketAddrV4>,
+    asked: usize,
+    complete: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    agent: Option<SocketAddrV4>,
+    confirmed: bool,
+    search: Option<Search>,
+    failed_ms: Option<u64>,
+    seen_ms: u64,
+    ack: u32,
+}
+
+/// State of a balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    address: SocketAddrV4,
+    zone: ZoneId,
+    routes: RouteTable,
+    fleet: Fleet,
+    flows: FxHashMap<FlowKey, Flow>,
+    hold: Hold,
+    listed_ms: Option<u64>,
+    pruned_ms: u64,
+}
+
+impl Balancer {
+    /// A balancer that other processes reach at `address`.
+    pub fn new(address: SocketAddrV4, zone: ZoneId) -> Balancer {
+        Balancer {
+            address,
+            zone,
+            routes: RouteTable::default(),
+            fleet: Fleet::default(),
+            flows: FxHashMap::default(),
+            hold: Hold::default(),
+            listed_ms: None,
+            pruned_ms: 0,
+        }
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// The agents.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Flows remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Bytes of held packets.
+    pub fn held_bytes(&self) -> usize {
+        self.hold.bytes()
+    }
+
+    /// Puts routes in force; false if newer ones are.
+    pub fn put_routes(&mut self, routes: Routes) -> bool {
+        self.routes.put(routes)
+    }
+
+    /// Takes the store's list of members.
+    pub fn list(&mut self, members: &[Listed], now_ms: u64) {
+        self.listed_ms.get_or_insert(now_ms);
+        self.fleet.list(members, now_ms);
+    }
+
+    /// Takes an agent's report.
+    pub fn report(
+        &mut self,
+        from: SocketAddrV4,
+        report: Report,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) -> Change {
+        let change = self.fleet.report(from, report, now_ms);
+        if change == Change::Restarted {
+            self.release(from, out);
+        }
+        change
+    }
+
+    /// Takes a packet that a caller sent.
+    pub fn packet(&mut self, head: &Head, bytes: &[u8], now_ms: u64, out: &mut Vec<Effect>) {
+        match head.kind {
+            Kind::Open => self.open(head, now_ms, out),
+            Kind::Data | Kind::Finish | Kind::Reset => self.carry(head, bytes, now_ms, out),
+        }
+    }
+
+    /// Takes an agent's answer; `returned` is the packet that it sent back.
+    pub fn answer(
+        &mut self,
+        from: SocketAddrV4,
+        key: FlowKey,
+        answer: Answer,
+        returned: Option<(&Head, &[u8])>,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        match answer {
+            Answer::Here => self.here(from, key, now_ms, out),
+            Answer::Absent => self.absent(from, key, returned, now_ms, out),
+            Answer::WrongPool => {
+                self.fleet.remove(from);
+                self.absent(from, key, returned, now_ms, out);
+            }
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        for agent in self.fleet.to_greet(now_ms) {
+            out.push(Effect::Greet { to: agent });
+        }
+        for key in self.hold.expired(now_ms) {
+            self.give_up(key, now_ms, out);
+        }
+        if now_ms.saturating_sub(self.pruned_ms) >= PRUNE_EVERY_MS {
+            self.pruned_ms = now_ms;
+            self.flows.retain(|_, it| now_ms.saturating_sub(it.seen_ms) < FLOW_IDLE_MS);
+        }
+    }
+
+    fn open(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        let key = head.key;
+        let copies = head.ack;
+        let pool = match self.routes.lookup(key.service) {
+            Lookup::NoConfig => return drop(key, Drop::NoConfig, out),
+            Lookup::Dropped | Lookup::None => return reset(key, 0, Why::NoRoute, out),
+            Lookup::Route(route) => route.pick(key.hash()),
+        };
+        let Some(pool) = pool else {
+            return reset(key, 0, Why::NoUpstream, out);
+        };
+        let known = self.flows.get(&key).filter(|_| copies > 0);
+        if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
+            // The flow's upstream has answered, so the answer was lost: its agent sends another one.
+            if let Some(agent) = flow.agent {
+                return self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
+            }
+        }
+        let avoid = known.and_then(|it| it.agent);
+        let found = self.fleet.candidates(pool, key.hash(), self.zone, avoid, now_ms);
+        let Some(&first) = found.agents.first() else {
+            return self.open_nowhere(key, pool, now_ms, out);
+        };
+        let flow = Flow { agent: Some(first), seen_ms: now_ms, ..Flow::default() };
+        self.flows.insert(key, flow);
+        note(key, Decision::Placed { first, copies }, out);
+        let walk = Walk::new(found.agents, found.limit);
+        self.relay(first, Ask::Open(walk), pool, Payload::Current, out);
+    }
+
+    fn open_nowhere(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
+        let complete = self.is_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms);
+        if complete { reset(key, 0, Why::NoUpstream, out) } else { drop(key, Drop::NoUpstream, out) }
+    }
+
+    fn carry(&mut self, head: &Head, bytes: &[u8], now_ms: u64, out: &mut Vec<Effect>) {
+        let key = head.key;
+        let (pool, dropped) = match self.routes.lookup(key.service) {
+            Lookup::NoConfig => return drop(key, Drop::NoConfig, out),
+            Lookup::None => return drop(key, Drop::NoRoute, out),
+            Lookup::Dropped => (None, true),
+            Lookup::Route(route) => (route.pick(key.hash()), false),
+        };
+        if dropped {
+            self.flows.remove(&key);
+            if head.kind != Kind::Reset {
+                reset(key, head.ack, Why::RouteDropped, out);
+            }
+            return;
+        }
+        let Some(pool) = pool else {
+            return drop(key, Drop::NoRoute, out);
+        };
+        let flow = self.flows.entry(key).or_default();
+        flow.seen_ms = now_ms;
+        flow.ack = head.ack;
+        if flow.search.is_some() {
+            self.keep(key, bytes, now_ms + SEARCH_MS, out);
+            return;
+        }
+        let Some(agent) = flow.agent else {
+            return self.search(key, bytes, None, now_ms, out);
+        };
+        if self.fleet.is_away(agent) {
+            note(key, Decision::Held { agent }, out);
+            self.keep(key, bytes, now_ms + RESTART_HOLD_MS, out);
+            return;
+        }
+        if !self.fleet.contains(agent) {
+            return self.search(key, bytes, None, now_ms, out);
+        }
+        self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
+    }
+
+    fn search(
+        &mut self,
+        key: FlowKey,
+        bytes: &[u8],
+        except: Option<SocketAddrV4>,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+            return drop(key, Drop::NoRoute, out);
+        };
+        let flow = self.flows.entry(key).or_default();
+        flow.agent = None;
+        if flow.failed_ms.is_some_and(|it| now_ms.saturating_sub(it) < SEARCH_PAUSE_MS) {
+            return drop(key, Drop::NotFound, out);
+        }
+        let mut asked = self.fleet.holders(|it| route.allows(it), key.hash());
+        let complete = asked.len() <= MAX_ASKED;
+        asked.retain(|&it| Some(it) != except);
+        asked.truncate(MAX_ASKED);
+        let pool = route.pick(key.hash()).unwrap_or(PoolId(0));
+        let pools: Vec<PoolId> = route.shares().iter().map(|it| it.pool).collect();
+        note(key, Decision::Searched { asked: asked.len() }, out);
+        for &agent in &asked {
+            let pool = self.fleet.pool_of(agent).filter(|it| pools.contains(it)).unwrap_or(pool);
+            self.relay(agent, Ask::Locate, pool, Payload::Held(bytes.to_vec()), out);
+        }
+        let flow = self.flows.entry(key).or_default();
+        let search =
+            Search { since_ms: now_ms, asked: asked.len(), waiting: asked, complete };
+        flow.search = Some(search);
+        flow.seen_ms = now_ms;
+        // The first packet went along with the question; an empty one stands for it, to end the search in time.
+        self.hold.push(key, &[], now_ms + SEARCH_MS);
+    }
+
+    fn here(&mut self, from: SocketAddrV4, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.agent = Some(from);
+        flow.confirmed = true;
+        flow.failed_ms = None;
+        let Some(search) = flow.search.take() else {
+            return;
+        };
+        let after_ms = now_ms.saturating_sub(search.since_ms);
+        note(key, Decision::Found { agent: from, after_ms }, out);
+        self.send_held(from, key, out);
+    }
+
+    fn absent(
+        &mut self,
+        from: SocketAddrV4,
+        key: FlowKey,
+        returned: Option<(&Head, &[u8])>,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if let Some(search) = &mut flow.search {
+            search.waiting.retain(|&it| it != from);
+            if search.waiting.is_empty() {
+                return self.not_held(key, now_ms, out);
+            }
+            if let Some((_, bytes)) = returned {
+                self.keep(key, bytes, now_ms + SEARCH_MS, out);
+            }
+            return;
+        }
+        if flow.agent.is_some_and(|it| it != from) {
+            // Found elsewhere meanwhile.
+            if let (Some(agent), Some((_, bytes))) = (flow.agent, returned) {
+                let pool = self.fleet.pool_of(agent).unwrap_or(PoolId(0));
+                self.relay(agent, Ask::Deliver, pool, Payload::Held(bytes.to_vec()), out);
+            }
+            return;
+        }
+        note(key, Decision::Absent, out);
+        if let Some((_, bytes)) = returned {
+            self.search(key, bytes, Some(from), now_ms, out);
+        }
+    }
+
+    /// Every agent that was asked answered that it does not hold the flow.
+    fn not_held(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let settled = self.is_settled(now_ms);
+        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+            return self.give_up(key, now_ms, out);
+        };
+        let complete = self.fleet.is_complete(|it| route.allows(it), now_ms);
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        let sure = flow.search.as_ref().is_some_and(|it| it.complete) && complete && settled;
+        let ack = flow.ack;
+        self.give_up(key, now_ms, out);
+        if sure {
+            reset(key, ack, Why::NotHeld, out);
+        }
+    }
+
+    fn give_up(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        self.hold.take(&key);
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(search) = flow.search.take() else {
+            return;
+        };
+        flow.failed_ms = Some(now_ms);
+        let absent = search.asked - search.waiting.len();
+        note(key, Decision::NotFound { absent, asked: search.asked }, out);
+    }
+
+    /// Sends what is held of the flows of an agent that is back.
+    fn release(&mut self, agent: SocketAddrV4, out: &mut Vec<Effect>) {
+        for key in self.hold.keys() {
+            let flow = self.flows.get(&key);
+            if flow.is_some_and(|it| it.agent == Some(agent) && it.search.is_none()) {
+                self.send_held(agent, key, out);
+            }
+        }
+    }
+
+    fn send_held(&mut self, agent: SocketAddrV4, key: FlowKey, out: &mut Vec<Effect>) {
+        let pool = self.fleet.pool_of(agent).unwrap_or(PoolId(0));
+        for packet in self.hold.take(&key) {
+            if !packet.is_empty() {
+                self.relay(agent, Ask::Deliver, pool, Payload::Held(packet), out);
+            }
+        }
+    }
+
+    fn keep(&mut self, key: FlowKey, bytes: &[u8], until_ms: u64, out: &mut Vec<Effect>) {
+        if !self.hold.push(key, bytes, until_ms) {
+            drop(key, Drop::HoldFull, out);
+        }
+    }
+
+    fn is_settled(&self, now_ms: u64) -> bool {
+        self.listed_ms.is_some_and(|it| now_ms.saturating_sub(it) > SETTLED_AFTER_MS)
+    }
+
+    fn relay(
+        &self,
+        to: SocketAddrV4,
+        ask: Ask,
+        pool: PoolId,
+        payload: Payload,
+        out: &mut Vec<Effect>,
+    ) {
+        let relay = Relay { ask, pool, balancer: self.address };
+        out.push(Effect::Relay { to, relay, payload });
+    }
+}
+
+fn note(key: FlowKey, decision: Decision, out: &mut Vec<Effect>) {
+    out.push(Effect::Note { key: Some(key), decision });
+}
+
+fn drop(key: FlowKey, why: Drop, out: &mut Vec<Effect>) {
+    note(key, Decision::Dropped(why), out);
+}
+
+fn reset(key: FlowKey, seq: u32, why: Why, out: &mut Vec<Effect>) {
+    out.push(Effect::Reset { key, seq });
+    note(key, Decision::Reset(why), out);
+}
--- /dev/null
+++ b/crates/core/src/opaque/fleet.rs
@@ -0,0 +1,355 @@
+//! What a balancer knows of the agents: from the store's list, and from what they report.
+
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+use super::{PoolId, flow::number, walk::MAX_SEATS};
+use crate::split_mix::mix;
+
+/// Pauses between reports after which an agent that says nothing gets no new flows: two reports may be lost.
+const SILENT_REPORTS: u64 = 2;
+/// Time by which a report may be late, on top of that.
+const LATE_MS: u64 = 600;
+/// Time without a report after which an agent is greeted, so that one that has restarted learns of this balancer.
+const GREET_AFTER_MS: u64 = 1_500;
+/// Pause between two greetings of the same agent.
+const GREET_EVERY_MS: u64 = 1_000;
+/// Time after its last sign of life for which an agent that the store doesn't list is remembered.
+const FORGET_MS: u64 = 120_000;
+/// Room above the mean load up to which an agent accepts a flow at once: a quarter, the factor that bounded loads
+/// commonly take, and a part of a slot so that idle pools keep flows in their zone.
+const LIMIT_FACTOR: f64 = 1.25;
+const LIMIT_ROOM: f64 = 120.0;
+
+/// An availability zone, by a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ZoneId(pub u64);
+
+impl ZoneId {
+    /// The zone of this name.
+    pub fn of(name: &str) -> ZoneId {
+        ZoneId(PoolId::of(name).0)
+    }
+}
+
+/// State of the upstream beside an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upstream {
+    /// Not heard of since the agent started, or not for some time.
+    Unknown,
+    /// Takes flows.
+    Ready,
+    /// Keeps its flows and takes no new ones.
+    Draining,
+    /// Has ended.
+    Ended,
+}
+
+impl Upstream {
+    /// Name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Upstream::Unknown => "unknown",
+            Upstream::Ready => "ready",
+            Upstream::Draining => "draining",
+            Upstream::Ended => "ended",
+        }
+    }
+}
+
+/// What the agent itself is about to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Goes on.
+    Stay,
+    /// Will stop soon and start again; its upstream lives on.
+    Pause,
+    /// Stops now and starts again.
+    Restart,
+    /// Stops for good.
+    Leave,
+}
+
+/// An agent's report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Number of the agent process, drawn at its start.
+    pub incarnation: u64,
+    /// Number of the report within the incarnation.
+    pub seq: u64,
+    /// Pool of its upstream.
+    pub pool: PoolId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// State of its upstream.
+    pub upstream: Upstream,
+    /// What it is about to do.
+    pub plan: Plan,
+    /// Requests that its upstream runs at once.
+    pub slots: u32,
+    /// Load in thousandths of the slots.
+    pub load: u16,
+    /// The agent may not know all flows of its upstream.
+    pub learning: bool,
+    /// Pause between two reports, in milliseconds.
+    pub every_ms: u32,
+}
+
+/// A member as the store lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Address for packets between processes.
+    pub address: SocketAddrV4,
+    /// Its pool, if it is an agent.
+    pub pool: Option<PoolId>,
+    /// Its zone.
+    pub zone: ZoneId,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that matters to flows.
+    None,
+    /// The agent is new, or its upstream's state or its plan changed.
+    State,
+    /// The agent has started again.
+    Restarted,
+    /// The agent has stopped and will be back.
+    Away,
+    /// The agent has left.
+    Left,
+    /// The report is older than one that was taken.
+    Old,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    pool: PoolId,
+    zone: ZoneId,
+    listed: bool,
+    report: Option<Report>,
+    heard_ms: u64,
+    greeted_ms: u64,
+}
+
+impl Entry {
+    fn is_silent(&self, now_ms: u64) -> bool {
+        let Some(report) = &self.report else {
+            return true;
+        };
+        let allowed = u64::from(report.every_ms) * SILENT_REPORTS + LATE_MS;
+        now_ms.saturating_sub(self.heard_ms) > allowed
+    }
+
+    fn plan(&self) -> Plan {
+        self.report.map_or(Plan::Stay, |it| it.plan)
+    }
+
+    fn takes_flows(&self, now_ms: u64) -> bool {
+        let open = self.report.is_some_and(|it| {
+            matches!(it.upstream, Upstream::Ready | Upstream::Unknown) && it.plan == Plan::Stay
+        });
+        open && !self.is_silent(now_ms)
+    }
+}
+
+/// The agents.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    agents: BTreeMap<SocketAddrV4, Entry>,
+}
+
+/// Candidates of a new flow, best first, with the load up to which they should accept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidates {
+    /// The agents.
+    pub agents: Vec<SocketAddrV4>,
+    /// Load in thousandths of the slots.
+    pub limit: u16,
+}
+
+impl Fleet {
+    /// Takes a list of the store. Agents that it no longer holds are forgotten once they are silent.
+    pub fn list(&mut self, members: &[Listed], now_ms: u64) {
+        for entry in self.agents.values_mut() {
+            entry.listed = false;
+        }
+        for member in members {
+            let Some(pool) = member.pool else {
+                continue;
+            };
+            let zone = member.zone;
+            let entry = self.agents.entry(member.address).or_insert(Entry {
+                pool,
+                zone,
+                listed: true,
+                report: None,
+                heard_ms: now_ms,
+                greeted_ms: 0,
+            });
+            entry.listed = true;
+        }
+        self.agents.retain(|_, it| it.listed || !it.is_silent(now_ms));
+    }
+
+    /// Takes an agent's report.
+    pub fn report(&mut self, from: SocketAddrV4, report: Report, now_ms: u64) -> Change {
+        if report.plan == Plan::Leave {
+            return if self.agents.remove(&from).is_some() { Change::Left } else { Change::None };
+        }
+        let entry = self.agents.entry(from).or_insert(Entry {
+            pool: report.pool,
+            zone: report.zone,
+            listed: false,
+            report: None,
+            heard_ms: now_ms,
+            greeted_ms: 0,
+        });
+        let change = match &entry.report {
+            Some(old) => compare(old, &report),
+            None => Change::State,
+        };
+        if change == Change::Old {
+            return change;
+        }
+        entry.pool = report.pool;
+        entry.zone = report.zone;
+        entry.report = Some(report);
+        entry.heard_ms = now_ms;
+        change
+    }
+
+    /// Forgets an agent whose address belongs to another pool now.
+    pub fn remove(&mut self, agent: SocketAddrV4) {
+        self.agents.remove(&agent);
+    }
+
+    /// Whether the agent said that it restarts and has not been back yet.
+    pub fn is_away(&self, agent: SocketAddrV4) -> bool {
+        self.agents.get(&agent).is_some_and(|it| it.plan() == Plan::Restart)
+    }
+
+    /// Whether the agent is known.
+    pub fn contains(&self, agent: SocketAddrV4) -> bool {
+        self.agents.contains_key(&agent)
+    }
+
+    /// Pool of an agent.
+    pub fn pool_of(&self, agent: SocketAddrV4) -> Option<PoolId> {
+        self.agents.get(&agent).map(|it| it.pool)
+    }
+
+    /// Agents known.
+    pub fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Whether no agent is known.
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty()
+    }
+
+    /// Agents that were heard of lately.
+    pub fn heard(&self, now_ms: u64) -> usize {
+        self.agents.values().filter(|it| !it.is_silent(now_ms)).count()
+    }
+
+    /// Candidates for a new flow: the zone's own first, in an order that the flow's hash gives.
+    pub fn candidates(
+        &self,
+        pool: PoolId,
+        hash: u64,
+        zone: ZoneId,
+        avoid: Option<SocketAddrV4>,
+        now_ms: u64,
+    ) -> Candidates {
+        let members = || self.agents.iter().filter(|(_, it)| it.pool == pool);
+        let mut ranked: Vec<_> = members()
+            .filter(|(_, it)| it.takes_flows(now_ms))
+            .map(|(&agent, it)| (Some(agent) == avoid, it.zone != zone, rank(agent, hash), agent))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(MAX_SEATS);
+        Candidates {
+            agents: ranked.into_iter().map(|it| it.3).collect(),
+            limit: self.limit(pool, now_ms),
+        }
+    }
+
+    /// Agents that may hold a flow of these pools, the most likely first.
+    pub fn holders<P>(&self, allows: P, hash: u64) -> Vec<SocketAddrV4>
+    where
+        P: Fn(PoolId) -> bool,
+    {
+        let members = self.agents.iter().filter(|(_, it)| allows(it.pool));
+        let mut ranked: Vec<_> = members.map(|(&agent, _)| (rank(agent, hash), agent)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|it| it.1).collect()
+    }
+
+    /// Whether each agent of these pools was heard of lately and knows all flows of its upstream.
+    pub fn is_complete<P>(&self, allows: P, now_ms: u64) -> bool
+    where
+        P: Fn(PoolId) -> bool,
+    {
+        let mut members = self.agents.values().filter(|it| allows(it.pool));
+        members.all(|it| !it.is_silent(now_ms) && it.plan() == Plan::Stay)
+    }
+
+    /// Whether the pool has an agent at all, live or not.
+    pub fn has_pool(&self, pool: PoolId) -> bool {
+        self.agents.values().any(|it| it.pool == pool)
+    }
+
+    /// Agents to greet now; those that nothing was heard of for very long are forgotten.
+    pub fn to_greet(&mut self, now_ms: u64) -> Vec<SocketAddrV4> {
+        self.agents.retain(|_, it| it.listed || now_ms.saturating_sub(it.heard_ms) < FORGET_MS);
+        let mut due = Vec::new();
+        for (&agent, entry) in &mut self.agents {
+            let quiet = now_ms.saturating_sub(entry.heard_ms) > GREET_AFTER_MS;
+            if entry.report.is_some() && !quiet {
+                continue;
+            }
+            if entry.greeted_ms != 0 && now_ms.saturating_sub(entry.greeted_ms) < GREET_EVERY_MS {
+                continue;
+            }
+            entry.greeted_ms = now_ms;
+            due.push(agent);
+        }
+        due
+    }
+
+    fn limit(&self, pool: PoolId, now_ms: u64) -> u16 {
+        let members = self.agents.values().filter(|it| it.pool == pool && it.takes_flows(now_ms));
+        let (mut work, mut slots) = (0.0, 0.0);
+        for report in members.filter_map(|it| it.report) {
+            work += f64::from(report.load) * f64::from(report.slots);
+            slots += f64::from(report.slots);
+        }
+        if slots == 0.0 {
+            return 0;
+        }
+        (work / slots * LIMIT_FACTOR + LIMIT_ROOM) as u16
+    }
+}
+
+fn compare(old: &Report, new: &Report) -> Change {
+    if old.incarnation == new.incarnation && new.seq <= old.seq {
+        return Change::Old;
+    }
+    if new.plan == Plan::Restart {
+        return Change::Away;
+    }
+    if old.incarnation != new.incarnation {
+        return Change::Restarted;
+    }
+    if (old.upstream, old.plan, old.pool) != (new.upstream, new.plan, new.pool) {
+        return Change::State;
+    }
+    Change::None
+}
+
+/// Rendezvous hashing: each flow has an order of its own over the agents.
+fn rank(agent: SocketAddrV4, hash: u64) -> u64 {
+    mix(number(agent) ^ hash)
+}
--- /dev/null
+++ b/crates/core/src/opaque/hold.rs
@@ -0,0 +1,63 @@
+//! Packets held back while the holder of their flow is searched for or restarts.
+
+use rustc_hash::FxHashMap;
+
+use super::FlowKey;
+
+/// Packets held of one flow: either end has at most 16 in flight.
+const MAX_PACKETS: usize = 16;
+/// Bytes held in all: a tenth of the memory that the smallest entry VM gives a process.
+const MAX_BYTES: usize = 8 << 20;
+
+#[derive(Debug, Default)]
+struct Held {
+    packets: Vec<Vec<u8>>,
+    until_ms: u64,
+}
+
+/// The packets, by flow.
+#[derive(Debug, Default)]
+pub struct Hold {
+    flows: FxHashMap<FlowKey, Held>,
+    bytes: usize,
+}
+
+impl Hold {
+    /// Holds a packet back until `until_ms`; false if there is no room.
+    pub fn push(&mut self, key: FlowKey, packet: &[u8], until_ms: u64) -> bool {
+        if self.bytes + packet.len() > MAX_BYTES {
+            return false;
+        }
+        let held = self.flows.entry(key).or_default();
+        held.until_ms = until_ms;
+        if held.packets.len() >= MAX_PACKETS {
+            return false;
+        }
+        held.packets.push(packet.to_vec());
+        self.bytes += packet.len();
+        true
+    }
+
+    /// Takes out the packets of a flow, in the order in which they came.
+    pub fn take(&mut self, key: &FlowKey) -> Vec<Vec<u8>> {
+        let packets = self.flows.remove(key).map_or_else(Vec::new, |it| it.packets);
+        self.bytes -= packets.iter().map(Vec::len).sum::<usize>();
+        packets
+    }
+
+    /// Flows whose time is over.
+    pub fn expired(&self, now_ms: u64) -> Vec<FlowKey> {
+        let due = self.flows.iter().filter(|(_, it)| it.until_ms <= now_ms);
+        due.map(|(&key, _)| key).collect()
+    }
+
+    /// Flows with held packets.
+    pub fn keys(&self) -> Vec<FlowKey> {
+        self.flows.keys().copied().collect()
+    }
+
+    /// Bytes held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
--- /dev/null
+++ b/crates/core/src/opaque/route.rs
@@ -0,0 +1,146 @@
+//! Routes: which pool the flows to an address go to. A lower revision never replaces a higher one.
+
+use std::{hash::Hasher, net::SocketAddrV4};
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use siphasher::sip::SipHasher13;
+
+use crate::invariant::{self, Invariant};
+
+/// A pool, by a hash of its name that is the same in every process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PoolId(pub u64);
+
+impl PoolId {
+    /// The pool of this name.
+    pub fn of(name: &str) -> PoolId {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        PoolId(hasher.finish())
+    }
+}
+
+/// A pool that flows of a route may go to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The pool.
+    pub pool: PoolId,
+    /// Its share of new flows, relative to the others.
+    pub weight: u32,
+}
+
+/// Where flows to one address go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    shares: Vec<Share>,
+}
+
+impl Route {
+    /// A route over these pools.
+    pub fn new(shares: Vec<Share>) -> Route {
+        Route { shares }
+    }
+
+    /// The pool that a new flow goes to.
+    pub fn pick(&self, hash: u64) -> Option<PoolId> {
+        let total: u64 = self.shares.iter().map(|it| u64::from(it.weight)).sum();
+        if total == 0 {
+            return self.shares.first().map(|it| it.pool);
+        }
+        // The low bits choose the candidates.
+        let mut left = (hash >> 32) % total;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return Some(share.pool);
+            }
+            left -= weight;
+        }
+        None
+    }
+
+    /// Whether flows of the route may be in the pool.
+    pub fn allows(&self, pool: PoolId) -> bool {
+        self.shares.iter().any(|it| it.pool == pool)
+    }
+
+    /// The pools.
+    pub fn shares(&self) -> &[Share] {
+        &self.shares
+    }
+}
+
+/// All routes of one revision of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Routes {
+    /// Revision that the store gave to this configuration.
+    pub revision: u64,
+    /// Version that the operator gave to it.
+    pub version: u64,
+    /// Time after which an idle flow may be forgotten, in milliseconds.
+    pub idle_ms: u64,
+    /// Route of each address.
+    pub by_address: FxHashMap<SocketAddrV4, Route>,
+}
+
+/// What the table says of an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lookup<'a> {
+    /// No configuration is known.
+    NoConfig,
+    /// The address has a route.
+    Route(&'a Route),
+    /// It had one, which a later configuration dropped.
+    Dropped,
+    /// It has none.
+    None,
+}
+
+/// The routes in force.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    routes: Option<Routes>,
+    dropped: FxHashSet<SocketAddrV4>,
+}
+
+impl RouteTable {
+    /// The routes in force.
+    pub fn routes(&self) -> Option<&Routes> {
+        self.routes.as_ref()
+    }
+
+    /// Revision in force; 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |it| it.revision)
+    }
+
+    /// Puts routes in force unless they are older than those that are; whether they were.
+    pub fn put(&mut self, routes: Routes) -> bool {
+        let old = self.routes.take();
+        if let Some(old) = old {
+            let newer = routes.revision > old.revision;
+            let grows = || invariant::check(Invariant::VersionGrows, routes.version >= old.version);
+            if !newer || !grows() {
+                self.routes = Some(old);
+                return false;
+            }
+            let gone = old.by_address.keys().filter(|it| !routes.by_address.contains_key(it));
+            self.dropped.extend(gone.copied());
+        }
+        self.dropped.retain(|it| !routes.by_address.contains_key(it));
+        self.routes = Some(routes);
+        true
+    }
+
+    /// What is known of an address.
+    pub fn lookup(&self, address: SocketAddrV4) -> Lookup<'_> {
+        let Some(routes) = &self.routes else {
+            return Lookup::NoConfig;
+        };
+        match routes.by_address.get(&address) {
+            Some(route) => Lookup::Route(route),
+            None if self.dropped.contains(&address) => Lookup::Dropped,
+            None => Lookup::None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/agent.rs
@@ -0,0 +1,472 @@
+//! The process beside an upstream: gives it callers' packets and sends its answers to the callers.
+
+use std::{
+    collections::BTreeSet,
+    io::ErrorKind,
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
+
+use anyhow::Context;
+use camphorwinch_core::opaque::{
+    PoolId,
+    agent::{Agent, Heard, Heartbeat},
+    effect::{Effect, Payload},
+    fleet::{Listed, Plan, Upstream, ZoneId},
+};
+use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
+use tokio::{
+    net::{TcpStream, UdpSocket},
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    balancer::caller_address,
+    clock::now_ms,
+    codec::{Codec, MAX_PACKET},
+    discovery::{self, Found},
+    event::Id,
+    member::Peers,
+    metrics,
+    note::Notes,
+    socket,
+    store::{Member, Store},
+};
+
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+/// Packets taken from one socket before the others get their turn.
+const TURN: usize = 64;
+/// Pause between two reports to each balancer.
+const REPORT_MS: u64 = 1_000;
+/// Reports that an agent sends in a second at the most, to all balancers together: with many balancers the pause
+/// between two reports to one of them grows.
+const REPORTS_PER_S: u64 = 40;
+/// Shortest time of a stop, in which balancers hear of it and send new flows elsewhere.
+const PAUSE_MS: u64 = 120;
+/// Longest time that a stop waits for a moment without a request in progress. Longer does not help a busy upstream:
+/// new requests come on its open flows all the time.
+const STOP_MS: u64 = 1_500;
+/// Time for asking whether the upstream's process is there: a local round trip, many times.
+const ALIVE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for taking this process off the store's list.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
+/// What may wait between other tasks and the loop.
+const WAITING: usize = 64;
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This process in the store's list.
+    pub member: Member,
+    /// Name of the upstream's pool.
+    pub pool: String,
+    /// Address at which the upstream takes packets and connections.
+    pub upstream: SocketAddrV4,
+    /// Address to which the upstream sends its packets.
+    pub outbound: SocketAddrV4,
+    /// Port at which callers take packets.
+    pub caller_port: u16,
+    /// Pause between two heartbeats of the upstream.
+    pub heartbeat: Duration,
+    /// Balancers to ask while the store is of no use.
+    pub seeds: Vec<SocketAddrV4>,
+}
+
+/// What the upstream says of itself. The reply is sent once it is in force.
+#[derive(Debug)]
+pub enum Said {
+    /// A heartbeat.
+    Heartbeat(Heartbeat, oneshot::Sender<()>),
+    /// The upstream of this id ends.
+    Deregister(String, oneshot::Sender<()>),
+}
+
+/// Where what the upstream says goes.
+pub type Ear = mpsc::Sender<Said>;
+
+/// Runs an agent until `stop`.
+pub async fn run<C, S>(
+    settings: Settings,
+    codec: C,
+    store: S,
+    said: mpsc::Receiver<Said>,
+    stop: CancellationToken,
+) -> anyhow::Result<()>
+where
+    C: Codec,
+    S: Store,
+{
+    let own = settings.member.clone();
+    let outbound = socket::udp(settings.outbound, "the upstream's packets")?;
+    let upstream = connect(&settings).await?;
+    let peers = Peers::new(socket::udp(own.address, "other processes")?);
+    let (found, input) = mpsc::channel(WAITING);
+    let seeds = settings.seeds.clone();
+    tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, found));
+    let now = now_ms();
+    let state = Agent::new(
+        own.address,
+        PoolId::of(&settings.pool),
+        ZoneId::of(&own.zone),
+        rand::random(),
+        settings.heartbeat.as_millis() as u64,
+        now,
+    );
+    let process = Process {
+        state,
+        codec,
+        outbound,
+        upstream,
+        peers,
+        balancers: BTreeSet::new(),
+        effects: Vec::new(),
+        scratch: Vec::new(),
+        notes: Notes::new(now),
+        reported_ms: 0,
+        caller_port: settings.caller_port,
+        address: settings.upstream,
+    };
+    let leaves = process.serve(input, said, stop).await?;
+    if leaves {
+        withdraw(&store, &own.name).await;
+    }
+    let id = Id::Stopped;
+    tracing::info!(id = id as u16, name = id.name(), leaves);
+    Ok(())
+}
+
+async fn connect(settings: &Settings) -> anyhow::Result<UdpSocket> {
+    let own = SocketAddrV4::new(*settings.upstream.ip(), 0);
+    let socket = socket::udp(own, "the upstream")?;
+    let connected = socket.connect(settings.upstream).await;
+    connected.with_context(|| format!("connect to the upstream at {}", settings.upstream))?;
+    Ok(socket)
+}
+
+async fn withdraw<S>(store: &S, name: &str)
+where
+    S: Store,
+{
+    match timeout(WITHDRAW_TIMEOUT, store.withdraw(name)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => tracing::warn!("take this process off the list: {e}"),
+        Err(_) => tracing::warn!("take this process off the list: no answer"),
+    }
+}
+
+struct Process<C> {
+    state: Agent,
+    codec: C,
+    outbound: UdpSocket,
+    upstream: UdpSocket,
+    peers: Peers,
+    balancers: BTreeSet<SocketAddrV4>,
+    effects: Vec<Effect>,
+    scratch: Vec<u8>,
+    notes: Notes,
+    reported_ms: u64,
+    caller_port: u16,
+    address: SocketAddrV4,
+}
+
+impl<C> Process<C>
+where
+    C: Codec,
+{
+    /// Serves until the stop is done; whether the upstream has ended, so that the agent leaves for good.
+    async fn serve(
+        mut self,
+        mut input: mpsc::Receiver<Found>,
+        mut said: mpsc::Receiver<Said>,
+        stop: CancellationToken,
+    ) -> anyhow::Result<bool> {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stopping_ms = None;
+        loop {
+            tokio::select! {
+                it = self.outbound.readable() => {
+                    it?;
+                    self.take_upstream();
+                }
+                it = self.peers.socket().readable() => {
+                    it?;
+                    self.take_peers();
+                }
+                Some(found) = input.recv() => self.take_found(found),
+                Some(said) = said.recv() => self.take_said(said),
+                _ = ticks.tick() => self.tick(),
+                () = stop.cancelled(), if stopping_ms.is_none() => {
+                    if self.stop().await {
+                        return Ok(true);
+                    }
+                    stopping_ms = Some(now_ms());
+                }
+            }
+            if stopping_ms.is_some_and(|it| self.is_quiet(it)) {
+                self.set_plan(Plan::Restart);
+                return Ok(false);
+            }
+        }
+    }
+
+    /// Begins a stop; whether it is done at once, as the upstream has ended.
+    async fn stop(&mut self) -> bool {
+        let now = now_ms();
+        let known = self.state.upstream(now);
+        let ended = known == Upstream::Ended || !is_listening(self.address).await;
+        let (busy, flows) = (self.state.busy(), self.state.flows());
+        let id = Id::Stopping;
+        tracing::info!(
+            id = id as u16,
+            name = id.name(),
+            upstream = known.as_str(),
+            upstream_ended = ended,
+            busy,
+            flows,
+        );
+        if ended {
+            self.state.upstream_ended(now, &mut self.effects);
+            self.apply(&mut [], now);
+            self.set_plan(Plan::Leave);
+        } else {
+            self.set_plan(Plan::Pause);
+        }
+        ended
+    }
+
+    fn is_quiet(&self, stopping_ms: u64) -> bool {
+        let since = now_ms().saturating_sub(stopping_ms);
+        since > STOP_MS || (since > PAUSE_MS && self.state.busy() == 0)
+    }
+
+    fn set_plan(&mut self, plan: Plan) {
+        self.state.set_plan(plan, &mut self.effects);
+        self.apply(&mut [], now_ms());
+    }
+
+    fn take_upstream(&mut self) {
+        let mut buffer = [0; MAX_PACKET];
+        for _ in 0..TURN {
+            let Ok((len, _)) = self.outbound.try_recv_from(&mut buffer) else {
+                return;
+            };
+            let packet = &mut buffer[..len];
+            let Some(head) = self.codec.from_upstream(packet) else {
+                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                continue;
+            };
+            if head.bounced {
+                self.codec.restore(packet);
+            }
+            let now = now_ms();
+            self.state.sent(&head, now, &mut self.effects);
+            let to = caller_address(&head, self.caller_port);
+            self.apply_to(packet, Some(to), now);
+        }
+    }
+
+    fn take_peers(&mut self) {
+        let mut buffer = [0; MAX_PACKET];
+        for _ in 0..TURN {
+            let Ok((len, from)) = self.peers.socket().try_recv_from(&mut buffer) else {
+                return;
+            };
+            let SocketAddr::V4(from) = from else {
+                continue;
+            };
+            self.take_datagram(from, &buffer[..len]);
+        }
+    }
+
+    fn take_datagram(&mut self, from: SocketAddrV4, bytes: &[u8]) {
+        let now = now_ms();
+        match decode(bytes) {
+            Ok(Datagram::Packet { relay, packet }) => {
+                let Some(head) = self.codec.from_caller(packet) else {
+                    metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                    return;
+                };
+                self.state.relayed(&relay, &head, now, &mut self.effects);
+                let mut packet = packet.to_vec();
+                self.apply(&mut packet, now);
+            }
+            Ok(Datagram::Control(message)) => match message.body {
+                Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting, now),
+                Some(Body::Report(_)) | None => {
+                    metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+                }
+            },
+            Ok(Datagram::Answer { .. }) => {
+                metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+            }
+            Err(e) => {
+                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                tracing::debug!("datagram from {from}: {e}");
+            }
+        }
+    }
+
+    fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting, now: u64) {
+        if greeting.leaving {
+            self.balancers.remove(&from);
+        } else {
+            self.balancers.insert(from);
+            self.report_to(from, now);
+        }
+        self.pace();
+    }
+
+    fn take_found(&mut self, found: Found) {
+        let members = match found {
+            Found::Members(members) => {
+                self.balancers.clear();
+                members
+            }
+            Found::PeerMembers(members) => members,
+            Found::Routes(_) => return,
+        };
+        let id = Id::MembersListed;
+        tracing::info!(id = id as u16, name = id.name(), members = members.len());
+        self.balancers.extend(members.iter().filter_map(balancer_address));
+        self.pace();
+        self.report(now_ms());
+    }
+
+    fn pace(&mut self) {
+        let pause = REPORT_MS.max(self.balancers.len() as u64 * 1_000 / REPORTS_PER_S);
+        self.state.set_report_pause(pause as u32);
+    }
+
+    fn take_said(&mut self, said: Said) {
+        let now = now_ms();
+        let before = self.state.upstream(now);
+        let reply = match said {
+            Said::Heartbeat(beat, reply) => {
+                let heard = self.state.heartbeat(&beat, now, &mut self.effects);
+                let id = match heard {
+                    Heard::Changed => Some(Id::UpstreamChanged),
+                    Heard::Late => Some(Id::HeartbeatLate),
+                    Heard::Same => None,
+                };
+                if let Some(id) = id {
+                    tracing::info!(
+                        id = id as u16,
+                        name = id.name(),
+                        upstream = beat.id,
+                        seq = beat.seq,
+                        draining = beat.draining,
+                        slots = beat.slots,
+                        cold_ms = beat.cold_ms,
+                        before = before.as_str(),
+                    );
+                }
+                reply
+            }
+            Said::Deregister(upstream, reply) => {
+                let present = self.state.deregister(&upstream, &mut self.effects);
+                let id = if present { Id::UpstreamChanged } else { Id::HeartbeatLate };
+                tracing::info!(id = id as u16, name = id.name(), upstream, ended = true);
+                reply
+            }
+        };
+        self.apply(&mut [], now);
+        // Whoever asked may have gone.
+        let _ = reply.send(());
+    }
+
+    fn tick(&mut self) {
+        let now = now_ms();
+        self.state.tick(now, &mut self.effects);
+        self.apply(&mut [], now);
+        self.notes.tick(now);
+        let pause = REPORT_MS.max(self.balancers.len() as u64 * 1_000 / REPORTS_PER_S);
+        if now.saturating_sub(self.reported_ms) >= pause {
+            self.report(now);
+        }
+        metrics::FLOWS.set(i64::from(self.state.flows()));
+        metrics::BUSY.set(i64::from(self.state.busy()));
+        metrics::PEERS.set(self.balancers.len() as i64);
+    }
+
+    fn report(&mut self, now: u64) {
+        self.reported_ms = now;
+        let balancers: Vec<_> = self.balancers.iter().copied().collect();
+        for to in balancers {
+            self.report_to(to, now);
+        }
+    }
+
+    fn report_to(&mut self, to: SocketAddrV4, now: u64) {
+        let report = self.state.next_report(now);
+        self.peers.control(to, Body::Report(report.into()));
+    }
+
+    fn apply(&mut self, current: &mut [u8], now: u64) {
+        self.apply_to(current, None, now);
+    }
+
+    fn apply_to(&mut self, current: &mut [u8], caller: Option<SocketAddrV4>, now: u64) {
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Relay { to, relay, payload: Payload::Current } => {
+                    self.peers.relay(to, &relay, current);
+                }
+                Effect::Relay { to, relay, payload: Payload::Held(packet) } => {
+                    self.peers.relay(to, &relay, &packet);
+                }
+                Effect::Answer { to, key, answer, returned } => {
+                    let packet = if returned { &*current } else { &[] };
+                    self.peers.answer(to, &key, answer, packet);
+                }
+                Effect::Deliver { .. } => self.deliver(current),
+                Effect::Reply => {
+                    if let Some(to) = caller {
+                        self.peers.plain(to, current);
+                    }
+                }
+                Effect::Reset { key, seq } => {
+                    self.scratch.clear();
+                    self.codec.reset(&key, seq, &mut self.scratch);
+                    let to = SocketAddrV4::new(*key.caller.ip(), self.caller_port);
+                    self.peers.plain(to, &self.scratch);
+                }
+                Effect::Report => self.report(now),
+                Effect::Note { key, decision } => self.notes.write(key, &decision, now),
+                Effect::Greet { .. } => unreachable!("only balancers greet"),
+            }
+        }
+        self.effects = effects;
+    }
+
+    fn deliver(&mut self, packet: &[u8]) {
+        match self.upstream.try_send(packet) {
+            Ok(_) => metrics::PACKETS.with_label_values(&["delivered"]).inc(),
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {
+                metrics::PACKETS.with_label_values(&["upstream-refused"]).inc();
+                let id = Id::UpstreamGone;
+                tracing::warn!(id = id as u16, name = id.name(), peer = %self.address, error = %e);
+            }
+            Err(e) => {
+                metrics::PACKETS.with_label_values(&["send-failed"]).inc();
+                tracing::debug!("deliver to {}: {e}", self.address);
+            }
+        }
+    }
+}
+
+fn balancer_address(member: &Listed) -> Option<SocketAddrV4> {
+    member.pool.is_none().then_some(member.address)
+}
+
+/// Whether a process listens at the upstream's address. Only a refused connection proves that none does.
+async fn is_listening(address: SocketAddrV4) -> bool {
+    match timeout(ALIVE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(e)) => e.kind() != ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => true,
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/balancer.rs
@@ -0,0 +1,425 @@
+//! The process on an entry VM: takes callers' packets and sends them to agents.
+
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use camphorwinch_core::opaque::{
+    FlowKey, Head,
+    balancer::Balancer,
+    effect::{Effect, Payload},
+    fleet::{Change, Listed, ZoneId},
+};
+use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Snapshot, decode};
+use rand::seq::IndexedRandom;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    time::{MissedTickBehavior, interval},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::now_ms,
+    codec::{Codec, MAX_PACKET},
+    discovery::{self, Found},
+    event::Id,
+    member::{Peers, send},
+    metrics,
+    note::Notes,
+    snapshot, socket,
+    store::{Member, Store},
+};
+
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+/// Packets taken from one socket before the others get their turn.
+const TURN: usize = 64;
+/// Pause between two greetings of another balancer, which tell it of a newer configuration: news reaches all of
+/// 520 balancers within 2 s even if the store serves only one of them.
+const GOSSIP_MS: u64 = 400;
+/// Time from the loss of readiness until a stop: two probes of the fabric and some.
+const LEAVE_MS: u64 = 1_600;
+/// Longest time of a stop, within the platform's patience of 6 s.
+const STOP_MS: u64 = 4_000;
+/// Time without a caller's packet after which a stop is done.
+const QUIET_MS: u64 = 300;
+/// Time after the start from which a balancer without any agent counts as ready, so that callers learn of it.
+const START_MS: u64 = 3_000;
+/// Share of the agents that must be heard of.
+const HEARD_SHARE: f64 = 0.34;
+/// What may wait between discovery and the loop.
+const WAITING: usize = 64;
+
+/// Settings of a balancer.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This process in the store's list.
+    pub member: Member,
+    /// Where callers' packets arrive.
+    pub callers: SocketAddrV4,
+    /// Port at which callers take packets.
+    pub caller_port: u16,
+    /// Balancers to ask while the store is of no use.
+    pub seeds: Vec<SocketAddrV4>,
+}
+
+/// Whether the process should get packets.
+#[derive(Clone, Debug, Default)]
+pub struct Ready(Arc<AtomicBool>);
+
+impl Ready {
+    /// Whether it should.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Sets it; whether that is a change.
+    pub(crate) fn set(&self, ready: bool) -> bool {
+        self.0.swap(ready, Ordering::Relaxed) != ready
+    }
+}
+
+/// Runs a balancer until `stop`.
+pub async fn run<C, S>(
+    settings: Settings,
+    codec: C,
+    store: S,
+    ready: Ready,
+    stop: CancellationToken,
+) -> anyhow::Result<()>
+where
+    C: Codec,
+    S: Store,
+{
+    let own = settings.member.clone();
+    let callers = socket::udp(settings.callers, "callers")?;
+    let peers = Peers::new(socket::udp(own.address, "other processes")?);
+    let (newest, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+    snapshot::serve(own.address, snapshots)?;
+    let (found, input) = mpsc::channel(WAITING);
+    tokio::spawn(discovery::join(store.clone(), own.clone(), settings.seeds.clone(), found.clone()));
+    tokio::spawn(discovery::follow(store, found.clone()));
+    let now = now_ms();
+    let process = Process {
+        state: Balancer::new(own.address, ZoneId::of(&own.zone)),
+        own: own.address,
+        caller_port: settings.caller_port,
+        codec,
+        callers,
+        peers,
+        ready,
+        newest,
+        found,
+        members: Vec::new(),
+        effects: Vec::new(),
+        scratch: Vec::new(),
+        notes: Notes::new(now),
+        started_ms: now,
+        gossip_ms: now,
+        packet_ms: now,
+        asked_revision: 0,
+    };
+    process.serve(input, stop).await
+}
+
+struct Process<C> {
+    state: Balancer,
+    own: SocketAddrV4,
+    caller_port: u16,
+    codec: C,
+    callers: UdpSocket,
+    peers: Peers,
+    ready: Ready,
+    newest: watch::Sender<Arc<Snapshot>>,
+    found: mpsc::Sender<Found>,
+    members: Vec<Listed>,
+    effects: Vec<Effect>,
+    scratch: Vec<u8>,
+    notes: Notes,
+    started_ms: u64,
+    gossip_ms: u64,
+    packet_ms: u64,
+    asked_revision: u64,
+}
+
+impl<C> Process<C>
+where
+    C: Codec,
+{
+    async fn serve(
+        mut self,
+        mut input: mpsc::Receiver<Found>,
+        stop: CancellationToken,
+    ) -> anyhow::Result<()> {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stopping_ms = None;
+        loop {
+            tokio::select! {
+                it = self.callers.readable() => {
+                    it?;
+                    self.take_callers();
+                }
+                it = self.peers.socket().readable() => {
+                    it?;
+                    self.take_peers();
+                }
+                Some(found) = input.recv() => self.take_found(found),
+                _ = ticks.tick() => self.tick(stopping_ms.is_some()),
+                () = stop.cancelled(), if stopping_ms.is_none() => {
+                    let id = Id::Stopping;
+                    tracing::info!(id = id as u16, name = id.name(), flows = self.state.flows());
+                    stopping_ms = Some(now_ms());
+                    self.ready.set(false);
+                }
+            }
+            if stopping_ms.is_some_and(|it| self.is_quiet(it)) {
+                self.greet_all(true);
+                let id = Id::Stopped;
+                tracing::info!(id = id as u16, name = id.name());
+                return Ok(());
+            }
+        }
+    }
+
+    fn is_quiet(&self, stopping_ms: u64) -> bool {
+        let now = now_ms();
+        let since = now.saturating_sub(stopping_ms);
+        let quiet = now.saturating_sub(self.packet_ms) > QUIET_MS;
+        since > STOP_MS || (since > LEAVE_MS && quiet)
+    }
+
+    fn take_callers(&mut self) {
+        let mut buffer = [0; MAX_PACKET];
+        for _ in 0..TURN {
+            let Ok((len, _)) = self.callers.try_recv_from(&mut buffer) else {
+                return;
+            };
+            let packet = &buffer[..len];
+            let Some(head) = self.codec.from_caller(packet) else {
+                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                continue;
+            };
+            let now = now_ms();
+            self.packet_ms = now;
+            self.state.packet(&head, packet, now, &mut self.effects);
+            self.apply(packet, now);
+        }
+    }
+
+    fn take_peers(&mut self) {
+        let mut buffer = [0; MAX_PACKET];
+        for _ in 0..TURN {
+            let Ok((len, from)) = self.peers.socket().try_recv_from(&mut buffer) else {
+                return;
+            };
+            let std::net::SocketAddr::V4(from) = from else {
+                continue;
+            };
+            self.take_datagram(from, &buffer[..len]);
+        }
+    }
+
+    fn take_datagram(&mut self, from: SocketAddrV4, bytes: &[u8]) {
+        let now = now_ms();
+        match decode(bytes) {
+            Ok(Datagram::Answer { key, answer, packet }) => {
+                let mut packet = packet.to_vec();
+                self.codec.restore(&mut packet);
+                let head = self.codec.from_caller(&packet);
+                let returned = head.as_ref().map(|it| (it, packet.as_slice()));
+                self.state.answer(from, key, answer, returned, now, &mut self.effects);
+                self.apply(&packet, now);
+            }
+            Ok(Datagram::Control(message)) => match message.body {
+                Some(Body::Report(report)) => self.take_report(from, report, now),
+                Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting),
+                None => metrics::PACKETS.with_label_values(&["faulty"]).inc(),
+            },
+            Ok(Datagram::Packet { .. }) => {
+                metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+            }
+            Err(e) => {
+                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                tracing::debug!("datagram from {from}: {e}");
+            }
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        from: SocketAddrV4,
+        report: camphorwinch_wire::opaque::Report,
+        now: u64,
+    ) {
+        let Ok(report) = report.try_into() else {
+            metrics::PACKETS.with_label_values(&["faulty"]).inc();
+            return;
+        };
+        let change = self.state.report(from, report, now, &mut self.effects);
+        if !matches!(change, Change::None | Change::Old) {
+            let id = Id::AgentChanged;
+            tracing::info!(
+                id = id as u16,
+                name = id.name(),
+                agent = %from,
+                change = ?change,
+                upstream = report.upstream.as_str(),
+                plan = ?report.plan,
+                incarnation = report.incarnation,
+                seq = report.seq,
+            );
+        }
+        self.apply(&[], now);
+    }
+
+    fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting) {
+        let revision = self.state.routes().revision();
+        if greeting.revision <= revision.max(self.asked_revision) {
+            return;
+        }
+        self.asked_revision = greeting.revision;
+        let (own, found) = (self.own, self.found.clone());
+        tokio::spawn(async move { discovery::ask_any(&[from], own, &found).await });
+    }
+
+    fn take_found(&mut self, found: Found) {
+        let now = now_ms();
+        match found {
+            Found::Routes(routes) => self.put_routes(routes),
+            Found::Members(members) => {
+                let id = Id::MembersListed;
+                tracing::info!(id = id as u16, name = id.name(), members = members.len());
+                self.state.list(&members, now);
+                self.members = members;
+            }
+            Found::PeerMembers(members) => {
+                let id = Id::MembersListed;
+                tracing::info!(id = id as u16, name = id.name(), peer_members = members.len());
+                let known: Vec<_> = self.members.iter().map(|it| it.address).collect();
+                let new = members.into_iter().filter(|it| !known.contains(&it.address));
+                self.members.extend(new);
+                let members = std::mem::take(&mut self.members);
+                self.state.list(&members, now);
+                self.members = members;
+            }
+        }
+        self.publish();
+    }
+
+    fn put_routes(&mut self, routes: camphorwinch_core::opaque::route::Routes) {
+        let (revision, version, count) =
+            (routes.revision, routes.version, routes.by_address.len());
+        let before = self.state.routes().revision();
+        let id = if self.state.put_routes(routes) {
+            Id::ConfigInForce
+        } else if revision == before {
+            return;
+        } else {
+            Id::ConfigOld
+        };
+        tracing::info!(id = id as u16, name = id.name(), revision, version, before, routes = count);
+        metrics::REVISION.set(self.state.routes().revision() as i64);
+    }
+
+    fn publish(&self) {
+        let snapshot = Snapshot::new(self.state.routes().routes(), &self.members);
+        self.newest.send_replace(Arc::new(snapshot));
+    }
+
+    fn tick(&mut self, stopping: bool) {
+        let now = now_ms();
+        self.state.tick(now, &mut self.effects);
+        self.apply(&[], now);
+        self.notes.tick(now);
+        self.gossip(now);
+        metrics::FLOWS.set(self.state.flows() as i64);
+        metrics::HELD_BYTES.set(self.state.held_bytes() as i64);
+        metrics::PEERS.set(self.state.fleet().heard(now) as i64);
+        if stopping {
+            return;
+        }
+        let ready = self.is_connected(now);
+        if self.ready.set(ready) {
+            let id = if ready { Id::Connected } else { Id::Disconnected };
+            let (heard, known) = (self.state.fleet().heard(now), self.state.fleet().len());
+            tracing::info!(id = id as u16, name = id.name(), heard, known);
+        }
+    }
+
+    /// Whether packets that come here can be served: the configuration is known and agents are heard of.
+    fn is_connected(&self, now: u64) -> bool {
+        if self.state.routes().revision() == 0 {
+            return false;
+        }
+        let (heard, known) = (self.state.fleet().heard(now), self.state.fleet().len());
+        if heard == 0 {
+            return known == 0 && now.saturating_sub(self.started_ms) > START_MS;
+        }
+        heard as f64 >= known as f64 * HEARD_SHARE
+    }
+
+    fn gossip(&mut self, now: u64) {
+        if now.saturating_sub(self.gossip_ms) < GOSSIP_MS {
+            return;
+        }
+        self.gossip_ms = now;
+        let others = self.members.iter().filter(|it| it.pool.is_none() && it.address != self.own);
+        let others: Vec<_> = others.map(|it| it.address).collect();
+        if let Some(&to) = others.choose(&mut rand::rng()) {
+            self.greet(to, false);
+        }
+    }
+
+    fn greet(&mut self, to: SocketAddrV4, leaving: bool) {
+        let revision = self.state.routes().revision();
+        self.peers.control(to, Body::Greeting(Greeting { revision, leaving }));
+    }
+
+    fn greet_all(&mut self, leaving: bool) {
+        for to in self.members.clone() {
+            if to.address != self.own {
+                self.greet(to.address, leaving);
+            }
+        }
+    }
+
+    fn apply(&mut self, current: &[u8], now: u64) {
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Relay { to, relay, payload: Payload::Current } => {
+                    self.peers.relay(to, &relay, current);
+                }
+                Effect::Relay { to, relay, payload: Payload::Held(packet) } => {
+                    self.peers.relay(to, &relay, &packet);
+                }
+                Effect::Reset { key, seq } => self.reset(&key, seq),
+                Effect::Greet { to } => self.greet(to, false),
+                Effect::Note { key, decision } => self.notes.write(key, &decision, now),
+                Effect::Answer { .. } | Effect::Deliver { .. } | Effect::Reply | Effect::Report => {
+                    unreachable!("only agents do this")
+                }
+            }
+        }
+        self.effects = effects;
+    }
+
+    fn reset(&mut self, key: &FlowKey, seq: u32) {
+        self.scratch.clear();
+        self.codec.reset(key, seq, &mut self.scratch);
+        let to = SocketAddrV4::new(*key.caller.ip(), self.caller_port);
+        send(&self.callers, to, &self.scratch, "reset");
+    }
+}
+
+/// Where a packet goes that is meant for a caller.
+pub(crate) fn caller_address(head: &Head, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(*head.key.caller.ip(), port)
+}
--- /dev/null
+++ b/crates/opaque/src/event.rs
@@ -0,0 +1,58 @@
+//! Numbered events of processes that carry opaque flows. The catalogue stands in `docs/EVENTS.md`; a test holds both
+//! equal. Numbers go on after those of `camphorwinchd`, whose numbers keep their meaning here.
+
+macro_rules! catalogue {
+    ($($id:literal $variant:ident $name:literal $meaning:literal;)*) => {
+        /// Kind of an event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Id {
+            $(#[doc = $meaning] $variant = $id,)*
+        }
+
+        impl Id {
+            /// All kinds.
+            pub const ALL: &[Id] = &[$(Id::$variant,)*];
+
+            /// Name, as in the catalogue.
+            pub fn name(self) -> &'static str {
+                match self { $(Id::$variant => $name,)* }
+            }
+
+            /// Meaning, as in the catalogue.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Id::$variant => $meaning,)* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    601 Started "opaque-started" "the process started";
+    602 Stopping "opaque-stopping" "the process was asked to stop";
+    603 Stopped "opaque-stopped" "the process stops now";
+    604 Reloaded "opaque-reloaded" "the settings were read again";
+    611 ConfigInForce "opaque-config-in-force" "a revision of the configuration is in force in this process";
+    612 ConfigOld "opaque-config-old" "a configuration was ignored, as a newer one is in force";
+    613 StoreLost "opaque-store-lost" "a call to the store failed; work goes on with what is known";
+    614 StoreBack "opaque-store-back" "the store answers again";
+    615 MembersListed "opaque-members-listed" "the list of members was taken";
+    616 PeerAsked "opaque-peer-asked" "a peer was asked for what it knows, as the store was not of use";
+    621 AgentChanged "opaque-agent-changed" "what is believed of an agent changed";
+    622 Connected "opaque-connected" "agents are heard of: the balancer is ready";
+    623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
+    631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
+    632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
+    633 UpstreamGone "opaque-upstream-gone" "the upstream's process is proven to have ended";
+    641 FlowPlaced "opaque-flow-placed" "an opening packet was sent to its first candidate";
+    642 FlowAccepted "opaque-flow-accepted" "an agent gave the flow to its upstream";
+    643 FlowPassed "opaque-flow-passed" "an agent passed an opening packet on to the next candidate";
+    644 FlowRefused "opaque-flow-refused" "the upstream refused the flow";
+    645 FlowSearched "opaque-flow-searched" "the holder of a flow is searched for";
+    646 FlowFound "opaque-flow-found" "the holder of a flow was found";
+    647 FlowNotFound "opaque-flow-not-found" "no holder of a flow was found in time";
+    648 FlowAbsent "opaque-flow-absent" "a packet came to an agent that does not hold its flow";
+    649 FlowHeld "opaque-flow-held" "packets are held while the flow's agent restarts";
+    650 FlowReset "opaque-flow-reset" "a flow was reset";
+    651 PacketDropped "opaque-packet-dropped" "a packet was dropped";
+    661 LinesSuppressed "opaque-lines-suppressed" "lines on single flows were left out, as there were too many";
+}
--- /dev/null
+++ b/crates/opaque/src/member.rs
@@ -0,0 +1,75 @@
+//! Datagrams to other processes.
+
+use std::net::SocketAddrV4;
+
+use camphorwinch_core::opaque::{
+    FlowKey,
+    effect::{Answer, Relay},
+};
+use camphorwinch_wire::opaque::{self, Body, Control};
+use tokio::net::UdpSocket;
+
+use crate::metrics;
+
+/// The socket for datagrams between processes, with a buffer to write them in.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    buffer: Vec<u8>,
+}
+
+impl Peers {
+    pub(crate) fn new(socket: UdpSocket) -> Peers {
+        Peers { socket, buffer: Vec::with_capacity(crate::codec::MAX_PACKET) }
+    }
+
+    pub(crate) fn socket(&self) -> &UdpSocket {
+        &self.socket
+    }
+
+    /// Sends a caller's packet to another process.
+    pub(crate) fn relay(&mut self, to: SocketAddrV4, relay: &Relay, packet: &[u8]) {
+        self.buffer.clear();
+        opaque::encode_packet(relay, packet, &mut self.buffer);
+        self.send_buffer(to, "relayed");
+    }
+
+    /// Answers a balancer about a flow.
+    pub(crate) fn answer(
+        &mut self,
+        to: SocketAddrV4,
+        key: &FlowKey,
+        answer: Answer,
+        packet: &[u8],
+    ) {
+        self.buffer.clear();
+        opaque::encode_answer(key, answer, packet, &mut self.buffer);
+        self.send_buffer(to, "answered");
+    }
+
+    /// Sends a rare message.
+    pub(crate) fn control(&mut self, to: SocketAddrV4, body: Body) {
+        self.buffer.clear();
+        opaque::encode_control(&Control { body: Some(body) }, &mut self.buffer);
+        self.send_buffer(to, "control");
+    }
+
+    /// Sends a packet as it is, to a caller.
+    pub(crate) fn plain(&self, to: SocketAddrV4, packet: &[u8]) {
+        send(&self.socket, to, packet, "to-caller");
+    }
+
+    fn send_buffer(&self, to: SocketAddrV4, outcome: &str) {
+        send(&self.socket, to, &self.buffer, outcome);
+    }
+}
+
+/// Sends a datagram without waiting. One that does not fit into the kernel's buffer is lost, as on the network.
+pub(crate) fn send(socket: &UdpSocket, to: SocketAddrV4, bytes: &[u8], outcome: &str) {
+    match socket.try_send_to(bytes, to.into()) {
+        Ok(_) => metrics::PACKETS.with_label_values(&[outcome]).inc(),
+        Err(e) => {
+            metrics::PACKETS.with_label_values(&["send-failed"]).inc();
+            tracing::debug!("send to {to}: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/opaque/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters, gauges and latency histograms of a process, as text for Prometheus.
+
+use std::sync::LazyLock;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, TextEncoder, default_registry,
+};
+
+/// Bounds of latency histograms, in seconds: from a local round trip to a caller's patience.
+const LATENCY_BOUNDS: [f64; 9] = [0.000_2, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
+macro_rules! register {
+    ($metric:expr) => {{
+        let metric = $metric.expect("name and help are valid");
+        default_registry().register(Box::new(metric.clone())).expect("names differ");
+        metric
+    }};
+}
+
+/// Decisions on flows, by kind.
+pub static DECISIONS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let opts = Opts::new("camphorwinch_opaque_decisions_total", "Decisions on flows, by kind.");
+    register!(IntCounterVec::new(opts, &["decision"]))
+});
+
+/// Packets, by what became of them.
+pub static PACKETS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let opts = Opts::new("camphorwinch_opaque_packets_total", "Packets, by what became of them.");
+    register!(IntCounterVec::new(opts, &["outcome"]))
+});
+
+/// Calls to the store, by step and result.
+pub static STORE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let opts =
+        Opts::new("camphorwinch_opaque_store_calls_total", "Calls to the store, by step and result.");
+    register!(IntCounterVec::new(opts, &["step", "result"]))
+});
+
+/// Flows known.
+pub static FLOWS: LazyLock<IntGauge> = LazyLock::new(|| {
+    register!(IntGauge::new("camphorwinch_opaque_flows", "Flows that the process knows."))
+});
+
+/// Requests in progress.
+pub static BUSY: LazyLock<IntGauge> = LazyLock::new(|| {
+    register!(IntGauge::new("camphorwinch_opaque_requests", "Requests in progress at the upstream."))
+});
+
+/// Agents or balancers heard of.
+pub static PEERS: LazyLock<IntGauge> = LazyLock::new(|| {
+    register!(IntGauge::new("camphorwinch_opaque_peers", "Peers that were heard of lately."))
+});
+
+/// Revision of the configuration in force.
+pub static REVISION: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help = "Revision of the configuration in force.";
+    register!(IntGauge::new("camphorwinch_opaque_config_revision", help))
+});
+
+/// Bytes of held packets.
+pub static HELD_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    register!(IntGauge::new("camphorwinch_opaque_held_bytes", "Bytes of packets held back."))
+});
+
+/// Lines of the log that were lost.
+pub static LOG_LOST: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help = "Lines of the log lost because the reader was slow.";
+    register!(IntGauge::new("camphorwinch_opaque_log_lost", help))
+});
+
+/// Time from the start of a search for a flow to its holder's answer.
+pub static SEARCH_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    let help = "Time in which the holder of a flow was found.";
+    let opts = HistogramOpts::new("camphorwinch_opaque_search_seconds", help);
+    register!(Histogram::with_opts(opts.buckets(LATENCY_BOUNDS.to_vec())))
+});
+
+/// Time that calls to the store took.
+pub static STORE_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    let help = "Time that calls to the store took, watches left out.";
+    let opts = HistogramOpts::new("camphorwinch_opaque_store_seconds", help);
+    register!(Histogram::with_opts(opts.buckets(LATENCY_BOUNDS.to_vec())))
+});
+
+/// All metrics as text.
+pub fn render() -> prometheus::Result<Vec<u8>> {
+    LOG_LOST.set(crate::log::dropped() as i64);
+    let mut text = Vec::new();
+    TextEncoder::new().encode(&prometheus::gather(), &mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/crates/opaque/src/store.rs
@@ -0,0 +1,114 @@
+//! The platform's store, as far as opaque flows need it: members and the configuration.
+
+use std::{future::Future, net::SocketAddrV4, time::Duration};
+
+use camphorwinch_core::opaque::{
+    PoolId,
+    fleet::{Listed, ZoneId},
+    route::Routes,
+};
+use thiserror::Error;
+
+/// A process as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name, unique in the fleet and the same after a restart.
+    pub name: String,
+    /// Address for packets between processes.
+    pub address: SocketAddrV4,
+    /// Name of its pool, if it is an agent.
+    pub pool: Option<String>,
+    /// Name of its zone.
+    pub zone: String,
+}
+
+impl Member {
+    /// The member as decisions see it.
+    pub fn listed(&self) -> Listed {
+        Listed {
+            address: self.address,
+            pool: self.pool.as_deref().map(PoolId::of),
+            zone: ZoneId::of(&self.zone),
+        }
+    }
+}
+
+/// What a watch of the configuration brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// A newer configuration.
+    Routes(Routes),
+    /// Nothing up to this revision.
+    Nothing(u64),
+    /// The store no longer has the history: read the configuration anew.
+    Compacted,
+}
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// No answer in time; the call may have taken effect.
+    #[error("{step}: no answer within {waited:?}")]
+    Timeout {
+        /// What was asked.
+        step: &'static str,
+        /// How long was waited.
+        waited: Duration,
+    },
+    /// The store could not be reached, or the connection broke; the call may have taken effect.
+    #[error("{step}: connection to {peer}: {reason}")]
+    Connection {
+        /// What was asked.
+        step: &'static str,
+        /// The store's address.
+        peer: SocketAddrV4,
+        /// What is wrong.
+        reason: String,
+    },
+    /// The store refuses calls for now and did nothing.
+    #[error("{step}: busy, status {status}")]
+    Busy {
+        /// What was asked.
+        step: &'static str,
+        /// HTTP status.
+        status: u16,
+    },
+    /// The condition of a write does not hold.
+    #[error("{step}: the object has changed")]
+    Conflict {
+        /// What was asked.
+        step: &'static str,
+    },
+    /// An answer that makes no sense.
+    #[error("{step}: answer of status {status}: {reason}")]
+    Answer {
+        /// What was asked.
+        step: &'static str,
+        /// HTTP status.
+        status: u16,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// The store.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// All members, not older than the call.
+    fn members(&self) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
+
+    /// Lists a member, in place of one of the same name.
+    fn announce(&self, member: &Member) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Takes a member off the list.
+    fn withdraw(&self, name: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// The configuration, not older than the call; none if there is none yet.
+    fn routes(&self) -> impl Future<Output = Result<Option<Routes>, StoreError>> + Send;
+
+    /// Waits for a configuration newer than `revision`.
+    fn watch(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Watched, StoreError>> + Send;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,6 @@
 pub mod handover;
 #[allow(clippy::impl_trait_in_params, reason = "derived by prost")]
 pub mod message;
+#[allow(clippy::impl_trait_in_params, reason = "derived by prost")]
+pub mod opaque;
+mod opaque_convert;
--- /dev/null
+++ b/crates/wire/src/opaque.rs
@@ -0,0 +1,383 @@
+//! Datagrams between processes about opaque flows, and the snapshot that a process asks a peer for.
+//!
+//! A datagram starts with a byte for its form. Packets and answers have a fixed layout, since each packet of a caller
+//! passes here; what is rare is a `prost` message. Numbers are big-endian, an address is 4 bytes and a port of 2.
+//!
+//! ```text
+//! 1 packet | ask | pool 8 | balancer 6 | for Open and Settle: limit 2, at 1, count 1, then 8 for each candidate | packet
+//! 2 answer | what | caller 6 | service 6 | the packet, if it is sent back
+//! 3 message | Control
+//! ```
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::{Buf, BufMut};
+use camphorwinch_core::opaque::{
+    FlowKey, PoolId,
+    effect::{Answer, Ask, Relay},
+    fleet::{self, Plan, Upstream, ZoneId},
+    walk::{MAX_SEATS, Seat, Walk},
+};
+use prost::{Message, Oneof};
+use thiserror::Error;
+
+const PACKET: u8 = 1;
+const ANSWER: u8 = 2;
+const CONTROL: u8 = 3;
+
+/// A datagram as it was received.
+#[derive(Debug)]
+pub enum Datagram<'a> {
+    /// A caller's packet.
+    Packet {
+        /// What is asked.
+        relay: Relay,
+        /// The packet.
+        packet: &'a [u8],
+    },
+    /// An agent's answer.
+    Answer {
+        /// The flow.
+        key: FlowKey,
+        /// The answer.
+        answer: Answer,
+        /// The packet that comes back with it; empty if none does.
+        packet: &'a [u8],
+    },
+    /// A rare message.
+    Control(Control),
+}
+
+/// Why a datagram or a snapshot was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum DecodeError {
+    /// Shorter than its form says.
+    #[error("truncated")]
+    Truncated,
+    /// A form that this build does not know.
+    #[error("unknown form {0}")]
+    Form(u8),
+    /// An ask or answer that this build does not know.
+    #[error("unknown code {0}")]
+    Code(u8),
+    /// The numbers of the walk do not fit together.
+    #[error("walk of {count} candidates at {at}")]
+    Walk {
+        /// Candidates.
+        count: u8,
+        /// Position.
+        at: u8,
+    },
+    /// Not a message.
+    #[error("message: {0}")]
+    Message(String),
+    /// A field is missing or out of range.
+    #[error("field {0} is missing or out of range")]
+    Field(&'static str),
+}
+
+/// Appends a caller's packet with what is asked of its receiver.
+pub fn encode_packet(relay: &Relay, packet: &[u8], out: &mut Vec<u8>) {
+    let (code, walk) = match &relay.ask {
+        Ask::Open(walk) => (0, Some(walk)),
+        Ask::Settle(walk) => (1, Some(walk)),
+        Ask::Deliver => (2, None),
+        Ask::Locate => (3, None),
+    };
+    out.put_u8(PACKET);
+    out.put_u8(code);
+    out.put_u64(relay.pool.0);
+    put_address(relay.balancer, out);
+    if let Some(walk) = walk {
+        put_walk(walk, out);
+    }
+    out.put_slice(packet);
+}
+
+/// Appends an answer about a flow and the packet that is sent back, if one is.
+pub fn encode_answer(key: &FlowKey, answer: Answer, packet: &[u8], out: &mut Vec<u8>) {
+    let code = match answer {
+        Answer::Here => 0,
+        Answer::Absent => 1,
+        Answer::WrongPool => 2,
+    };
+    out.put_u8(ANSWER);
+    out.put_u8(code);
+    put_address(key.caller, out);
+    put_address(key.service, out);
+    out.put_slice(packet);
+}
+
+/// Appends a rare message.
+pub fn encode_control(message: &Control, out: &mut Vec<u8>) {
+    out.put_u8(CONTROL);
+    message.encode_raw(out);
+}
+
+/// Decodes a datagram.
+pub fn decode(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    match take_u8(&mut bytes)? {
+        PACKET => decode_packet(bytes),
+        ANSWER => decode_answer(bytes),
+        CONTROL => {
+            let message = Control::decode(bytes);
+            message.map(Datagram::Control).map_err(|e| DecodeError::Message(e.to_string()))
+        }
+        form => Err(DecodeError::Form(form)),
+    }
+}
+
+fn decode_packet(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    let code = take_u8(&mut bytes)?;
+    let pool = PoolId(bytes.try_get_u64().map_err(|_| DecodeError::Truncated)?);
+    let balancer = take_address(&mut bytes)?;
+    let ask = match code {
+        0 => Ask::Open(take_walk(&mut bytes)?),
+        1 => Ask::Settle(take_walk(&mut bytes)?),
+        2 => Ask::Deliver,
+        3 => Ask::Locate,
+        code => return Err(DecodeError::Code(code)),
+    };
+    Ok(Datagram::Packet { relay: Relay { ask, pool, balancer }, packet: bytes })
+}
+
+fn decode_answer(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    let answer = match take_u8(&mut bytes)? {
+        0 => Answer::Here,
+        1 => Answer::Absent,
+        2 => Answer::WrongPool,
+        code => return Err(DecodeError::Code(code)),
+    };
+    let caller = take_address(&mut bytes)?;
+    let service = take_address(&mut bytes)?;
+    Ok(Datagram::Answer { key: FlowKey { caller, service }, answer, packet: bytes })
+}
+
+fn put_walk(walk: &Walk, out: &mut Vec<u8>) {
+    out.put_u16(walk.limit);
+    out.put_u8(walk.at());
+    out.put_u8(walk.seats().len() as u8);
+    for seat in walk.seats() {
+        put_address(seat.agent, out);
+        out.put_u16(seat.load);
+    }
+}
+
+fn take_walk(bytes: &mut &[u8]) -> Result<Walk, DecodeError> {
+    let limit = take_u16(bytes)?;
+    let at = take_u8(bytes)?;
+    let count = take_u8(bytes)?;
+    let mut seats = Vec::with_capacity(MAX_SEATS);
+    if usize::from(count) > MAX_SEATS {
+        return Err(DecodeError::Walk { count, at });
+    }
+    for _ in 0..count {
+        let agent = take_address(bytes)?;
+        let load = take_u16(bytes)?;
+        seats.push(Seat { agent, load });
+    }
+    Walk::from_parts(&seats, at, limit).ok_or(DecodeError::Walk { count, at })
+}
+
+fn put_address(address: SocketAddrV4, out: &mut Vec<u8>) {
+    out.put_u32(address.ip().to_bits());
+    out.put_u16(address.port());
+}
+
+fn take_address(bytes: &mut &[u8]) -> Result<SocketAddrV4, DecodeError> {
+    let ip = bytes.try_get_u32().map_err(|_| DecodeError::Truncated)?;
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), take_u16(bytes)?))
+}
+
+fn take_u16(bytes: &mut &[u8]) -> Result<u16, DecodeError> {
+    bytes.try_get_u16().map_err(|_| DecodeError::Truncated)
+}
+
+fn take_u8(bytes: &mut &[u8]) -> Result<u8, DecodeError> {
+    bytes.try_get_u8().map_err(|_| DecodeError::Truncated)
+}
+
+/// A rare message between processes.
+#[derive(Clone, PartialEq, Message)]
+pub struct Control {
+    /// The message in it.
+    #[prost(oneof = "Body", tags = "1, 2")]
+    pub body: Option<Body>,
+}
+
+/// The rare messages.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// An agent's state.
+    #[prost(message, tag = "1")]
+    Report(Report),
+    /// A balancer makes itself known.
+    #[prost(message, tag = "2")]
+    Greeting(Greeting),
+}
+
+/// A balancer makes itself known, to agents that it does not hear of and to other balancers.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Greeting {
+    /// Revision of the configuration in force at the sender; 0 if none is.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// The sender stops.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+}
+
+/// An agent's state; `core::opaque::fleet::Report` says what the fields mean.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Report {
+    /// Number of the process.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Number of the report.
+    #[prost(uint64, tag = "2")]
+    pub seq: u64,
+    /// Pool.
+    #[prost(fixed64, tag = "3")]
+    pub pool: u64,
+    /// Zone.
+    #[prost(fixed64, tag = "4")]
+    pub zone: u64,
+    /// Upstream's state: 0 unknown, 1 ready, 2 draining, 3 ended.
+    #[prost(uint32, tag = "5")]
+    pub upstream: u32,
+    /// Plan: 0 stay, 1 pause, 2 restart, 3 leave.
+    #[prost(uint32, tag = "6")]
+    pub plan: u32,
+    /// Slots.
+    #[prost(uint32, tag = "7")]
+    pub slots: u32,
+    /// Load in thousandths of the slots.
+    #[prost(uint32, tag = "8")]
+    pub load: u32,
+    /// Flows may be unknown.
+    #[prost(bool, tag = "9")]
+    pub learning: bool,
+    /// Pause between two reports, in milliseconds.
+    #[prost(uint32, tag = "10")]
+    pub every_ms: u32,
+}
+
+impl From<fleet::Report> for Report {
+    fn from(it: fleet::Report) -> Report {
+        Report {
+            incarnation: it.incarnation,
+            seq: it.seq,
+            pool: it.pool.0,
+            zone: it.zone.0,
+            upstream: match it.upstream {
+                Upstream::Unknown => 0,
+                Upstream::Ready => 1,
+                Upstream::Draining => 2,
+                Upstream::Ended => 3,
+            },
+            plan: match it.plan {
+                Plan::Stay => 0,
+                Plan::Pause => 1,
+                Plan::Restart => 2,
+                Plan::Leave => 3,
+            },
+            slots: it.slots,
+            load: u32::from(it.load),
+            learning: it.learning,
+            every_ms: it.every_ms,
+        }
+    }
+}
+
+impl TryFrom<Report> for fleet::Report {
+    type Error = DecodeError;
+
+    fn try_from(it: Report) -> Result<fleet::Report, DecodeError> {
+        Ok(fleet::Report {
+            incarnation: it.incarnation,
+            seq: it.seq,
+            pool: PoolId(it.pool),
+            zone: ZoneId(it.zone),
+            upstream: match it.upstream {
+                0 => Upstream::Unknown,
+                1 => Upstream::Ready,
+                2 => Upstream::Draining,
+                3 => Upstream::Ended,
+                _ => return Err(DecodeError::Field("upstream")),
+            },
+            plan: match it.plan {
+                0 => Plan::Stay,
+                1 => Plan::Pause,
+                2 => Plan::Restart,
+                3 => Plan::Leave,
+                _ => return Err(DecodeError::Field("plan")),
+            },
+            slots: it.slots,
+            load: u16::try_from(it.load).map_err(|_| DecodeError::Field("load"))?,
+            learning: it.learning,
+            every_ms: it.every_ms,
+        })
+    }
+}
+
+/// What a balancer knows, for a process that can't ask the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct Snapshot {
+    /// Revision of the configuration; 0 if none is known.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Version that the operator gave to it.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Idle time after which flows may be forgotten, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub idle_ms: u64,
+    /// The routes.
+    #[prost(message, repeated, tag = "4")]
+    pub routes: Vec<RouteEntry>,
+    /// The members.
+    #[prost(message, repeated, tag = "5")]
+    pub members: Vec<MemberEntry>,
+}
+
+/// A route of a snapshot.
+#[derive(Clone, PartialEq, Message)]
+pub struct RouteEntry {
+    /// Address as a number.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// The pools.
+    #[prost(message, repeated, tag = "3")]
+    pub shares: Vec<ShareEntry>,
+}
+
+/// A pool of a route.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ShareEntry {
+    /// The pool.
+    #[prost(fixed64, tag = "1")]
+    pub pool: u64,
+    /// Its weight.
+    #[prost(uint32, tag = "2")]
+    pub weight: u32,
+}
+
+/// A member of a snapshot.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct MemberEntry {
+    /// Address as a number.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Pool, if it is an agent.
+    #[prost(fixed64, optional, tag = "3")]
+    pub pool: Option<u64>,
+    /// Zone.
+    #[prost(fixed64, tag = "4")]
+    pub zone: u64,
+}
--- /dev/null
+++ b/crates/wire/src/opaque_convert.rs
@@ -0,0 +1,83 @@
+//! Snapshots of opaque flows' configuration and members, to and from the types that decisions use.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use camphorwinch_core::opaque::{
+    PoolId,
+    fleet::{Listed, ZoneId},
+    route::{Route, Routes, Share},
+};
+
+use crate::opaque::{DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot};
+
+impl Snapshot {
+    /// A snapshot of the routes in force, if any are, and the members.
+    pub fn new(routes: Option<&Routes>, members: &[Listed]) -> Snapshot {
+        let members = members.iter().map(member_entry).collect();
+        let Some(routes) = routes else {
+            return Snapshot { members, ..Snapshot::default() };
+        };
+        Snapshot {
+            revision: routes.revision,
+            version: routes.version,
+            idle_ms: routes.idle_ms,
+            routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
+            members,
+        }
+    }
+
+    /// The routes; none if the sender had none.
+    pub fn routes(&self) -> Result<Option<Routes>, DecodeError> {
+        if self.revision == 0 {
+            return Ok(None);
+        }
+        let mut routes = Routes {
+            revision: self.revision,
+            version: self.version,
+            idle_ms: self.idle_ms,
+            ..Routes::default()
+        };
+        for entry in &self.routes {
+            let shares = entry.shares.iter();
+            let shares =
+                shares.map(|it| Share { pool: PoolId(it.pool), weight: it.weight }).collect();
+            routes.by_address.insert(address(entry.ip, entry.port)?, Route::new(shares));
+        }
+        Ok(Some(routes))
+    }
+
+    /// The members.
+    pub fn members(&self) -> Result<Vec<Listed>, DecodeError> {
+        let member = |it: &MemberEntry| {
+            Ok(Listed {
+                address: address(it.ip, it.port)?,
+                pool: it.pool.map(PoolId),
+                zone: ZoneId(it.zone),
+            })
+        };
+        self.members.iter().map(member).collect()
+    }
+}
+
+fn member_entry(it: &Listed) -> MemberEntry {
+    MemberEntry {
+        ip: it.address.ip().to_bits(),
+        port: u32::from(it.address.port()),
+        pool: it.pool.map(|it| it.0),
+        zone: it.zone.0,
+    }
+}
+
+fn route_entry(at: SocketAddrV4, route: &Route) -> RouteEntry {
+    let shares = route.shares().iter();
+    RouteEntry {
+        ip: at.ip().to_bits(),
+        port: u32::from(at.port()),
+        shares: shares.map(|it| ShareEntry { pool: it.pool.0, weight: it.weight }).collect(),
+    }
+}
+
+fn address(ip: u32, port: u32) -> Result<SocketAddrV4, DecodeError> {
+    let port = u16::try_from(port).map_err(|_| DecodeError::Field("port"))?;
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
+}
