An upstream's reset in answer to a probe stays at its agent

Cause: after a router moved a flow to a new balancer, that searches the flow; a learning agent gives the packet to its upstream, which now and then answers a flow that it never held with a reset instead of bouncing it. The agent sent it on. Ruled out: a reset of our own (no line 650), two accepts (one 642).

--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -269,6 +269,9 @@
         if head.bounced {
             return self.bounced(head, now_ms, out);
         }
+        if head.kind == Kind::Reset && !self.pass_reset(head, now_ms, out) {
+            return;
+        }
         out.push(Effect::Reply);
         let Some(flow) = self.flows.get_mut(&head.key) else {
             // A flow from before this agent started.
@@ -298,6 +301,22 @@
         self.follow_end(head, Side::Upstream, now_ms);
     }
 
+    /// Whether the upstream's reset goes to the caller. That of an upstream which was only asked whether it holds the
+    /// flow says no more than that it does not: the flow may live at another one.
+    fn pass_reset(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) -> bool {
+        let phase = self.flows.get(&head.key).map(|it| it.phase);
+        let passed = matches!(phase, Some(Phase::Opening { .. } | Phase::Open | Phase::Ended));
+        note(head.key, Decision::UpstreamReset { passed }, out);
+        if let Some(Phase::Probing { .. }) = phase {
+            let balancer = self.flows[&head.key].balancer;
+            self.probing -= 1;
+            self.end_flow(head.key, Phase::Absent, now_ms);
+            answer(balancer, head.key, Answer::Absent, false, out);
+            note(head.key, Decision::Absent, out);
+        }
+        passed
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         if self.probing > 0 {
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -113,6 +113,8 @@
     Absent,
     /// Packets are held while the flow's agent restarts.
     Held { agent: SocketAddrV4 },
+    /// The upstream reset the flow; whether that was passed on to the caller.
+    UpstreamReset { passed: bool },
     /// The flow was reset.
     Reset(Why),
     /// A packet could not be used and was dropped.
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -54,5 +54,6 @@
     649 FlowHeld "opaque-flow-held" "packets are held while the flow's agent restarts";
     650 FlowReset "opaque-flow-reset" "a flow was reset";
     651 PacketDropped "opaque-packet-dropped" "a packet was dropped";
+    652 UpstreamReset "opaque-upstream-reset" "the upstream reset a flow; of one that it does not hold that stays here";
     661 LinesSuppressed "opaque-lines-suppressed" "lines on single flows were left out, as there were too many";
 }
--- a/crates/opaque/src/note.rs
+++ b/crates/opaque/src/note.rs
@@ -58,6 +58,7 @@
         Decision::NotFound { .. } => (Id::FlowNotFound, "not-found"),
         Decision::Absent => (Id::FlowAbsent, "absent"),
         Decision::Held { .. } => (Id::FlowHeld, "held"),
+        Decision::UpstreamReset { .. } => (Id::UpstreamReset, "upstream-reset"),
         Decision::Reset(why) => (Id::FlowReset, why.as_str()),
         Decision::Dropped(why) => (Id::PacketDropped, why.as_str()),
     }
@@ -84,6 +85,7 @@
             tracing::warn!(id, name, flow, absent, asked);
         }
         Decision::Held { agent } => tracing::info!(id, name, flow, agent = %agent),
+        Decision::UpstreamReset { passed } => tracing::warn!(id, name, flow, passed),
         Decision::Reset(why) => tracing::warn!(id, name, flow, why = why.as_str()),
         Decision::Dropped(why) => tracing::info!(id, name, flow, why = why.as_str()),
         Decision::Refused | Decision::Absent => tracing::info!(id, name, flow),
