Flows that nobody holds are reset as soon as that is certain; first calls to the store give up after 0.7 s

Cause: after power_off_all callers waited until their time budget on flows whose upstreams had ended, and processes sat on store calls begun during its outage.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -28,9 +28,9 @@
 const FLOW_IDLE_MS: u64 = 20_000;
 /// Pause between two looks for such flows.
 const PRUNE_EVERY_MS: u64 = 5_000;
-/// Time after the first list of members from which the balancer takes its view of them for complete: the longest
-/// pause between two reports, twice.
-const SETTLED_AFTER_MS: u64 = 3_000;
+/// Time after the first list of members from which the balancer takes its view of them for complete: an agent reports
+/// to all balancers each second, and one that started meanwhile has greeted this one.
+const SETTLED_AFTER_MS: u64 = 1_000;
 
 #[derive(Clone, Debug)]
 struct Search {
@@ -158,7 +158,7 @@
             out.push(Effect::Greet { to: agent });
         }
         for key in self.hold.expired(now_ms) {
-            self.give_up(key, now_ms, out);
+            self.conclude(key, now_ms, out);
         }
         if now_ms.saturating_sub(self.pruned_ms) >= PRUNE_EVERY_MS {
             self.pruned_ms = now_ms;
@@ -234,7 +234,7 @@
             self.keep(key, bytes, now_ms + RESTART_HOLD_MS, out);
             return;
         }
-        if !self.fleet.contains(agent) {
+        if self.fleet.is_gone(agent, now_ms) {
             return self.search(key, bytes, None, now_ms, out);
         }
         self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
@@ -305,7 +305,7 @@
         if let Some(search) = &mut flow.search {
             search.waiting.retain(|&it| it != from);
             if search.waiting.is_empty() {
-                return self.not_held(key, now_ms, out);
+                return self.conclude(key, now_ms, out);
             }
             if let Some((_, bytes)) = returned {
                 self.keep(key, bytes, now_ms + SEARCH_MS, out);
@@ -326,24 +326,29 @@
         }
     }
 
-    /// Every agent that was asked answered that it does not hold the flow.
-    fn not_held(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
-        let settled = self.is_settled(now_ms);
-        let Lookup::Route(route) = self.routes.lookup(key.service) else {
-            return self.give_up(key, now_ms, out);
-        };
-        let complete = self.fleet.is_complete(|it| route.allows(it), now_ms);
-        let Some(flow) = self.flows.get(&key) else {
-            return;
-        };
-        let sure = flow.search.as_ref().is_some_and(|it| it.complete) && complete && settled;
-        let ack = flow.ack;
+    /// Ends a search that found nobody. If that is certain, the caller learns it at once and can begin anew.
+    fn conclude(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let sure = self.is_held_nowhere(&key, now_ms);
         self.give_up(key, now_ms, out);
-        if sure {
-            reset(key, ack, Why::NotHeld, out);
+        if let Some(flow) = self.flows.get(&key).filter(|_| sure) {
+            reset(key, flow.ack, Why::NotHeld, out);
         }
     }
 
+    /// Whether each agent that could hold the flow either answered that it does not, or has been gone for so long that
+    /// the flow is of no use to its caller.
+    fn is_held_nowhere(&self, key: &FlowKey, now_ms: u64) -> bool {
+        let Some(search) = self.flows.get(key).and_then(|it| it.search.as_ref()) else {
+            return false;
+        };
+        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+            return false;
+        };
+        let silent = search.waiting.iter().all(|&it| self.fleet.is_gone(it, now_ms));
+        let known = self.fleet.is_complete(|it| route.allows(it), now_ms);
+        search.complete && silent && known && self.is_settled(now_ms)
+    }
+
     fn give_up(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
         self.hold.take(&key);
         let Some(flow) = self.flows.get_mut(&key) else {
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -9,6 +9,11 @@
 const SILENT_REPORTS: u64 = 2;
 /// Time by which a report may be late, on top of that.
 const LATE_MS: u64 = 600;
+/// Silence after which the flows of an agent are of no use to their callers: longer than the time budgets of most
+/// requests, and than the restart of an agent after a crash takes.
+const GONE_MS: u64 = 4_500;
+/// The same for an agent that said that it restarts: a start on a slow VM.
+const RESTART_MS: u64 = 10_000;
 /// Time without a report after which an agent is greeted, so that one that has restarted learns of this balancer.
 const GREET_AFTER_MS: u64 = 1_500;
 /// Pause between two greetings of the same agent.
@@ -141,6 +146,12 @@
         now_ms.saturating_sub(self.heard_ms) > allowed
     }
 
+    fn is_gone(&self, now_ms: u64) -> bool {
+        let allowed = if self.plan() == Plan::Restart { RESTART_MS } else { GONE_MS };
+        let every_ms = self.report.map_or(0, |it| u64::from(it.every_ms));
+        self.is_silent(now_ms) && now_ms.saturating_sub(self.heard_ms) > allowed.max(every_ms * 3)
+    }
+
     fn plan(&self) -> Plan {
         self.report.map_or(Plan::Stay, |it| it.plan)
     }
@@ -229,9 +240,9 @@
         self.agents.get(&agent).is_some_and(|it| it.plan() == Plan::Restart)
     }
 
-    /// Whether the agent is known.
-    pub fn contains(&self, agent: SocketAddrV4) -> bool {
-        self.agents.contains_key(&agent)
+    /// Whether the agent has left or was silent for so long that its flows are of no use to their callers.
+    pub fn is_gone(&self, agent: SocketAddrV4, now_ms: u64) -> bool {
+        self.agents.get(&agent).is_none_or(|it| it.is_gone(now_ms))
     }
 
     /// Pool of an agent.
@@ -287,13 +298,16 @@
         ranked.into_iter().map(|it| it.1).collect()
     }
 
-    /// Whether each agent of these pools was heard of lately and knows all flows of its upstream.
+    /// Whether each agent of these pools was heard of lately or is gone.
     pub fn is_complete<P>(&self, allows: P, now_ms: u64) -> bool
     where
         P: Fn(PoolId) -> bool,
     {
         let mut members = self.agents.values().filter(|it| allows(it.pool));
-        members.all(|it| !it.is_silent(now_ms) && it.plan() == Plan::Stay)
+        members.all(|it| {
+            let there = !it.is_silent(now_ms) && it.plan() != Plan::Restart;
+            there || it.is_gone(now_ms)
+        })
     }
 
     /// Whether the pool has an agent at all, live or not.
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -150,10 +150,8 @@
 where
     S: Store,
 {
-    match timeout(WITHDRAW_TIMEOUT, store.withdraw(name)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(e)) => tracing::warn!("take this process off the list: {e}"),
-        Err(_) => tracing::warn!("take this process off the list: no answer"),
+    if let Err(e) = store.withdraw(name, WITHDRAW_TIMEOUT).await {
+        tracing::warn!("take this process off the list: {e}");
     }
 }
 
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -4,6 +4,7 @@
 
 use camphorwinch_core::opaque::{fleet::Listed, route::Routes};
 use camphorwinch_wire::opaque::Snapshot;
+use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
 use tokio::{sync::mpsc, time::sleep};
 
@@ -15,8 +16,15 @@
 
 /// First pause after a failed call to the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause: a fleet that lost its store comes back within two of them.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest pause: a fleet that lost its store is back within two of them.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Time for a first call. Answers take 4 ms, those of a slow store a quarter of a second; when the store comes back,
+/// calls that still wait for an answer that never comes delay the fleet by this time.
+const FIRST_PATIENCE: Duration = Duration::from_millis(700);
+/// Time for a call after others got no answer: the store may be slower still.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(2_800);
+/// Calls without an answer before the time for one doubles.
+const TIMEOUTS_EACH: u32 = 6;
 /// Time for which one call waits for a change. A connection that went silent is noticed after this time, and peers'
 /// greetings tell of a newer configuration meanwhile.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
@@ -38,14 +46,23 @@
 struct Backoff {
     pause: Duration,
     lost: bool,
+    timeouts: u32,
 }
 
 impl Backoff {
     fn new() -> Backoff {
-        Backoff { pause: FIRST_PAUSE, lost: false }
+        Backoff { pause: FIRST_PAUSE, lost: false, timeouts: 0 }
+    }
+
+    /// How long the next call may take.
+    fn patience(&self) -> Duration {
+        (FIRST_PATIENCE * 2u32.pow((self.timeouts / TIMEOUTS_EACH).min(2))).min(LONGEST_PATIENCE)
     }
 
     async fn failed(&mut self, error: &StoreError) {
+        if let StoreError::Timeout { .. } = error {
+            self.timeouts += 1;
+        }
         if !self.lost {
             let id = Id::StoreLost;
             tracing::warn!(id = id as u16, name = id.name(), error = %error);
@@ -76,7 +93,7 @@
 {
     let mut backoff = Backoff::new();
     loop {
-        match enter(&store, &own).await {
+        match enter(&store, &own, backoff.patience()).await {
             Ok(members) => {
                 backoff.succeeded();
                 let listed = members.iter().map(Member::listed).collect();
@@ -86,9 +103,7 @@
                 sleep(LIST_EVERY.mul_f64(spread())).await;
             }
             Err(e) => {
-                if !backoff.lost {
-                    ask_any(&seeds, own.address, &out).await;
-                }
+                ask_any(&seeds, own.address, &out).await;
                 backoff.failed(&e).await;
             }
         }
@@ -97,16 +112,20 @@
 
 /// The members, this process among them. Whoever lists after writing sees each process that did so before, so of two
 /// that start at once one sees the other.
-async fn enter<S>(store: &S, own: &Member) -> Result<Vec<Member>, StoreError>
+async fn enter<S>(
+    store: &S,
+    own: &Member,
+    patience: Duration,
+) -> Result<Vec<Member>, StoreError>
 where
     S: Store,
 {
-    let members = count("list", store.members().await)?;
+    let members = count("list", store.members(patience).await)?;
     if members.contains(own) {
         return Ok(members);
     }
-    count("announce", store.announce(own).await)?;
-    count("list", store.members().await)
+    count("announce", store.announce(own, patience).await)?;
+    count("list", store.members(patience).await)
 }
 
 /// Follows the configuration in the store.
@@ -118,10 +137,10 @@
     let mut revision = 0;
     loop {
         let step = if revision == 0 {
-            let read = count("read-config", store.routes().await);
+            let read = count("read-config", store.routes(backoff.patience()).await);
             read.map(|it| it.map_or(Watched::Compacted, Watched::Routes))
         } else {
-            count("watch-config", store.watch(revision, WATCH_WAIT).await)
+            count("watch-config", store.watch(revision, WATCH_WAIT, backoff.patience()).await)
         };
         match step {
             Ok(Watched::Routes(routes)) => {
@@ -151,31 +170,39 @@
     }
 }
 
-/// Asks peers in turn until one answers.
+/// Asks peers, all at once, and takes the first answer.
 pub(crate) async fn ask_any(
     peers: &[SocketAddrV4],
     own: SocketAddrV4,
     out: &mpsc::Sender<Found>,
 ) {
-    for &peer in peers.iter().filter(|&&it| it != own) {
+    let others = peers.iter().copied().filter(|&it| it != own);
+    let mut answers: FuturesUnordered<_> = others.map(ask_one).collect();
+    while let Some((peer, answer)) = answers.next().await {
         let id = Id::PeerAsked;
-        match snapshot::ask(peer).await.and_then(|it| Ok(found(&it)?)) {
-            Ok(found) => {
-                tracing::info!(id = id as u16, name = id.name(), peer = %peer, found = found.len());
-                for it in found {
-                    if out.send(it).await.is_err() {
-                        return;
-                    }
-                }
-                return;
-            }
+        let found = match answer {
+            Ok(found) => found,
             Err(e) => {
-                tracing::warn!(id = id as u16, name = id.name(), peer = %peer, error = %format!("{e:#}"));
+                let error = format!("{e:#}");
+                tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
+                continue;
+            }
+        };
+        tracing::info!(id = id as u16, name = id.name(), peer = %peer, found = found.len());
+        for it in found {
+            if out.send(it).await.is_err() {
+                return;
             }
         }
+        return;
     }
 }
 
+async fn ask_one(peer: SocketAddrV4) -> (SocketAddrV4, anyhow::Result<Vec<Found>>) {
+    let answer = snapshot::ask(peer).await;
+    (peer, answer.and_then(|it| Ok(found(&it)?)))
+}
+
 fn found(snapshot: &Snapshot) -> Result<Vec<Found>, camphorwinch_wire::opaque::DecodeError> {
     let mut found = vec![Found::PeerMembers(snapshot.members()?)];
     found.extend(snapshot.routes()?.map(Found::Routes));
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::LazyLock;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, TextEncoder, default_registry,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, TextEncoder, default_registry,
 };
 
 /// Bounds of latency histograms, in seconds: from a local round trip to a caller's patience.
@@ -75,11 +75,11 @@
     register!(Histogram::with_opts(opts.buckets(LATENCY_BOUNDS.to_vec())))
 });
 
-/// Time that calls to the store took.
-pub static STORE_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
-    let help = "Time that calls to the store took, watches left out.";
+/// Time that calls to the store took, by step.
+pub static STORE_SECONDS: LazyLock<HistogramVec> = LazyLock::new(|| {
+    let help = "Time that calls to the store took, by step.";
     let opts = HistogramOpts::new("camphorwinch_opaque_store_seconds", help);
-    register!(Histogram::with_opts(opts.buckets(LATENCY_BOUNDS.to_vec())))
+    register!(HistogramVec::new(opts.buckets(LATENCY_BOUNDS.to_vec()), &["step"]))
 });
 
 /// All metrics as text.
--- a/crates/opaque/src/snapshot.rs
+++ b/crates/opaque/src/snapshot.rs
@@ -16,7 +16,7 @@
 use crate::socket;
 
 /// Time for asking one peer: a round trip between regions, the transfer of a large configuration, and some.
-const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Serves the newest snapshot to whoever connects.
 pub(crate) fn serve(
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -91,24 +91,39 @@
     },
 }
 
-/// The store.
+/// The store. `patience` is how long a call may take.
 pub trait Store: Clone + Send + Sync + 'static {
     /// All members, not older than the call.
-    fn members(&self) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
+    fn members(
+        &self,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
 
     /// Lists a member, in place of one of the same name.
-    fn announce(&self, member: &Member) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn announce(
+        &self,
+        member: &Member,
+        patience: Duration,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Takes a member off the list.
-    fn withdraw(&self, name: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn withdraw(
+        &self,
+        name: &str,
+        patience: Duration,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// The configuration, not older than the call; none if there is none yet.
-    fn routes(&self) -> impl Future<Output = Result<Option<Routes>, StoreError>> + Send;
+    fn routes(
+        &self,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Option<Routes>, StoreError>> + Send;
 
     /// Waits for a configuration newer than `revision`.
     fn watch(
         &self,
         revision: u64,
         wait: Duration,
+        patience: Duration,
     ) -> impl Future<Output = Result<Watched, StoreError>> + Send;
 }
