--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -6,7 +6,7 @@
 
 use super::{
     FlowKey, Head, Kind, PoolId,
-    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why},
+    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why},
     fleet::{Plan, Report, Upstream, ZoneId},
     flow::after,
     load::Load,
@@ -120,13 +120,15 @@
 
 impl Agent {
     /// An agent that other processes reach at `address`; `incarnation` differs between its starts and `beat_ms` is
-    /// the upstream's pause between heartbeats.
+    /// the upstream's pause between heartbeats. `learning` says that the upstream may be older than the agent and hold
+    /// flows that it does not know.
     pub fn new(
         address: SocketAddrV4,
         pool: PoolId,
         zone: ZoneId,
         incarnation: u64,
         beat_ms: u64,
+        learning: bool,
         now_ms: u64,
     ) -> Agent {
         Agent {
@@ -138,7 +140,7 @@
             report_ms: 1_000,
             beat_ms,
             started_ms: now_ms,
-            learning: true,
+            learning,
             plan: Plan::Stay,
             present: None,
             former: Vec::new(),
@@ -264,6 +266,22 @@
         }
     }
 
+    /// Answers a balancer that asks for flows.
+    pub fn query(&self, balancer: SocketAddrV4, keys: &[FlowKey], out: &mut Vec<Effect>) {
+        let verdicts = keys.iter().map(|&it| (it, self.verdict(&it))).collect();
+        out.push(Effect::Verdicts { to: balancer, verdicts });
+    }
+
+    fn verdict(&self, key: &FlowKey) -> Verdict {
+        match self.flows.get(key).map(|it| it.phase) {
+            Some(Phase::Open | Phase::Opening { .. }) => Verdict::Here,
+            Some(Phase::Ended | Phase::Absent) => Verdict::Absent,
+            Some(Phase::Probing { .. }) => Verdict::Unsure,
+            None if self.learning => Verdict::Unsure,
+            None => Verdict::Absent,
+        }
+    }
+
     /// Takes a packet that the upstream sent.
     pub fn sent(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
         if head.bounced {
@@ -560,15 +578,22 @@
         self.load.add_flow();
     }
 
+    /// Ends probes that the upstream has not bounced. It holds these flows, unless it was not heard of at all: then
+    /// nobody may be there to bounce anything, and no answer is better than a wrong one.
     fn end_probes(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         let due = self.flows.iter().filter(|(_, it)| match it.phase {
             Phase::Probing { since_ms, .. } => now_ms.saturating_sub(since_ms) >= PROBE_MS,
             _ => false,
         });
         let due: Vec<_> = due.map(|(&key, it)| (key, it.balancer)).collect();
+        let heard = self.present.is_some();
         for (key, balancer) in due {
-            self.settle_probe(key);
-            answer(balancer, key, Answer::Here, false, out);
+            if heard {
+                self.settle_probe(key);
+                answer(balancer, key, Answer::Here, false, out);
+            } else {
+                self.remove(key, now_ms);
+            }
         }
     }
 
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -3,25 +3,34 @@
 //! A balancer remembers where the flows are whose packets it gets, but nothing depends on that memory: what it does
 //! not know it searches for among the agents of the route's pools.
 
-use std::net::SocketAddrV4;
+use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use rustc_hash::FxHashMap;
 
 use super::{
     FlowKey, Head, Kind, PoolId,
-    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why},
+    effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why},
     fleet::{Change, Fleet, Listed, Report, ZoneId},
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
 };
 
-/// Time that a search lasts: the round trip to the farthest agent, ten times over.
-const SEARCH_MS: u64 = 60;
-/// Pause after a search in vain: the caller's next copy comes after 200 ms and should start a new one.
+/// Agents asked first, with the packet: the first ones that its opening packet went to, if the members have not
+/// changed since. All others are asked without it, for many flows at once: when upstreams die together, thousands of
+/// flows are searched for, and copies of their packets to whole pools would fill slow links.
+const FIRST_ASKED: usize = 4;
+/// Flows in one question: their keys fill two thirds of a packet.
+const MAX_KEYS: usize = 64;
+/// Time after which the others are asked: the round trip to the farthest agent, several times over.
+const FIRST_MS: u64 = 20;
+/// Time that a search lasts in all.
+const SEARCH_MS: u64 = 120;
+/// Pause after a search in vain: the caller's next copy comes after 200 ms and should start a new one. It doubles with
+/// each further one, so that searches for what nobody holds don't take the time of those that find something.
 const SEARCH_PAUSE_MS: u64 = 100;
-/// Agents asked in one search: more than a pool has at the size that is planned for.
-const MAX_ASKED: usize = 64;
+/// How often the pause doubles at the most.
+const MAX_DOUBLED: u32 = 4;
 /// Time for which packets are held for an agent that restarts: a start takes about a second.
 const RESTART_HOLD_MS: u64 = 3_000;
 /// Time after which an unused flow is forgotten. It is searched for when it comes back.
@@ -35,9 +44,11 @@
 #[derive(Clone, Debug)]
 struct Search {
     since_ms: u64,
+    /// Agents that were asked and have not answered.
     waiting: Vec<SocketAddrV4>,
+    /// Agents that are asked only if none of the first holds the flow.
+    rest: Vec<SocketAddrV4>,
     asked: usize,
-    complete: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -46,6 +57,7 @@
     confirmed: bool,
     search: Option<Search>,
     failed_ms: Option<u64>,
+    failures: u32,
     seen_ms: u64,
     ack: u32,
 }
@@ -59,6 +71,7 @@
     fleet: Fleet,
     flows: FxHashMap<FlowKey, Flow>,
     hold: Hold,
+    questions: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     listed_ms: Option<u64>,
     pruned_ms: u64,
 }
@@ -73,6 +86,7 @@
             fleet: Fleet::default(),
             flows: FxHashMap::default(),
             hold: Hold::default(),
+            questions: BTreeMap::new(),
             listed_ms: None,
             pruned_ms: 0,
         }
@@ -157,6 +171,7 @@
         for agent in self.fleet.to_greet(now_ms) {
             out.push(Effect::Greet { to: agent });
         }
+        self.widen(now_ms, out);
         for key in self.hold.expired(now_ms) {
             self.conclude(key, now_ms, out);
         }
@@ -253,36 +268,97 @@
         };
         let flow = self.flows.entry(key).or_default();
         flow.agent = None;
-        if flow.failed_ms.is_some_and(|it| now_ms.saturating_sub(it) < SEARCH_PAUSE_MS) {
+        flow.confirmed = false;
+        flow.seen_ms = now_ms;
+        let pause = SEARCH_PAUSE_MS << flow.failures.saturating_sub(1).min(MAX_DOUBLED);
+        if flow.failed_ms.is_some_and(|it| now_ms.saturating_sub(it) < pause) {
             return drop(key, Drop::NotFound, out);
         }
-        let mut asked = self.fleet.holders(|it| route.allows(it), key.hash());
-        let complete = asked.len() <= MAX_ASKED;
-        asked.retain(|&it| Some(it) != except);
-        asked.truncate(MAX_ASKED);
-        let pool = route.pick(key.hash()).unwrap_or(PoolId(0));
-        let pools: Vec<PoolId> = route.shares().iter().map(|it| it.pool).collect();
-        note(key, Decision::Searched { asked: asked.len() }, out);
-        for &agent in &asked {
-            let pool = self.fleet.pool_of(agent).filter(|it| pools.contains(it)).unwrap_or(pool);
-            self.relay(agent, Ask::Locate, pool, Payload::Held(bytes.to_vec()), out);
+        let allows = |it| route.allows(it);
+        let mut first = self.fleet.holders(allows, key.hash(), self.zone, now_ms);
+        first.retain(|&it| Some(it) != except);
+        let rest = first.split_off(first.len().min(FIRST_ASKED));
+        let asked = first.len();
+        note(key, Decision::Searched { asked }, out);
+        self.ask(&first, bytes, out);
+        let search = Search { since_ms: now_ms, waiting: first, rest, asked };
+        self.flows.entry(key).or_default().search = Some(search);
+        self.keep(key, bytes, now_ms + SEARCH_MS, out);
+    }
+
+    fn ask(&self, agents: &[SocketAddrV4], bytes: &[u8], out: &mut Vec<Effect>) {
+        for &agent in agents {
+            if let Some(pool) = self.fleet.pool_of(agent) {
+                self.relay(agent, Ask::Locate, pool, Payload::Held(bytes.to_vec()), out);
+            }
+        }
+    }
+
+    /// Marks the agents that were not asked first as asked; whether there are any. The questions go out together.
+    fn ask_rest(&mut self, key: FlowKey, out: &mut Vec<Effect>) -> bool {
+        let search = self.flows.get_mut(&key).and_then(|it| it.search.as_mut());
+        let Some(search) = search.filter(|it| !it.rest.is_empty()) else {
+            return false;
+        };
+        let rest = std::mem::take(&mut search.rest);
+        search.waiting.extend(&rest);
+        search.asked += rest.len();
+        note(key, Decision::Searched { asked: search.asked }, out);
+        for agent in rest {
+            self.questions.entry(agent).or_default().push(key);
+        }
+        true
+    }
+
+    /// Goes on with searches whose first agents have not answered in time, and sends the questions that have gathered.
+    fn widen(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        for key in self.hold.keys() {
+            let search = self.flows.get(&key).and_then(|it| it.search.as_ref());
+            if search.is_some_and(|it| now_ms.saturating_sub(it.since_ms) >= FIRST_MS) {
+                self.ask_rest(key, out);
+            }
+        }
+        for (to, keys) in std::mem::take(&mut self.questions) {
+            for keys in keys.chunks(MAX_KEYS) {
+                out.push(Effect::Query { to, keys: keys.to_vec() });
+            }
+        }
+    }
+
+    /// Takes what an agent knows of flows that were searched for.
+    pub fn verdict(
+        &mut self,
+        from: SocketAddrV4,
+        key: FlowKey,
+        verdict: Verdict,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        match verdict {
+            Verdict::Here => self.here(from, key, now_ms, out),
+            Verdict::Absent => self.absent(from, key, None, now_ms, out),
+            Verdict::Unsure => {
+                let packet = self.hold.first(&key).map(<[u8]>::to_vec);
+                let searched = self.flows.get(&key).is_some_and(|it| it.search.is_some());
+                if let Some(packet) = packet.filter(|_| searched) {
+                    self.ask(&[from], &packet, out);
+                }
+            }
         }
-        let flow = self.flows.entry(key).or_default();
-        let search =
-            Search { since_ms: now_ms, asked: asked.len(), waiting: asked, complete };
-        flow.search = Some(search);
-        flow.seen_ms = now_ms;
-        // The first packet went along with the question; an empty one stands for it, to end the search in time.
-        self.hold.push(key, &[], now_ms + SEARCH_MS);
     }
 
     fn here(&mut self, from: SocketAddrV4, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
+        if flow.confirmed && flow.agent.is_some() && flow.search.is_none() {
+            // Two upstreams may accept a flow; the caller takes the first one that answers.
+            return;
+        }
         flow.agent = Some(from);
         flow.confirmed = true;
         flow.failed_ms = None;
+        flow.failures = 0;
         let Some(search) = flow.search.take() else {
             return;
         };
@@ -304,12 +380,13 @@
         };
         if let Some(search) = &mut flow.search {
             search.waiting.retain(|&it| it != from);
-            if search.waiting.is_empty() {
-                return self.conclude(key, now_ms, out);
-            }
+            let open = search.waiting.is_empty();
             if let Some((_, bytes)) = returned {
                 self.keep(key, bytes, now_ms + SEARCH_MS, out);
             }
+            if open && !self.ask_rest(key, out) {
+                self.conclude(key, now_ms, out);
+            }
             return;
         }
         if flow.agent.is_some_and(|it| it != from) {
@@ -346,7 +423,7 @@
         };
         let silent = search.waiting.iter().all(|&it| self.fleet.is_gone(it, now_ms));
         let known = self.fleet.is_complete(|it| route.allows(it), now_ms);
-        search.complete && silent && known && self.is_settled(now_ms)
+        search.rest.is_empty() && silent && known && self.is_settled(now_ms)
     }
 
     fn give_up(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
@@ -358,8 +435,10 @@
             return;
         };
         flow.failed_ms = Some(now_ms);
+        flow.failures += 1;
         let absent = search.asked - search.waiting.len();
-        note(key, Decision::NotFound { absent, asked: search.asked }, out);
+        let silent = search.waiting.first().copied();
+        note(key, Decision::NotFound { absent, asked: search.asked, silent }, out);
     }
 
     /// Sends what is held of the flows of an agent that is back.
@@ -375,9 +454,7 @@
     fn send_held(&mut self, agent: SocketAddrV4, key: FlowKey, out: &mut Vec<Effect>) {
         let pool = self.fleet.pool_of(agent).unwrap_or(PoolId(0));
         for packet in self.hold.take(&key) {
-            if !packet.is_empty() {
-                self.relay(agent, Ask::Deliver, pool, Payload::Held(packet), out);
-            }
+            self.relay(agent, Ask::Deliver, pool, Payload::Held(packet), out);
         }
     }
 
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -51,6 +51,17 @@
     WrongPool,
 }
 
+/// What an agent knows of a flow that a balancer asks for without a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The flow is here.
+    Here,
+    /// It is not.
+    Absent,
+    /// Only the upstream knows: it has to be asked with a packet of the flow.
+    Unsure,
+}
+
 /// Why a flow was reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Why {
@@ -107,8 +118,9 @@
     Searched { asked: usize },
     /// The holder of a flow was found.
     Found { agent: SocketAddrV4, after_ms: u64 },
-    /// No holder answered in time: held packets are dropped, the caller's next one starts a new search.
-    NotFound { absent: usize, asked: usize },
+    /// No holder answered in time: held packets are dropped, the caller's next one starts a new search. `silent` is one
+    /// of the agents that did not answer.
+    NotFound { absent: usize, asked: usize, silent: Option<SocketAddrV4> },
     /// The agent does not hold the flow that a balancer sent it a packet of.
     Absent,
     /// Packets are held while the flow's agent restarts.
@@ -173,6 +185,10 @@
     Relay { to: SocketAddrV4, relay: Relay, payload: Payload },
     /// Answer a balancer; `returned` sends the packet back with the answer.
     Answer { to: SocketAddrV4, key: FlowKey, answer: Answer, returned: bool },
+    /// Ask an agent which of these flows it holds.
+    Query { to: SocketAddrV4, keys: Vec<FlowKey> },
+    /// Tell a balancer what is known of the flows it asked for.
+    Verdicts { to: SocketAddrV4, verdicts: Vec<(FlowKey, Verdict)> },
     /// Give the packet to the upstream beside this agent.
     Deliver { payload: Payload },
     /// Send the upstream's packet on to the caller.
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -156,6 +156,10 @@
         self.report.map_or(Plan::Stay, |it| it.plan)
     }
 
+    fn is_ready(&self) -> bool {
+        self.report.is_some_and(|it| it.upstream == Upstream::Ready)
+    }
+
     fn takes_flows(&self, now_ms: u64) -> bool {
         let open = self.report.is_some_and(|it| {
             matches!(it.upstream, Upstream::Ready | Upstream::Unknown) && it.plan == Plan::Stay
@@ -277,7 +281,10 @@
         let members = || self.agents.iter().filter(|(_, it)| it.pool == pool);
         let mut ranked: Vec<_> = members()
             .filter(|(_, it)| it.takes_flows(now_ms))
-            .map(|(&agent, it)| (Some(agent) == avoid, it.zone != zone, rank(agent, hash), agent))
+            .map(|(&agent, it)| {
+                let last = Some(agent) == avoid || !it.is_ready();
+                (last, it.zone != zone, rank(agent, hash), agent)
+            })
             .collect();
         ranked.sort_unstable();
         ranked.truncate(MAX_SEATS);
@@ -287,15 +294,31 @@
         }
     }
 
-    /// Agents that may hold a flow of these pools, the most likely first.
-    pub fn holders<P>(&self, allows: P, hash: u64) -> Vec<SocketAddrV4>
+    /// Agents that may hold a flow of these pools, the most likely first: in the order of candidates. Those that are
+    /// gone are left out.
+    pub fn holders<P>(
+        &self,
+        allows: P,
+        hash: u64,
+        zone: ZoneId,
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4>
     where
         P: Fn(PoolId) -> bool,
     {
-        let members = self.agents.iter().filter(|(_, it)| allows(it.pool));
-        let mut ranked: Vec<_> = members.map(|(&agent, _)| (rank(agent, hash), agent)).collect();
+        let members = self.agents.iter().filter(|(_, it)| allows(it.pool) && !it.is_gone(now_ms));
+        let mut ranked: Vec<_> =
+            members.map(|(&agent, it)| (it.zone != zone, rank(agent, hash), agent)).collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|it| it.1).collect()
+        ranked.into_iter().map(|it| it.2).collect()
+    }
+
+    /// Agents that have been gone for at least `for_ms`, though the store lists them.
+    pub fn long_gone(&self, for_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
+        let gone = self.agents.iter().filter(|(_, it)| {
+            it.listed && it.is_gone(now_ms) && now_ms.saturating_sub(it.heard_ms) >= for_ms
+        });
+        gone.map(|(&agent, _)| agent).collect()
     }
 
     /// Whether each agent of these pools was heard of lately or is gone.
--- a/crates/core/src/opaque/hold.rs
+++ b/crates/core/src/opaque/hold.rs
@@ -38,6 +38,11 @@
         true
     }
 
+    /// The first packet held of a flow.
+    pub fn first(&self, key: &FlowKey) -> Option<&[u8]> {
+        self.flows.get(key)?.packets.first().map(Vec::as_slice)
+    }
+
     /// Takes out the packets of a flow, in the order in which they came.
     pub fn take(&mut self, key: &FlowKey) -> Vec<Vec<u8>> {
         let packets = self.flows.remove(key).map_or_else(Vec::new, |it| it.packets);
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -106,6 +106,10 @@
     let (found, input) = mpsc::channel(WAITING);
     let seeds = settings.seeds.clone();
     tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, found));
+    // Without a listener there is no upstream that could hold flows from before this process.
+    let learning = is_listening(settings.upstream).await;
+    let id = Id::UpstreamLookedFor;
+    tracing::info!(id = id as u16, name = id.name(), peer = %settings.upstream, found = learning);
     let now = now_ms();
     let state = Agent::new(
         own.address,
@@ -113,6 +117,7 @@
         ZoneId::of(&own.zone),
         rand::random(),
         settings.heartbeat.as_millis() as u64,
+        learning,
         now,
     );
     let process = Process {
@@ -150,7 +155,7 @@
 where
     S: Store,
 {
-    if let Err(e) = store.withdraw(name, WITHDRAW_TIMEOUT).await {
+    if let Err(e) = store.withdraw(name, None, WITHDRAW_TIMEOUT).await {
         tracing::warn!("take this process off the list: {e}");
     }
 }
@@ -298,7 +303,11 @@
                     metrics::PACKETS.with_label_values(&["misdirected"]).inc();
                 }
             },
-            Ok(Datagram::Answer { .. }) => {
+            Ok(Datagram::Query(keys)) => {
+                self.state.query(from, &keys, &mut self.effects);
+                self.apply(&mut [], now);
+            }
+            Ok(Datagram::Answer { .. } | Datagram::Verdicts(_)) => {
                 metrics::PACKETS.with_label_values(&["misdirected"]).inc();
             }
             Err(e) => {
@@ -320,9 +329,9 @@
 
     fn take_found(&mut self, found: Found) {
         let members = match found {
-            Found::Members(members) => {
+            Found::Members(records) => {
                 self.balancers.clear();
-                members
+                records.iter().map(|it| it.member.listed()).collect()
             }
             Found::PeerMembers(members) => members,
             Found::Routes(_) => return,
@@ -435,7 +444,10 @@
                 }
                 Effect::Report => self.report(now),
                 Effect::Note { key, decision } => self.notes.write(key, &decision, now),
-                Effect::Greet { .. } => unreachable!("only balancers greet"),
+                Effect::Verdicts { to, verdicts } => self.peers.verdicts(to, &verdicts),
+                Effect::Greet { .. } | Effect::Query { .. } => {
+                    unreachable!("only balancers do this")
+                }
             }
         }
         self.effects = effects;
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -16,7 +16,7 @@
     fleet::{Change, Listed, ZoneId},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Snapshot, decode};
-use rand::seq::IndexedRandom;
+use rand::{Rng, seq::IndexedRandom};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -33,7 +33,7 @@
     metrics,
     note::Notes,
     snapshot, socket,
-    store::{Member, Store},
+    store::{Member, Record, Store},
 };
 
 /// Pause between two looks at what is due.
@@ -53,6 +53,10 @@
 const START_MS: u64 = 3_000;
 /// Share of the agents that must be heard of.
 const HEARD_SHARE: f64 = 0.34;
+/// Silence after which an agent's object is removed: it lists itself again if it comes back.
+const WITHDRAW_MS: u64 = 30_000;
+/// Pause between two looks for such agents.
+const WEED_MS: u64 = 10_000;
 /// What may wait between discovery and the loop.
 const WAITING: usize = 64;
 
@@ -104,7 +108,9 @@
     snapshot::serve(own.address, snapshots)?;
     let (found, input) = mpsc::channel(WAITING);
     tokio::spawn(discovery::join(store.clone(), own.clone(), settings.seeds.clone(), found.clone()));
-    tokio::spawn(discovery::follow(store, found.clone()));
+    tokio::spawn(discovery::follow(store.clone(), found.clone()));
+    let (gone, to_withdraw) = mpsc::channel(WAITING);
+    tokio::spawn(discovery::weed(store, to_withdraw));
     let now = now_ms();
     let process = Process {
         state: Balancer::new(own.address, ZoneId::of(&own.zone)),
@@ -117,11 +123,14 @@
         newest,
         found,
         members: Vec::new(),
+        records: Vec::new(),
+        gone,
         effects: Vec::new(),
         scratch: Vec::new(),
         notes: Notes::new(now),
         started_ms: now,
         gossip_ms: now,
+        weed_ms: now,
         packet_ms: now,
         asked_revision: 0,
     };
@@ -139,11 +148,14 @@
     newest: watch::Sender<Arc<Snapshot>>,
     found: mpsc::Sender<Found>,
     members: Vec<Listed>,
+    records: Vec<Record>,
+    gone: mpsc::Sender<Record>,
     effects: Vec<Effect>,
     scratch: Vec<u8>,
     notes: Notes,
     started_ms: u64,
     gossip_ms: u64,
+    weed_ms: u64,
     packet_ms: u64,
     asked_revision: u64,
 }
@@ -242,7 +254,13 @@
                 Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting),
                 None => metrics::PACKETS.with_label_values(&["faulty"]).inc(),
             },
-            Ok(Datagram::Packet { .. }) => {
+            Ok(Datagram::Verdicts(verdicts)) => {
+                for (key, verdict) in verdicts {
+                    self.state.verdict(from, key, verdict, now, &mut self.effects);
+                }
+                self.apply(&[], now);
+            }
+            Ok(Datagram::Packet { .. } | Datagram::Query(_)) => {
                 metrics::PACKETS.with_label_values(&["misdirected"]).inc();
             }
             Err(e) => {
@@ -296,8 +314,9 @@
             Found::Members(members) => {
                 let id = Id::MembersListed;
                 tracing::info!(id = id as u16, name = id.name(), members = members.len());
-                self.state.list(&members, now);
-                self.members = members;
+                self.members = members.iter().map(|it| it.member.listed()).collect();
+                self.records = members;
+                self.state.list(&self.members, now);
             }
             Found::PeerMembers(members) => {
                 let id = Id::MembersListed;
@@ -339,6 +358,7 @@
         self.apply(&[], now);
         self.notes.tick(now);
         self.gossip(now);
+        self.weed(now);
         metrics::FLOWS.set(self.state.flows() as i64);
         metrics::HELD_BYTES.set(self.state.held_bytes() as i64);
         metrics::PEERS.set(self.state.fleet().heard(now) as i64);
@@ -365,6 +385,26 @@
         heard as f64 >= known as f64 * HEARD_SHARE
     }
 
+    /// Has agents that are gone for long taken off the list. Each balancer does so for a random share of them, so that
+    /// about one call is made for each.
+    fn weed(&mut self, now: u64) {
+        if now.saturating_sub(self.weed_ms) < WEED_MS || !self.ready.get() {
+            return;
+        }
+        self.weed_ms = now;
+        let balancers = self.members.iter().filter(|it| it.pool.is_none()).count().max(1);
+        let gone = self.state.fleet().long_gone(WITHDRAW_MS, now);
+        for record in self.records.iter().filter(|it| gone.contains(&it.member.address)) {
+            if !rand::rng().random_ratio(1, balancers as u32) {
+                continue;
+            }
+            // A full queue means that calls are slow: the next look finds the agent again.
+            if self.gone.try_send(record.clone()).is_err() {
+                return;
+            }
+        }
+    }
+
     fn gossip(&mut self, now: u64) {
         if now.saturating_sub(self.gossip_ms) < GOSSIP_MS {
             return;
@@ -402,10 +442,13 @@
                 }
                 Effect::Reset { key, seq } => self.reset(&key, seq),
                 Effect::Greet { to } => self.greet(to, false),
+                Effect::Query { to, keys } => self.peers.query(to, &keys),
                 Effect::Note { key, decision } => self.notes.write(key, &decision, now),
-                Effect::Answer { .. } | Effect::Deliver { .. } | Effect::Reply | Effect::Report => {
-                    unreachable!("only agents do this")
-                }
+                Effect::Answer { .. }
+                | Effect::Verdicts { .. }
+                | Effect::Deliver { .. }
+                | Effect::Reply
+                | Effect::Report => unreachable!("only agents do this"),
             }
         }
         self.effects = effects;
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -11,7 +11,7 @@
 use crate::{
     event::Id,
     metrics, snapshot,
-    store::{Member, Store, StoreError, Watched},
+    store::{Member, Record, Store, StoreError, Watched},
 };
 
 /// First pause after a failed call to the store.
@@ -37,7 +37,7 @@
     /// A configuration, which may be older than the one in force.
     Routes(Routes),
     /// The whole list of members.
-    Members(Vec<Listed>),
+    Members(Vec<Record>),
     /// Members that a peer knows of.
     PeerMembers(Vec<Listed>),
 }
@@ -96,8 +96,7 @@
         match enter(&store, &own, backoff.patience()).await {
             Ok(members) => {
                 backoff.succeeded();
-                let listed = members.iter().map(Member::listed).collect();
-                if out.send(Found::Members(listed)).await.is_err() {
+                if out.send(Found::Members(members)).await.is_err() {
                     return;
                 }
                 sleep(LIST_EVERY.mul_f64(spread())).await;
@@ -116,12 +115,12 @@
     store: &S,
     own: &Member,
     patience: Duration,
-) -> Result<Vec<Member>, StoreError>
+) -> Result<Vec<Record>, StoreError>
 where
     S: Store,
 {
     let members = count("list", store.members(patience).await)?;
-    if members.contains(own) {
+    if members.iter().any(|it| it.member == *own) {
         return Ok(members);
     }
     count("announce", store.announce(own, patience).await)?;
@@ -170,6 +169,25 @@
     }
 }
 
+/// Takes members off the list that have been gone for long. They come through `gone`.
+pub(crate) async fn weed<S>(store: S, mut gone: mpsc::Receiver<Record>)
+where
+    S: Store,
+{
+    while let Some(record) = gone.recv().await {
+        let name = &record.member.name;
+        let done = store.withdraw(name, Some(record.revision), FIRST_PATIENCE).await;
+        let id = Id::MemberWithdrawn;
+        match count("withdraw", done) {
+            Ok(()) => tracing::info!(id = id as u16, name = id.name(), member = name),
+            Err(e) => {
+                let error = e.to_string();
+                tracing::warn!(id = id as u16, name = id.name(), member = name, error);
+            }
+        }
+    }
+}
+
 /// Asks peers, all at once, and takes the first answer.
 pub(crate) async fn ask_any(
     peers: &[SocketAddrV4],
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -37,9 +37,11 @@
     614 StoreBack "opaque-store-back" "the store answers again";
     615 MembersListed "opaque-members-listed" "the list of members was taken";
     616 PeerAsked "opaque-peer-asked" "a peer was asked for what it knows, as the store was not of use";
+    617 MemberWithdrawn "opaque-member-withdrawn" "a member that was gone for long was taken off the list";
     621 AgentChanged "opaque-agent-changed" "what is believed of an agent changed";
     622 Connected "opaque-connected" "agents are heard of: the balancer is ready";
     623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
+    630 UpstreamLookedFor "opaque-upstream-looked-for" "at its start the agent looked for a listening upstream";
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
     633 UpstreamGone "opaque-upstream-gone" "the upstream's process is proven to have ended";
--- a/crates/opaque/src/log.rs
+++ b/crates/opaque/src/log.rs
@@ -7,6 +7,7 @@
         mpsc::{SyncSender, TrySendError, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 use anyhow::{Context, anyhow};
@@ -21,22 +22,52 @@
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// For how long the end of the process waits for its last lines to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+enum Item {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+/// Writes the last lines when it is dropped at the end of the process.
+#[derive(Debug)]
+pub struct Guard {
+    sender: SyncSender<Item>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let (done, written) = sync_channel(1);
+        if self.sender.try_send(Item::Flush(done)).is_ok() {
+            // Without a reader the lines are lost; the process must end all the same.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
 /// Starts the log; `level` is the least level, as in `info`.
-pub fn init(level: &str) -> anyhow::Result<()> {
-    let (sender, lines) = sync_channel::<Vec<u8>>(WAITING);
+pub fn init(level: &str) -> anyhow::Result<Guard> {
+    let (sender, items) = sync_channel::<Item>(WAITING);
     let write = move || {
         let mut out = io::stdout().lock();
-        for line in lines {
+        for item in items {
+            let result = match item {
+                Item::Line(line) => out.write_all(&line).and_then(|()| out.flush()),
+                Item::Flush(done) => done.try_send(()).map_err(io::Error::other),
+            };
             // A reader that has gone can't be told about it.
-            if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+            if result.is_err() {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
     };
+    let guard = Guard { sender: sender.clone() };
     thread::Builder::new().name("log".to_owned()).spawn(write).context("start the log's writer")?;
     let builder = tracing_subscriber::fmt().json().flatten_event(true).with_target(false);
     let builder = builder.with_env_filter(EnvFilter::new(level)).with_writer(Lines { sender });
-    builder.try_init().map_err(|e| anyhow!("start the log: {e}"))
+    builder.try_init().map_err(|e| anyhow!("start the log: {e}"))?;
+    Ok(guard)
 }
 
 /// Lines that were lost because the reader was slow.
@@ -45,7 +76,7 @@
 }
 
 struct Lines {
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<Item>,
 }
 
 impl<'a> MakeWriter<'a> for Lines {
@@ -59,7 +90,7 @@
 /// A line that is handed to the writer as a whole.
 struct Line {
     bytes: Vec<u8>,
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<Item>,
 }
 
 impl Write for Line {
@@ -77,7 +108,7 @@
     fn drop(&mut self) {
         let bytes = std::mem::take(&mut self.bytes);
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.sender.try_send(bytes)
+            self.sender.try_send(Item::Line(bytes))
         {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/opaque/src/member.rs
+++ b/crates/opaque/src/member.rs
@@ -4,7 +4,7 @@
 
 use camphorwinch_core::opaque::{
     FlowKey,
-    effect::{Answer, Relay},
+    effect::{Answer, Relay, Verdict},
 };
 use camphorwinch_wire::opaque::{self, Body, Control};
 use tokio::net::UdpSocket;
@@ -53,6 +53,20 @@
         self.send_buffer(to, "control");
     }
 
+    /// Asks an agent for flows.
+    pub(crate) fn query(&mut self, to: SocketAddrV4, keys: &[FlowKey]) {
+        self.buffer.clear();
+        opaque::encode_query(keys, &mut self.buffer);
+        self.send_buffer(to, "query");
+    }
+
+    /// Tells a balancer what is known of flows.
+    pub(crate) fn verdicts(&mut self, to: SocketAddrV4, verdicts: &[(FlowKey, Verdict)]) {
+        self.buffer.clear();
+        opaque::encode_verdicts(verdicts, &mut self.buffer);
+        self.send_buffer(to, "verdicts");
+    }
+
     /// Sends a packet as it is, to a caller.
     pub(crate) fn plain(&self, to: SocketAddrV4, packet: &[u8]) {
         send(&self.socket, to, packet, "to-caller");
--- a/crates/opaque/src/note.rs
+++ b/crates/opaque/src/note.rs
@@ -81,8 +81,9 @@
         Decision::Found { agent, after_ms } => {
             tracing::info!(id, name, flow, agent = %agent, after_ms);
         }
-        Decision::NotFound { absent, asked } => {
-            tracing::warn!(id, name, flow, absent, asked);
+        Decision::NotFound { absent, asked, silent } => {
+            let silent = silent.map(|it| it.to_string());
+            tracing::warn!(id, name, flow, absent, asked, silent);
         }
         Decision::Held { agent } => tracing::info!(id, name, flow, agent = %agent),
         Decision::UpstreamReset { passed } => tracing::warn!(id, name, flow, passed),
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// A member with the revision of its object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The member.
+    pub member: Member,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// What a watch of the configuration brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
@@ -97,7 +106,7 @@
     fn members(
         &self,
         patience: Duration,
-    ) -> impl Future<Output = Result<Vec<Member>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Vec<Record>, StoreError>> + Send;
 
     /// Lists a member, in place of one of the same name.
     fn announce(
@@ -106,10 +115,11 @@
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Takes a member off the list.
+    /// Takes a member off the list; with a revision only if it has not changed since.
     fn withdraw(
         &self,
         name: &str,
+        revision: Option<u64>,
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -7,6 +7,8 @@
 //! 1 packet | ask | pool 8 | balancer 6 | for Open and Settle: limit 2, at 1, count 1, then 8 for each candidate | packet
 //! 2 answer | what | caller 6 | service 6 | the packet, if it is sent back
 //! 3 message | Control
+//! 4 query | 12 for each flow: caller 6, service 6
+//! 5 verdicts | 13 for each flow: what, caller 6, service 6
 //! ```
 
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -14,7 +16,7 @@
 use bytes::{Buf, BufMut};
 use camphorwinch_core::opaque::{
     FlowKey, PoolId,
-    effect::{Answer, Ask, Relay},
+    effect::{Answer, Ask, Relay, Verdict},
     fleet::{self, Plan, Upstream, ZoneId},
     walk::{MAX_SEATS, Seat, Walk},
 };
@@ -24,6 +26,8 @@
 const PACKET: u8 = 1;
 const ANSWER: u8 = 2;
 const CONTROL: u8 = 3;
+const QUERY: u8 = 4;
+const VERDICTS: u8 = 5;
 
 /// A datagram as it was received.
 #[derive(Debug)]
@@ -46,6 +50,10 @@
     },
     /// A rare message.
     Control(Control),
+    /// Flows that a balancer asks for.
+    Query(Vec<FlowKey>),
+    /// What an agent knows of them.
+    Verdicts(Vec<(FlowKey, Verdict)>),
 }
 
 /// Why a datagram or a snapshot was refused.
@@ -103,8 +111,7 @@
     };
     out.put_u8(ANSWER);
     out.put_u8(code);
-    put_address(key.caller, out);
-    put_address(key.service, out);
+    put_key(key, out);
     out.put_slice(packet);
 }
 
@@ -114,6 +121,27 @@
     message.encode_raw(out);
 }
 
+/// Appends a question for flows.
+pub fn encode_query(keys: &[FlowKey], out: &mut Vec<u8>) {
+    out.put_u8(QUERY);
+    for key in keys {
+        put_key(key, out);
+    }
+}
+
+/// Appends what is known of flows.
+pub fn encode_verdicts(verdicts: &[(FlowKey, Verdict)], out: &mut Vec<u8>) {
+    out.put_u8(VERDICTS);
+    for (key, verdict) in verdicts {
+        out.put_u8(match verdict {
+            Verdict::Here => 0,
+            Verdict::Absent => 1,
+            Verdict::Unsure => 2,
+        });
+        put_key(key, out);
+    }
+}
+
 /// Decodes a datagram.
 pub fn decode(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
     match take_u8(&mut bytes)? {
@@ -123,10 +151,34 @@
             let message = Control::decode(bytes);
             message.map(Datagram::Control).map_err(|e| DecodeError::Message(e.to_string()))
         }
+        QUERY => decode_query(bytes),
+        VERDICTS => decode_verdicts(bytes),
         form => Err(DecodeError::Form(form)),
     }
 }
 
+fn decode_query(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    let mut keys = Vec::with_capacity(bytes.len() / 12);
+    while !bytes.is_empty() {
+        keys.push(take_key(&mut bytes)?);
+    }
+    Ok(Datagram::Query(keys))
+}
+
+fn decode_verdicts(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    let mut verdicts = Vec::with_capacity(bytes.len() / 13);
+    while !bytes.is_empty() {
+        let verdict = match take_u8(&mut bytes)? {
+            0 => Verdict::Here,
+            1 => Verdict::Absent,
+            2 => Verdict::Unsure,
+            code => return Err(DecodeError::Code(code)),
+        };
+        verdicts.push((take_key(&mut bytes)?, verdict));
+    }
+    Ok(Datagram::Verdicts(verdicts))
+}
+
 fn decode_packet(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
     let code = take_u8(&mut bytes)?;
     let pool = PoolId(bytes.try_get_u64().map_err(|_| DecodeError::Truncated)?);
@@ -148,9 +200,19 @@
         2 => Answer::WrongPool,
         code => return Err(DecodeError::Code(code)),
     };
-    let caller = take_address(&mut bytes)?;
-    let service = take_address(&mut bytes)?;
-    Ok(Datagram::Answer { key: FlowKey { caller, service }, answer, packet: bytes })
+    let key = take_key(&mut bytes)?;
+    Ok(Datagram::Answer { key, answer, packet: bytes })
+}
+
+fn put_key(key: &FlowKey, out: &mut Vec<u8>) {
+    put_address(key.caller, out);
+    put_address(key.service, out);
+}
+
+fn take_key(bytes: &mut &[u8]) -> Result<FlowKey, DecodeError> {
+    let caller = take_address(bytes)?;
+    let service = take_address(bytes)?;
+    Ok(FlowKey { caller, service })
 }
 
 fn put_walk(walk: &Walk, out: &mut Vec<u8>) {
