--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -175,7 +175,7 @@
     /// State of the upstream.
     pub fn upstream(&self, now_ms: u64) -> Upstream {
         let Some(present) = &self.present else {
-            return Upstream::Unknown;
+            return if self.learning { Upstream::Unknown } else { Upstream::Ended };
         };
         let silent = now_ms.saturating_sub(present.beat_ms) > self.beat_ms * MISSED_BEATS;
         if present.state == Upstream::Ready && silent { Upstream::Unknown } else { present.state }
@@ -248,8 +248,8 @@
     pub fn upstream_ended(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         if let Some(present) = self.present.take() {
             self.remember(present.id);
-            out.push(Effect::Report);
         }
+        self.learning = false;
         self.reset_flows(now_ms, now_ms, out);
     }
 
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -147,6 +147,10 @@
     }
 
     fn is_gone(&self, now_ms: u64) -> bool {
+        if self.report.is_some_and(|it| it.upstream == Upstream::Ended) {
+            // Without an upstream it holds nothing that could be waited for.
+            return self.is_silent(now_ms);
+        }
         let allowed = if self.plan() == Plan::Restart { RESTART_MS } else { GONE_MS };
         let every_ms = self.report.map_or(0, |it| u64::from(it.every_ms));
         self.is_silent(now_ms) && now_ms.saturating_sub(self.heard_ms) > allowed.max(every_ms * 3)
