Single requests join the shortest queue, kept flows are spread by average and open flows, half of the seats are in other zones

Pattern: join the shortest queue for single requests; bounded loads over flows that can't be moved later.

--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -9,7 +9,7 @@
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why},
     fleet::{Plan, Report, Upstream, ZoneId},
     flow::after,
-    load::Load,
+    load::{Habit, Habits, Load},
     walk::{CLOSED, Last, UNSURE, Walk},
 };
 use crate::invariant::{self, Invariant};
@@ -90,6 +90,7 @@
     since_ms: u64,
     seen_ms: u64,
     busy: bool,
+    requests: u32,
     counted: bool,
     caller_end: Option<u32>,
     ack: u32,
@@ -113,6 +114,7 @@
     present: Option<Present>,
     former: Vec<String>,
     load: Load,
+    habits: Habits,
     flows: FxHashMap<FlowKey, Flow>,
     probing: usize,
     pruned_ms: u64,
@@ -145,6 +147,7 @@
             present: None,
             former: Vec::new(),
             load: Load::default(),
+            habits: Habits::default(),
             flows: FxHashMap::default(),
             probing: 0,
             pruned_ms: now_ms,
@@ -192,7 +195,7 @@
             upstream: self.upstream(now_ms),
             plan: self.plan,
             slots: self.present.as_ref().map_or(1, |it| it.slots),
-            load: self.own_load(now_ms),
+            load: self.lasting_load(now_ms),
             learning: self.learning,
             every_ms: self.report_ms,
         }
@@ -364,14 +367,17 @@
             flow.seen_ms = now_ms;
             return out.push(Effect::Deliver { payload: Payload::Current });
         }
-        let state = if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
+        let state =
+            if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
         let load = match state {
-            Upstream::Ready => self.own_load(now_ms),
+            Upstream::Ready => self.load_for(&head.key, now_ms),
             Upstream::Unknown => UNSURE,
             Upstream::Draining | Upstream::Ended => CLOSED,
         };
         let accepts = match last {
-            Last::No => load <= walk.limit,
+            Last::No => {
+                state == Upstream::Ready && self.has_room(&head.key, load, walk.limit, now_ms)
+            }
             Last::Yes => load != CLOSED,
         };
         if accepts {
@@ -436,7 +442,7 @@
             return note(head.key, Decision::Reset(Why::AllRefused), out);
         };
         if best == self.address {
-            let load = self.own_load(now_ms);
+            let load = self.load_for(&head.key, now_ms);
             return self.accept(relay, head, walk, load, Last::Yes, now_ms, out);
         }
         let relay = Relay { ask: Ask::Settle(walk), ..*relay };
@@ -481,6 +487,7 @@
                 flow.caller_end = Some(head.end());
                 if !flow.busy && flow.counted {
                     flow.busy = true;
+                    flow.requests += 1;
                     self.load.begin(now_ms);
                 }
             }
@@ -532,6 +539,7 @@
             since_ms: now_ms,
             seen_ms: now_ms,
             busy: false,
+            requests: 0,
             counted,
             caller_end: None,
             ack: 0,
@@ -560,6 +568,7 @@
         }
         if flow.counted {
             self.load.remove_flow();
+            self.habits.record(key.service, flow.requests);
         }
         flow.busy = false;
         flow.counted = false;
@@ -658,10 +667,31 @@
         }
     }
 
-    fn own_load(&mut self, now_ms: u64) -> u16 {
-        let (slots, cold) =
-            self.present.as_ref().map_or((1, false), |it| (it.slots, now_ms < it.cold_until));
-        self.load.per_mille(slots, cold, now_ms)
+    fn capacity(&self, now_ms: u64) -> (u32, bool) {
+        self.present.as_ref().map_or((1, false), |it| (it.slots, now_ms < it.cold_until))
+    }
+
+    fn lasting_load(&mut self, now_ms: u64) -> u16 {
+        let (slots, cold) = self.capacity(now_ms);
+        self.load.lasting(slots, cold, now_ms)
+    }
+
+    /// The load that counts for a new flow.
+    fn load_for(&mut self, key: &FlowKey, now_ms: u64) -> u16 {
+        let (slots, cold) = self.capacity(now_ms);
+        match self.habits.of(key.service) {
+            Habit::Single => self.load.present(slots, cold, now_ms),
+            Habit::Kept => self.load.lasting(slots, cold, now_ms),
+        }
+    }
+
+    /// Whether the flow is accepted without looking for a less loaded upstream.
+    fn has_room(&self, key: &FlowKey, load: u16, limit: u16, now_ms: u64) -> bool {
+        let (slots, cold) = self.capacity(now_ms);
+        match self.habits.of(key.service) {
+            Habit::Single => self.load.has_room(slots, cold),
+            Habit::Kept => load <= limit,
+        }
     }
 }
 
@@ -686,13 +716,7 @@
     answer(relay.balancer, key, Answer::Absent, returned, out);
 }
 
-fn answer(
-    to: SocketAddrV4,
-    key: FlowKey,
-    answer: Answer,
-    returned: bool,
-    out: &mut Vec<Effect>,
-) {
+fn answer(to: SocketAddrV4, key: FlowKey, answer: Answer, returned: bool, out: &mut Vec<Effect>) {
     out.push(Effect::Answer { to, key, answer, returned });
 }
 
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -213,7 +213,11 @@
 
     fn open_nowhere(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
         let complete = self.is_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms);
-        if complete { reset(key, 0, Why::NoUpstream, out) } else { drop(key, Drop::NoUpstream, out) }
+        if complete {
+            reset(key, 0, Why::NoUpstream, out)
+        } else {
+            drop(key, Drop::NoUpstream, out)
+        }
     }
 
     fn carry(&mut self, head: &Head, bytes: &[u8], now_ms: u64, out: &mut Vec<Effect>) {
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -20,10 +20,13 @@
 const GREET_EVERY_MS: u64 = 1_000;
 /// Time after its last sign of life for which an agent that the store doesn't list is remembered.
 const FORGET_MS: u64 = 120_000;
-/// Room above the mean load up to which an agent accepts a flow at once: a quarter, the factor that bounded loads
-/// commonly take, and a part of a slot so that idle pools keep flows in their zone.
-const LIMIT_FACTOR: f64 = 1.25;
-const LIMIT_ROOM: f64 = 120.0;
+/// Room above the mean load up to which an agent accepts a flow at once: a tenth, so that kept flows are spread evenly,
+/// and a part of a slot so that idle pools keep flows in their zone.
+const LIMIT_FACTOR: f64 = 1.1;
+const LIMIT_ROOM: f64 = 100.0;
+/// Candidates of the balancer's own zone at the most, if other zones have some: a zone that is full must not keep flows
+/// from the others.
+const OWN_ZONE_SEATS: usize = MAX_SEATS / 2;
 
 /// An availability zone, by a hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -291,6 +294,10 @@
             })
             .collect();
         ranked.sort_unstable();
+        let own = ranked.iter().filter(|it| !it.0 && !it.1).count();
+        let others = ranked.iter().filter(|it| !it.0 && it.1).count();
+        let keep = OWN_ZONE_SEATS.max(MAX_SEATS.saturating_sub(others));
+        ranked.drain(keep.min(own)..own);
         ranked.truncate(MAX_SEATS);
         Candidates {
             agents: ranked.into_iter().map(|it| it.3).collect(),
@@ -300,13 +307,7 @@
 
     /// Agents that may hold a flow of these pools, the most likely first: in the order of candidates. Those that are
     /// gone are left out.
-    pub fn holders<P>(
-        &self,
-        allows: P,
-        hash: u64,
-        zone: ZoneId,
-        now_ms: u64,
-    ) -> Vec<SocketAddrV4>
+    pub fn holders<P>(&self, allows: P, hash: u64, zone: ZoneId, now_ms: u64) -> Vec<SocketAddrV4>
     where
         P: Fn(PoolId) -> bool,
     {
--- a/crates/core/src/opaque/load.rs
+++ b/crates/core/src/opaque/load.rs
@@ -2,17 +2,60 @@
 //!
 //! A request is in progress from the first new byte of the caller to the next byte of the upstream. That needs no look
 //! into the data, and it is exact where reported load lags.
+//!
+//! Two figures answer two questions. Where will a flow with a single request start at once? Where the requests in
+//! progress are fewest now: join the shortest queue. Where should a flow go that brings requests for minutes? Where
+//! the average is low and few such flows are open, since it can't be moved later.
+
+use std::net::SocketAddrV4;
+
+use rustc_hash::FxHashMap;
 
 /// Time over which the requests in progress are averaged, in milliseconds: several requests long, so that a pause
 /// between two requests of a flow does not look like room.
 const AVERAGE_MS: f64 = 1_500.0;
 /// Requests that an open flow without one stands for. Flows that callers keep open bring requests later, where their
-/// opening can't be steered any more; measured on the standard days, a kept flow has 0.05 requests in progress.
+/// opening can't be steered any more; measured on the standard days, a kept flow has 0.02 to 0.06 requests in progress.
 const FLOW_SHARE: f64 = 0.05;
 /// Slots that a cold upstream counts for, as a share: cold upstreams work about 1.6 times as long.
 const COLD_SHARE: f64 = 0.6;
 /// Highest load that is told apart.
 const MAX_LOAD: f64 = 60_000.0;
+/// Weight of the newest flow in the mean of requests per flow: some twenty flows settle it.
+const HABIT_WEIGHT: f64 = 0.1;
+/// Requests per flow that are assumed of a service before any flow of it has ended.
+const HABIT_START: f64 = 2.0;
+/// Requests per flow below which flows of a service count as single.
+const SINGLE_BELOW: f64 = 1.3;
+
+/// How callers use the flows of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Habit {
+    /// A flow for each request.
+    Single,
+    /// Flows that are kept open for many requests.
+    Kept,
+}
+
+/// Requests per flow, by service.
+#[derive(Clone, Debug, Default)]
+pub struct Habits {
+    mean: FxHashMap<SocketAddrV4, f64>,
+}
+
+impl Habits {
+    /// A flow with so many requests has ended.
+    pub fn record(&mut self, service: SocketAddrV4, requests: u32) {
+        let mean = self.mean.entry(service).or_insert(HABIT_START);
+        *mean += (f64::from(requests) - *mean) * HABIT_WEIGHT;
+    }
+
+    /// The habit of the service's callers.
+    pub fn of(&self, service: SocketAddrV4) -> Habit {
+        let mean = self.mean.get(&service).copied().unwrap_or(HABIT_START);
+        if mean < SINGLE_BELOW { Habit::Single } else { Habit::Kept }
+    }
+}
 
 /// Requests in progress and their average.
 #[derive(Clone, Debug, Default)]
@@ -56,13 +99,22 @@
         self.flows = self.flows.saturating_sub(1);
     }
 
-    /// The load, in thousandths of the slots.
-    pub fn per_mille(&mut self, slots: u32, cold: bool, now_ms: u64) -> u16 {
+    /// The load that counts for a flow that is kept, in thousandths of the slots.
+    pub fn lasting(&mut self, slots: u32, cold: bool, now_ms: u64) -> u16 {
+        self.advance(now_ms);
+        let work = self.average + FLOW_SHARE * f64::from(self.flows);
+        per_mille(work, slots, cold)
+    }
+
+    /// The load that counts for a single request, in thousandths of the slots. Among equals the average decides.
+    pub fn present(&mut self, slots: u32, cold: bool, now_ms: u64) -> u16 {
         self.advance(now_ms);
-        let share = if cold { COLD_SHARE } else { 1.0 };
-        let slots = f64::from(slots.max(1)) * share;
-        let work = self.average.max(f64::from(self.busy)) + FLOW_SHARE * f64::from(self.flows);
-        (work / slots * 1_000.0).min(MAX_LOAD) as u16
+        per_mille(f64::from(self.busy) + self.average / 100.0, slots, cold)
+    }
+
+    /// Whether a request would start at once.
+    pub fn has_room(&self, slots: u32, cold: bool) -> bool {
+        f64::from(self.busy) + 1.0 <= usable(slots, cold).max(1.0)
     }
 
     fn advance(&mut self, now_ms: u64) {
@@ -72,3 +124,11 @@
         self.average = self.average * keep + f64::from(self.busy) * (1.0 - keep);
     }
 }
+
+fn usable(slots: u32, cold: bool) -> f64 {
+    f64::from(slots.max(1)) * if cold { COLD_SHARE } else { 1.0 }
+}
+
+fn per_mille(work: f64, slots: u32, cold: bool) -> u16 {
+    (work / usable(slots, cold) * 1_000.0).min(MAX_LOAD) as u16
+}
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -107,7 +107,12 @@
     let (newest, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     snapshot::serve(own.address, snapshots)?;
     let (found, input) = mpsc::channel(WAITING);
-    tokio::spawn(discovery::join(store.clone(), own.clone(), settings.seeds.clone(), found.clone()));
+    tokio::spawn(discovery::join(
+        store.clone(),
+        own.clone(),
+        settings.seeds.clone(),
+        found.clone(),
+    ));
     tokio::spawn(discovery::follow(store.clone(), found.clone()));
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
@@ -333,8 +338,7 @@
     }
 
     fn put_routes(&mut self, routes: camphorwinch_core::opaque::route::Routes) {
-        let (revision, version, count) =
-            (routes.revision, routes.version, routes.by_address.len());
+        let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
         let before = self.state.routes().revision();
         let id = if self.state.put_routes(routes) {
             Id::ConfigInForce
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -87,8 +87,12 @@
 }
 
 /// Lists this process in the store and the others for it, then again from time to time.
-pub(crate) async fn join<S>(store: S, own: Member, seeds: Vec<SocketAddrV4>, out: mpsc::Sender<Found>)
-where
+pub(crate) async fn join<S>(
+    store: S,
+    own: Member,
+    seeds: Vec<SocketAddrV4>,
+    out: mpsc::Sender<Found>,
+) where
     S: Store,
 {
     let mut backoff = Backoff::new();
@@ -111,11 +115,7 @@
 
 /// The members, this process among them. Whoever lists after writing sees each process that did so before, so of two
 /// that start at once one sees the other.
-async fn enter<S>(
-    store: &S,
-    own: &Member,
-    patience: Duration,
-) -> Result<Vec<Record>, StoreError>
+async fn enter<S>(store: &S, own: &Member, patience: Duration) -> Result<Vec<Record>, StoreError>
 where
     S: Store,
 {
@@ -189,11 +189,7 @@
 }
 
 /// Asks peers, all at once, and takes the first answer.
-pub(crate) async fn ask_any(
-    peers: &[SocketAddrV4],
-    own: SocketAddrV4,
-    out: &mpsc::Sender<Found>,
-) {
+pub(crate) async fn ask_any(peers: &[SocketAddrV4], own: SocketAddrV4, out: &mpsc::Sender<Found>) {
     let others = peers.iter().copied().filter(|&it| it != own);
     let mut answers: FuturesUnordered<_> = others.map(ask_one).collect();
     while let Some((peer, answer)) = answers.next().await {
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -3,7 +3,8 @@
 use std::sync::LazyLock;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, TextEncoder, default_registry,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, TextEncoder,
+    default_registry,
 };
 
 /// Bounds of latency histograms, in seconds: from a local round trip to a caller's patience.
@@ -31,8 +32,10 @@
 
 /// Calls to the store, by step and result.
 pub static STORE_CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
-    let opts =
-        Opts::new("camphorwinch_opaque_store_calls_total", "Calls to the store, by step and result.");
+    let opts = Opts::new(
+        "camphorwinch_opaque_store_calls_total",
+        "Calls to the store, by step and result.",
+    );
     register!(IntCounterVec::new(opts, &["step", "result"]))
 });
 
@@ -43,7 +46,10 @@
 
 /// Requests in progress.
 pub static BUSY: LazyLock<IntGauge> = LazyLock::new(|| {
-    register!(IntGauge::new("camphorwinch_opaque_requests", "Requests in progress at the upstream."))
+    register!(IntGauge::new(
+        "camphorwinch_opaque_requests",
+        "Requests in progress at the upstream."
+    ))
 });
 
 /// Agents or balancers heard of.
