An agent's first balancer follows what becomes known of the balancers' zones

If the link was up before the record of the balancer arrived, the own zone's balancer had no zone yet and came last; nobody ordered them again, so the agent stood in the other zone's report for good. Ruled out: the writer's pause (1.3 s for such a report, 30 s of patience); differs() leaving something out. Test: the_order_of_an_agents_balancers_follows_what_becomes_known_of_them failed first (30 s), passes now.

--- a/crates/daemon/src/control/join.rs
+++ b/crates/daemon/src/control/join.rs
@@ -163,6 +163,8 @@
             dial.busy = true;
             tokio::spawn(dial_one(Arc::clone(self), target));
         }
+        drop(dials);
+        self.update_homes();
     }
 
     /// Some addresses at which others may be found.
@@ -203,7 +205,8 @@
         self.update_homes();
     }
 
-    /// Announces the balancers that this agent is linked to, the one that reports about it first.
+    /// Announces the balancers that this agent is linked to, the one that reports about it first. Their zones decide
+    /// that, and may become known only after the links are up.
     fn update_homes(&self) {
         let mut state = self.state.lock();
         if !state.is_agent() {
@@ -222,13 +225,17 @@
                 homes.push(link.peer.clone());
             }
         }
+        let before = state.own.version;
         state.announce(|role| {
             if let Role::Agent { homes: own, .. } = role {
                 *own = homes;
             }
         });
+        let changed = state.own.version != before;
         drop(state);
-        self.changed();
+        if changed {
+            self.changed();
+        }
     }
 
     /// Tells the balancers which pools this agent wants to know: its own, and those of services that its own pool ever
--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -257,6 +257,24 @@
     }
 }
 
+// The order of an agent's balancers decides in which zone's report it stands. It hangs on their zones, which may become
+// known only after the links are up: then the agent stood in the report of the other zone for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_order_of_an_agents_balancers_follows_what_becomes_known_of_them() {
+    let fleet = Fleet::new().await;
+    let _b1 = fleet.balancer("b1", "z1").await;
+    let _b2 = fleet.balancer("b2", "z2").await;
+    let a1 = fleet.agent("a1", "z1", "p").await;
+    until("linked to both", || homes(&a1) == ["b1", "b2"]).await;
+    a1.inner.state.lock().announce(|role| {
+        if let MemberRole::Agent { homes, .. } = role {
+            homes.reverse();
+        }
+    });
+    until("the own zone's balancer first", || homes(&a1) == ["b1", "b2"]).await;
+    intact();
+}
+
 fn holds(control: &Control) -> bool {
     let state = control.inner.state.lock();
     matches!(state.own.role, MemberRole::Balancer { lease: Some(_), .. })
