--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -136,6 +136,8 @@
     zone: ZoneId,
     listed: bool,
     report: Option<Report>,
+    /// The upstream leaves, by the last report that knew its state: an agent that has restarted does not know it.
+    draining: bool,
     heard_ms: u64,
     greeted_ms: u64,
 }
@@ -171,7 +173,7 @@
         let open = self.report.is_some_and(|it| {
             matches!(it.upstream, Upstream::Ready | Upstream::Unknown) && it.plan == Plan::Stay
         });
-        open && !self.is_silent(now_ms)
+        open && !self.draining && !self.is_silent(now_ms)
     }
 }
 
@@ -206,6 +208,7 @@
                 zone,
                 listed: true,
                 report: None,
+                draining: false,
                 heard_ms: now_ms,
                 greeted_ms: 0,
             });
@@ -224,6 +227,7 @@
             zone: report.zone,
             listed: false,
             report: None,
+            draining: false,
             heard_ms: now_ms,
             greeted_ms: 0,
         });
@@ -236,6 +240,9 @@
         }
         entry.pool = report.pool;
         entry.zone = report.zone;
+        if report.upstream != Upstream::Unknown {
+            entry.draining = report.upstream == Upstream::Draining;
+        }
         entry.report = Some(report);
         entry.heard_ms = now_ms;
         change
--- a/crates/core/tests/opaque/fleet.rs
+++ b/crates/core/tests/opaque/fleet.rs
@@ -39,6 +39,18 @@
     assert_eq!(picked(&fleet, 9, 3_000), [2]);
 }
 
+// Random fleets, seed 1233: an agent that restarted beside a leaving upstream took flows for it as a last resort.
+#[test]
+fn an_upstream_that_leaves_goes_on_leaving_when_its_agent_restarts() {
+    let mut fleet = fleet(1, 0);
+    fleet.report(address(0), Report { upstream: Upstream::Draining, ..report(2, 0) }, 1);
+    let restarted = Report { incarnation: 2, upstream: Upstream::Unknown, ..report(1, 0) };
+    fleet.report(address(0), restarted, 2);
+    assert!(picked(&fleet, 0, 2).is_empty());
+    fleet.report(address(0), Report { incarnation: 2, ..report(2, 0) }, 3);
+    assert_eq!(picked(&fleet, 0, 3), [0]);
+}
+
 #[test]
 fn an_upstream_of_unknown_state_comes_last() {
     let mut fleet = fleet(1, 3);
--- a/crates/core/tests/opaque/survival.rs
+++ b/crates/core/tests/opaque/survival.rs
@@ -82,7 +82,7 @@
     }
     world.run(2_500);
     assert_eq!(world.tally.broken, 0);
-    assert!(world.tally.reset >= 55, "{:?}", world.tally);
+    assert!(world.tally.reset >= 55, "{}", world.tally.reset);
 }
 
 #[test]
@@ -138,6 +138,6 @@
     for seed in 0..seeds.unwrap_or(60) {
         let world = storm(seed);
         let tally = &world.tally;
-        assert_eq!((tally.broken, tally.late_work), (0, 0), "seed {seed}: {tally:?}");
+        assert_eq!((tally.broken, tally.late_work), (0, 0), "seed {seed}");
     }
 }
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -338,10 +338,10 @@
                 self.report(host);
                 self.push(REPORT_MS, Event::Report(host));
             }
-            Event::ToBalancer(number, from, message) => self.to_balancer(number, from, message),
-            Event::ToAgent(host, from, message) => self.to_agent(host, from, message),
+            Event::ToBalancer(number, from, message) => self.hear_balancer(number, from, message),
+            Event::ToAgent(host, from, message) => self.hear_agent(host, from, message),
             Event::FromCaller(id, copy) => self.send_again(id, copy),
-            Event::ToCaller(id, head) => self.to_caller(id, &head),
+            Event::ToCaller(id, head) => self.hear_caller(id, &head),
             Event::Reset(id) => self.reset_by_us(id),
             Event::Work(host, upstream, id) => self.work_done(host, upstream, id),
             Event::NextRequest(id) => self.next_request(id),
@@ -408,7 +408,7 @@
         self.push(HOP_MS, event);
     }
 
-    fn to_balancer(&mut self, number: u8, from: SocketAddrV4, message: Message) {
+    fn hear_balancer(&mut self, number: u8, from: SocketAddrV4, message: Message) {
         match message {
             Message::Report(report) => self.with_balancer(number, |it, now, out| {
                 let _: Change = it.report(from, report, now, out);
@@ -430,7 +430,7 @@
         }
     }
 
-    fn to_agent(&mut self, host: u8, from: SocketAddrV4, message: Message) {
+    fn hear_agent(&mut self, host: u8, from: SocketAddrV4, message: Message) {
         let now = self.now;
         match message {
             Message::Packet(relay, packet) => {
@@ -526,19 +526,19 @@
                 self.tally.late_work += 1;
             }
             let first = *it.opening.entry(head.key).or_insert(first);
-            return self.from_upstream(host, Head { seq: first, ack: 0, ..head });
+            return self.emit(host, Head { seq: first, ack: 0, ..head });
         }
         if it.opening.get(&head.key).is_some_and(|it| head.ack == it.wrapping_add(1)) {
             it.opening.remove(&head.key);
             it.open.insert(head.key);
         }
         if !it.open.contains(&head.key) {
-            return self.from_upstream(host, Head { bounced: true, ..head });
+            return self.emit(host, Head { bounced: true, ..head });
         }
         match head.kind {
             Kind::Finish => {
                 it.open.remove(&head.key);
-                self.from_upstream(host, Head { len: 0, ..head });
+                self.emit(host, Head { len: 0, ..head });
             }
             _ => self.request(host, head.key),
         }
@@ -597,10 +597,10 @@
         let (key, ack) = (flow.key, flow.seq.wrapping_add(100));
         let seq = flow.taken.unwrap_or(0);
         let head = Head { key, kind: Kind::Data, bounced: false, seq, ack, len: 100 };
-        self.from_upstream(host, head);
+        self.emit(host, head);
     }
 
-    fn from_upstream(&mut self, host: u8, head: Head) {
+    fn emit(&mut self, host: u8, head: Head) {
         let packet = self.new_packet(head);
         let now = self.now;
         self.with_agent_packet(host, packet, |it, out| it.sent(&head, now, out));
@@ -698,7 +698,7 @@
         self.send(id, copy);
     }
 
-    fn to_caller(&mut self, id: u64, head: &Head) {
+    fn hear_caller(&mut self, id: u64, head: &Head) {
         let now = self.now;
         let Some(flow) = self.flows.get_mut(&id) else {
             return;
--- a/crates/daemon/src/event/tests.rs
+++ b/crates/daemon/src/event/tests.rs
@@ -16,7 +16,9 @@
     let expected: Vec<String> = Id::ALL.iter().map(|&it| row(it)).collect();
     let starts_with_number =
         |line: &&str| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit();
-    let found: Vec<&str> = CATALOGUE.lines().filter(starts_with_number).collect();
+    // Those of opaque flows are held equal by the tests of their own crate.
+    let (own, _) = CATALOGUE.split_once("## Opaque flows").unwrap();
+    let found: Vec<&str> = own.lines().filter(starts_with_number).collect();
     assert_eq!(found, expected);
 }
 
--- /dev/null
+++ b/crates/opaque/tests/log.rs
@@ -0,0 +1,22 @@
+//! The log's limits.
+
+use camphorwinch_opaque::log::{FLOW_LINES_BURST, FLOW_LINES_PER_S, Limiter};
+
+#[test]
+fn a_storm_of_decisions_writes_a_bounded_number_of_lines() {
+    let mut limiter = Limiter::new(0);
+    // 100,000 decisions a second for ten seconds.
+    let lines = (0..1_000_000u64).filter(|it| limiter.allow(it / 100)).count() as u32;
+    assert!(lines <= FLOW_LINES_BURST + 10 * FLOW_LINES_PER_S, "{lines}");
+    assert!(lines >= 10 * FLOW_LINES_PER_S, "{lines}");
+    assert_eq!(limiter.take_suppressed(), 1_000_000 - u64::from(lines));
+    assert_eq!(limiter.take_suppressed(), 0);
+}
+
+#[test]
+fn a_usual_rate_is_written_whole() {
+    let mut limiter = Limiter::new(0);
+    for at in 0..1_000 {
+        assert!(limiter.allow(at * 25), "{at}");
+    }
+}
