--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -23,6 +23,9 @@
 const FLOW_IDLE_MS: u64 = 65_000;
 /// Time for which an ended or absent flow is remembered, for packets that are still on their way.
 const ENDED_MS: u64 = 3_000;
+/// Time after which an offer counts as not taken: callers end an attempt after 1.4 s and send a lost packet again within
+/// 1.6 s.
+const OPENING_MS: u64 = 10_000;
 /// Time after which an upstream that has not bounced a packet is taken to hold its flow: a local round trip, many times.
 const PROBE_MS: u64 = 12;
 /// Heartbeats that may be missing before an upstream's state counts as unknown.
@@ -93,6 +96,8 @@
     seen_ms: u64,
     busy: bool,
     requests: u32,
+    /// The upstream is known to hold the flow: its offer was taken, or it sent a packet of the open flow.
+    proven: bool,
     counted: bool,
     caller_end: Option<u32>,
     ack: u32,
@@ -308,6 +313,9 @@
             flow.busy = false;
             self.load.end(now_ms);
         }
+        if head.kind != Kind::Open {
+            flow.proven = true;
+        }
         match flow.phase {
             Phase::Opening { walk, first } if head.kind == Kind::Open => {
                 if first.is_none() {
@@ -463,6 +471,7 @@
             && head.kind != Kind::Open
         {
             flow.phase = Phase::Open;
+            flow.proven = true;
         }
         if relay.ask == Ask::Locate && !matches!(flow.phase, Phase::Probing { .. }) {
             answer(relay.balancer, head.key, Answer::Here, false, out);
@@ -541,6 +550,7 @@
             seen_ms: now_ms,
             busy: false,
             requests: 0,
+            proven: false,
             counted,
             caller_end: None,
             ack: 0,
@@ -642,9 +652,10 @@
         self.former.push(id);
     }
 
-    /// Resets the flows that began at `until_ms` or before.
+    /// Resets the flows that began at `until_ms` or before. Those that the upstream is not known to have held may live at
+    /// another one.
     fn reset_flows(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
-        let alive = |it: &Flow| matches!(it.phase, Phase::Open | Phase::Opening { .. });
+        let alive = |it: &Flow| it.phase == Phase::Open && it.proven;
         let due = self.flows.iter().filter(|(_, it)| alive(it) && it.since_ms <= until_ms);
         let due: Vec<_> = due.map(|(&key, it)| (key, it.ack)).collect();
         for (key, seq) in due {
@@ -658,6 +669,7 @@
             let idle = now_ms.saturating_sub(it.seen_ms);
             match it.phase {
                 Phase::Ended | Phase::Absent => idle > ENDED_MS,
+                Phase::Opening { .. } => idle > OPENING_MS,
                 _ => idle > FLOW_IDLE_MS,
             }
         });
--- a/crates/core/tests/opaque/agent.rs
+++ b/crates/core/tests/opaque/agent.rs
@@ -141,6 +141,37 @@
     assert_eq!(agent.upstream(20), Upstream::Ended);
 }
 
+// Soak, seed 6: two upstreams had offered to take a flow; when the one that was not chosen ended, the flow was reset.
+#[test]
+fn an_offer_that_the_caller_did_not_take_is_never_reset() {
+    let mut agent = ready();
+    agent.relayed(&open_at(&[1], 5_000), &head(1, Kind::Open), 1, &mut Vec::new());
+    agent.sent(&Head { seq: 500, ..head(1, Kind::Open) }, 2, &mut Vec::new());
+    assert_eq!(resets(&run(|out| agent.upstream_ended(20, out))), 0);
+}
+
+#[test]
+fn a_flow_that_is_held_only_by_guess_is_never_reset() {
+    let mut agent = restarted();
+    agent.relayed(&relay(Ask::Locate), &data(5, 1, 1), 1, &mut Vec::new());
+    agent.tick(30, &mut Vec::new());
+    assert_eq!(agent.flows(), 1);
+    assert_eq!(resets(&run(|out| agent.upstream_ended(40, out))), 0);
+    let mut agent = restarted();
+    agent.relayed(&relay(Ask::Locate), &data(5, 1, 1), 1, &mut Vec::new());
+    agent.sent(&data(5, 1, 101), 2, &mut Vec::new());
+    assert_eq!(resets(&run(|out| agent.upstream_ended(40, out))), 1);
+}
+
+#[test]
+fn an_offer_that_was_not_taken_stops_counting() {
+    let mut agent = ready();
+    agent.relayed(&open_at(&[1], 5_000), &head(1, Kind::Open), 1, &mut Vec::new());
+    assert_eq!(agent.flows(), 1);
+    agent.tick(12_000, &mut Vec::new());
+    assert_eq!(agent.flows(), 0);
+}
+
 #[test]
 fn a_bounced_opening_packet_goes_on_to_the_next_candidate() {
     let mut agent = ready();
