--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -14,6 +14,7 @@
 pub mod flow;
 pub mod hold;
 pub mod load;
+pub mod presence;
 pub mod route;
 pub mod walk;
 
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -4,6 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
+pub use super::presence::Heartbeat;
 use super::{
     FlowKey, Head, Kind, PoolId,
     effect::{
@@ -12,6 +13,7 @@
     fleet::{Plan, Report, Upstream, ZoneId},
     flow::after,
     load::{Habit, Habits, Load},
+    presence::{Presence, Sender},
     walk::{CLOSED, Last, UNSURE, Walk},
 };
 use crate::invariant::{self, Invariant};
@@ -28,30 +30,11 @@
 const OPENING_MS: u64 = 10_000;
 /// Time after which an upstream that has not bounced a packet is taken to hold its flow: a local round trip, many times.
 const PROBE_MS: u64 = 12;
-/// Heartbeats that may be missing before an upstream's state counts as unknown.
-const MISSED_BEATS: u64 = 3;
 /// Pause between two looks for old flows.
 const PRUNE_EVERY_MS: u64 = 1_000;
 /// Room above what the caller has acknowledged within which it may acknowledge the upstream's opening packet: what
 /// can be in flight, 16 packets of 1,200 bytes, four times.
 const ACK_WINDOW: u32 = 76_800;
-/// Former upstreams of this address that are remembered, so that a late heartbeat is not taken for a new one.
-const FORMER_KEPT: usize = 16;
-
-/// A heartbeat of the upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// Name of the upstream process, new with each start.
-    pub id: String,
-    /// Number of the heartbeat.
-    pub seq: u64,
-    /// Whether the upstream leaves.
-    pub draining: bool,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Time for which it goes on being slow after its start.
-    pub cold_ms: u64,
-}
 
 /// What became of a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,16 +47,6 @@
     Late,
 }
 
-#[derive(Clone, Debug)]
-struct Present {
-    id: String,
-    seq: u64,
-    state: Upstream,
-    slots: u32,
-    cold_until: u64,
-    beat_ms: u64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// The opening packet was given to the upstream, whose first number is known once it has answered.
@@ -114,12 +87,10 @@
     incarnation: u64,
     report_seq: u64,
     report_ms: u32,
-    beat_ms: u64,
     started_ms: u64,
     learning: bool,
     plan: Plan,
-    present: Option<Present>,
-    former: Vec<String>,
+    presence: Presence,
     load: Load,
     habits: Habits,
     flows: FxHashMap<FlowKey, Flow>,
@@ -147,12 +118,10 @@
             incarnation,
             report_seq: 0,
             report_ms: 1_000,
-            beat_ms,
             started_ms: now_ms,
             learning,
             plan: Plan::Stay,
-            present: None,
-            former: Vec::new(),
+            presence: Presence::new(beat_ms),
             load: Load::default(),
             habits: Habits::default(),
             flows: FxHashMap::default(),
@@ -184,11 +153,8 @@
 
     /// State of the upstream.
     pub fn upstream(&self, now_ms: u64) -> Upstream {
-        let Some(present) = &self.present else {
-            return if self.learning { Upstream::Unknown } else { Upstream::Ended };
-        };
-        let silent = now_ms.saturating_sub(present.beat_ms) > self.beat_ms * MISSED_BEATS;
-        if present.state == Upstream::Ready && silent { Upstream::Unknown } else { present.state }
+        let unheard = if self.learning { Upstream::Unknown } else { Upstream::Ended };
+        self.presence.state(now_ms).unwrap_or(unheard)
     }
 
     /// The next report to balancers.
@@ -201,7 +167,7 @@
             zone: self.zone,
             upstream: self.upstream(now_ms),
             plan: self.plan,
-            slots: self.present.as_ref().map_or(1, |it| it.slots),
+            slots: self.presence.capacity(now_ms).0,
             load: self.lasting_load(now_ms),
             learning: self.learning,
             every_ms: self.report_ms,
@@ -215,29 +181,18 @@
 
     /// Takes a heartbeat of the upstream.
     pub fn heartbeat(&mut self, beat: &Heartbeat, now_ms: u64, out: &mut Vec<Effect>) -> Heard {
-        if self.former.contains(&beat.id) {
-            return Heard::Late;
-        }
         let before = self.upstream(now_ms);
-        match &self.present {
-            Some(it) if it.id == beat.id && beat.seq <= it.seq => return Heard::Late,
-            Some(it) if it.id != beat.id => {
-                let beat_ms = it.beat_ms;
-                self.replace_upstream(beat_ms, now_ms, out);
+        match self.presence.hear(beat, now_ms) {
+            Sender::Late => return Heard::Late,
+            Sender::Known => {}
+            Sender::Newborn => self.learning = false,
+            Sender::Successor { heard_ms } => {
+                self.learning = false;
+                // Flows that were opened after the former upstream's last heartbeat may already be with the new one.
+                self.reset_flows(heard_ms, now_ms, out);
             }
-            None if beat.seq <= 1 => self.learning = false,
-            _ => {}
         }
-        let state = if beat.draining { Upstream::Draining } else { Upstream::Ready };
-        self.present = Some(Present {
-            id: beat.id.clone(),
-            seq: beat.seq,
-            state,
-            slots: beat.slots,
-            cold_until: now_ms + beat.cold_ms,
-            beat_ms: now_ms,
-        });
-        if state == before {
+        if self.upstream(now_ms) == before {
             return Heard::Same;
         }
         out.push(Effect::Report);
@@ -246,19 +201,16 @@
 
     /// The upstream says that it ends; whether it was the present one.
     pub fn deregister(&mut self, id: &str, out: &mut Vec<Effect>) -> bool {
-        let Some(present) = self.present.as_mut().filter(|it| it.id == id) else {
-            return false;
-        };
-        present.state = Upstream::Ended;
-        out.push(Effect::Report);
-        true
+        let present = self.presence.deregister(id);
+        if present {
+            out.push(Effect::Report);
+        }
+        present
     }
 
     /// The upstream's process is proven to have ended: its flows are reset.
     pub fn upstream_ended(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
-        if let Some(present) = self.present.take() {
-            self.remember(present.id);
-        }
+        self.presence.end();
         self.learning = false;
         self.reset_flows(now_ms, now_ms, out);
     }
@@ -606,7 +558,7 @@
             _ => false,
         });
         let due: Vec<_> = due.map(|(&key, it)| (key, it.balancer)).collect();
-        let heard = self.present.is_some();
+        let heard = self.presence.is_known();
         for (key, balancer) in due {
             if heard {
                 self.settle_probe(key);
@@ -636,22 +588,6 @@
         }
     }
 
-    fn replace_upstream(&mut self, beat_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
-        if let Some(present) = self.present.take() {
-            self.remember(present.id);
-        }
-        self.learning = false;
-        // Flows that were opened after the former upstream's last heartbeat may already be with the new one.
-        self.reset_flows(beat_ms, now_ms, out);
-    }
-
-    fn remember(&mut self, id: String) {
-        if self.former.len() == FORMER_KEPT {
-            self.former.remove(0);
-        }
-        self.former.push(id);
-    }
-
     /// Resets the flows that began at `until_ms` or before. Those that the upstream is not known to have held may live at
     /// another one.
     fn reset_flows(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
@@ -679,18 +615,14 @@
         }
     }
 
-    fn capacity(&self, now_ms: u64) -> (u32, bool) {
-        self.present.as_ref().map_or((1, false), |it| (it.slots, now_ms < it.cold_until))
-    }
-
     fn lasting_load(&mut self, now_ms: u64) -> u16 {
-        let (slots, cold) = self.capacity(now_ms);
+        let (slots, cold) = self.presence.capacity(now_ms);
         self.load.lasting(slots, cold, now_ms)
     }
 
     /// The load that counts for a new flow.
     fn load_for(&mut self, key: &FlowKey, now_ms: u64) -> u16 {
-        let (slots, cold) = self.capacity(now_ms);
+        let (slots, cold) = self.presence.capacity(now_ms);
         match self.habits.of(key.service) {
             Habit::Single => self.load.present(slots, cold, now_ms),
             Habit::Kept => self.load.lasting(slots, cold, now_ms),
@@ -699,7 +631,7 @@
 
     /// Whether the flow is accepted without looking for a less loaded upstream.
     fn has_room(&self, key: &FlowKey, load: u16, limit: u16, now_ms: u64) -> bool {
-        let (slots, cold) = self.capacity(now_ms);
+        let (slots, cold) = self.presence.capacity(now_ms);
         match self.habits.of(key.service) {
             Habit::Single => self.load.has_room(slots, cold),
             Habit::Kept => load <= limit,
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -17,7 +17,7 @@
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
 use tokio::{
     net::{TcpStream, UdpSocket},
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, timeout},
 };
 use tokio_util::sync::CancellationToken;
@@ -71,8 +71,8 @@
     pub caller_port: u16,
     /// Pause between two heartbeats of the upstream.
     pub heartbeat: Duration,
-    /// Balancers to ask while the store is of no use.
-    pub seeds: Vec<SocketAddrV4>,
+    /// Balancers to ask while the store is of no use; they may change.
+    pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
 }
 
 /// What the upstream says of itself. The reply is sent once it is in force.
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -70,8 +70,8 @@
     pub callers: SocketAddrV4,
     /// Port at which callers take packets.
     pub caller_port: u16,
-    /// Balancers to ask while the store is of no use.
-    pub seeds: Vec<SocketAddrV4>,
+    /// Balancers to ask while the store is of no use; they may change.
+    pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
 }
 
 /// Whether the process should get packets.
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -6,7 +6,10 @@
 use camphorwinch_wire::opaque::Snapshot;
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
 
 use crate::{
     event::Id,
@@ -90,7 +93,7 @@
 pub(crate) async fn join<S>(
     store: S,
     own: Member,
-    seeds: Vec<SocketAddrV4>,
+    seeds: watch::Receiver<Vec<SocketAddrV4>>,
     out: mpsc::Sender<Found>,
 ) where
     S: Store,
@@ -106,6 +109,7 @@
                 sleep(LIST_EVERY.mul_f64(spread())).await;
             }
             Err(e) => {
+                let seeds = seeds.borrow().clone();
                 ask_any(&seeds, own.address, &out).await;
                 backoff.failed(&e).await;
             }
