--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -218,8 +218,7 @@
     /// Takes a caller's packet that another process sent.
     pub fn relayed(&mut self, relay: &Relay, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
         if relay.pool != self.pool {
-            answer(relay.balancer, head.key, Answer::WrongPool, false, out);
-            return drop(head.key, Drop::WrongPool, out);
+            return self.turn_away(relay, head, out);
         }
         match relay.ask {
             Ask::Open(walk) => self.open(relay, head, walk, Last::No, now_ms, out),
@@ -228,6 +227,22 @@
         }
     }
 
+    /// A packet that is meant for another pool is not for the upstream here. The balancer learns whom it sent it to,
+    /// and an opening packet goes on to the next candidate.
+    fn turn_away(&self, relay: &Relay, head: &Head, out: &mut Vec<Effect>) {
+        let returned = relay.ask == Ask::Deliver;
+        answer(relay.balancer, head.key, Answer::WrongPool(self.pool), returned, out);
+        let next = match relay.ask {
+            Ask::Open(mut walk) => walk.pass(CLOSED).map(|to| (to, Ask::Open(walk))),
+            Ask::Settle(_) | Ask::Deliver | Ask::Locate => None,
+        };
+        let Some((to, ask)) = next else {
+            return drop(head.key, Drop::WrongPool, out);
+        };
+        let relay = Relay { ask, ..*relay };
+        out.push(Effect::Relay { to, relay, payload: Payload::Current });
+    }
+
     /// Answers a balancer that asks for flows.
     pub fn query(&self, balancer: SocketAddrV4, keys: &[FlowKey], out: &mut Vec<Effect>) {
         let verdicts = keys.iter().map(|&it| (it, self.verdict(&it))).collect();
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -33,6 +33,9 @@
 const SEARCH_PAUSE_MS: u64 = 100;
 /// How often the pause doubles at the most.
 const MAX_DOUBLED: u32 = 4;
+/// Time after a caller's last packet for which its flow is searched for again and again, as long as no search was
+/// certain: the longest pause between two copies of a packet, and a bit.
+const CALLER_PAUSE_MS: u64 = 1_700;
 /// Time for which packets are held for an agent that restarts: a start takes about a second.
 const RESTART_HOLD_MS: u64 = 3_000;
 /// Time after which an unused flow is forgotten. It is searched for when it comes back.
@@ -56,14 +59,25 @@
 #[derive(Clone, Debug, Default)]
 struct Flow {
     agent: Option<SocketAddrV4>,
+    /// Pool in which the flow was placed or found. A later configuration does not move it.
+    pool: Option<PoolId>,
     confirmed: bool,
     search: Option<Search>,
     failed_ms: Option<u64>,
     failures: u32,
+    /// When the caller's last packet came.
+    packet_ms: u64,
     seen_ms: u64,
     ack: u32,
 }
 
+impl Flow {
+    /// Pause between the last search in vain and the next one.
+    fn pause_ms(&self) -> u64 {
+        SEARCH_PAUSE_MS << self.failures.saturating_sub(1).min(MAX_DOUBLED)
+    }
+}
+
 /// State of a balancer.
 #[derive(Debug)]
 pub struct Balancer {
@@ -166,8 +180,8 @@
         match answer {
             Answer::Here => self.here(from, key, now_ms, out),
             Answer::Absent => self.absent(from, key, returned, now_ms, out),
-            Answer::WrongPool => {
-                self.fleet.remove(from);
+            Answer::WrongPool(pool) => {
+                self.fleet.move_to(from, pool);
                 self.absent(from, key, returned, now_ms, out);
             }
         }
@@ -180,7 +194,7 @@
         }
         self.widen(now_ms, out);
         for key in self.hold.expired(now_ms) {
-            self.conclude(key, now_ms, out);
+            self.expire(key, now_ms, out);
         }
         if now_ms.saturating_sub(self.pruned_ms) >= PRUNE_EVERY_MS {
             self.pruned_ms = now_ms;
@@ -203,6 +217,7 @@
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The flow's upstream has answered, so the answer was lost: its agent sends another one.
             if let Some(agent) = flow.agent {
+                let pool = flow.pool.unwrap_or(pool);
                 return self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
             }
         }
@@ -211,7 +226,8 @@
         let Some(&first) = found.agents.first() else {
             return self.open_nowhere(key, pool, now_ms, out);
         };
-        let flow = Flow { agent: Some(first), seen_ms: now_ms, ..Flow::default() };
+        let flow =
+            Flow { agent: Some(first), pool: Some(pool), seen_ms: now_ms, ..Flow::default() };
         self.flows.insert(key, flow);
         note(key, Decision::Placed { first, copies }, out);
         let walk = Walk::new(found.agents, found.limit);
@@ -246,7 +262,9 @@
             return drop(key, Drop::NoRoute, out);
         };
         let flow = self.flows.entry(key).or_default();
+        let pool = flow.pool.unwrap_or(pool);
         flow.seen_ms = now_ms;
+        flow.packet_ms = now_ms;
         flow.ack = head.ack;
         if flow.search.is_some() {
             self.keep(key, bytes, now_ms + SEARCH_MS, out);
@@ -281,9 +299,10 @@
         flow.agent = None;
         flow.confirmed = false;
         flow.seen_ms = now_ms;
-        let pause = SEARCH_PAUSE_MS << flow.failures.saturating_sub(1).min(MAX_DOUBLED);
-        if flow.failed_ms.is_some_and(|it| now_ms.saturating_sub(it) < pause) {
-            return drop(key, Drop::NotFound, out);
+        if flow.failed_ms.is_some_and(|it| now_ms.saturating_sub(it) < flow.pause_ms()) {
+            // The next search is due soon and takes the packet along.
+            let due_ms = now_ms + flow.pause_ms();
+            return self.keep(key, bytes, due_ms, out);
         }
         let allows = |it| route.allows(it);
         let mut first = self.fleet.holders(allows, key.hash(), self.zone, now_ms);
@@ -367,14 +386,14 @@
             return;
         }
         flow.agent = Some(from);
+        flow.pool = self.fleet.pool_of(from).or(flow.pool);
         flow.confirmed = true;
         flow.failed_ms = None;
         flow.failures = 0;
-        let Some(search) = flow.search.take() else {
-            return;
-        };
-        let after_ms = now_ms.saturating_sub(search.since_ms);
-        note(key, Decision::Found { agent: from, after_ms }, out);
+        if let Some(search) = flow.search.take() {
+            let after_ms = now_ms.saturating_sub(search.since_ms);
+            note(key, Decision::Found { agent: from, after_ms }, out);
+        }
         self.send_held(from, key, out);
     }
 
@@ -414,12 +433,51 @@
         }
     }
 
-    /// Ends a search that found nobody. If that is certain, the caller learns it at once and can begin anew.
+    /// Ends a search that found nobody. If that is certain, the caller learns it at once and can begin anew; if not,
+    /// the search is repeated, as the caller's next packet may be far away.
     fn conclude(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
         let sure = self.is_held_nowhere(&key, now_ms);
-        self.give_up(key, now_ms, out);
-        if let Some(flow) = self.flows.get(&key).filter(|_| sure) {
-            reset(key, flow.ack, Why::NotHeld, out);
+        let Some(flow) = self.give_up(key, now_ms, out) else {
+            self.hold.take(&key);
+            return;
+        };
+        let (ack, due_ms) = (flow.ack, now_ms + flow.pause_ms());
+        if sure {
+            self.hold.take(&key);
+            reset(key, ack, Why::NotHeld, out);
+        } else {
+            self.hold.extend(&key, due_ms);
+        }
+    }
+
+    /// Does what is due for a flow whose packets were held long enough.
+    fn expire(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let flow = self.flows.get(&key);
+        let waits = flow.is_some_and(|it| it.search.is_none() && it.failed_ms.is_some());
+        let live = |it: &Flow| now_ms.saturating_sub(it.packet_ms) < CALLER_PAUSE_MS;
+        if !waits {
+            return self.conclude(key, now_ms, out);
+        }
+        if flow.is_some_and(live) {
+            self.search_again(key, now_ms, out);
+        } else {
+            self.hold.take(&key);
+        }
+    }
+
+    /// Repeats a search, now without copies of the packet: many flows may have to be searched for at once.
+    fn search_again(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+            self.hold.take(&key);
+            return drop(key, Drop::NoRoute, out);
+        };
+        let rest = self.fleet.holders(|it| route.allows(it), key.hash(), self.zone, now_ms);
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.search = Some(Search { since_ms: now_ms, waiting: Vec::new(), rest, asked: 0 });
+        }
+        self.hold.extend(&key, now_ms + SEARCH_MS);
+        if !self.ask_rest(key, out) {
+            self.conclude(key, now_ms, out);
         }
     }
 
@@ -437,19 +495,16 @@
         search.rest.is_empty() && silent && known && self.is_settled(now_ms)
     }
 
-    fn give_up(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
-        self.hold.take(&key);
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let Some(search) = flow.search.take() else {
-            return;
-        };
+    /// Notes that a search was in vain; its flow, if there was one.
+    fn give_up(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) -> Option<&Flow> {
+        let flow = self.flows.get_mut(&key)?;
+        let search = flow.search.take()?;
         flow.failed_ms = Some(now_ms);
         flow.failures += 1;
         let absent = search.asked - search.waiting.len();
         let silent = search.waiting.first().copied();
         note(key, Decision::NotFound { absent, asked: search.asked, silent }, out);
+        Some(flow)
     }
 
     /// Sends what is held of the flows of an agent that is back.
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -47,8 +47,8 @@
     Here,
     /// The flow is not here. A packet that comes along should go to its holder.
     Absent,
-    /// The agent is of another pool: what the balancer knows of this address is old.
-    WrongPool,
+    /// The agent is of this other pool: what the balancer knows of the address is old.
+    WrongPool(PoolId),
 }
 
 /// What an agent knows of a flow that a balancer asks for without a packet.
@@ -185,20 +185,17 @@
     WrongPool,
     /// The upstream bounced a packet of a flow that is not known.
     StrayBounce,
-    /// The flow was searched for a moment ago, in vain.
-    NotFound,
 }
 
 impl Drop {
     /// All reasons.
-    pub const ALL: [Drop; 7] = [
+    pub const ALL: [Drop; 6] = [
         Drop::NoConfig,
         Drop::NoRoute,
         Drop::NoUpstream,
         Drop::HoldFull,
         Drop::WrongPool,
         Drop::StrayBounce,
-        Drop::NotFound,
     ];
 
     /// Name used in logs and metrics.
@@ -210,7 +207,6 @@
             Drop::HoldFull => "hold-full",
             Drop::WrongPool => "wrong-pool",
             Drop::StrayBounce => "stray-bounce",
-            Drop::NotFound => "not-found",
         }
     }
 }
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -266,9 +266,15 @@
         change
     }
 
-    /// Forgets an agent whose address belongs to another pool now.
-    pub fn remove(&mut self, agent: SocketAddrV4) {
-        self.agents.remove(&agent);
+    /// Notes the pool that an agent says it is of. What was known of the address concerns another agent.
+    pub fn move_to(&mut self, agent: SocketAddrV4, pool: PoolId) {
+        let Some(entry) = self.agents.get_mut(&agent).filter(|it| it.pool != pool) else {
+            return;
+        };
+        entry.pool = pool;
+        entry.report = None;
+        entry.draining = false;
+        entry.greeted_ms = 0;
     }
 
     /// Whether the agent said that it restarts and has not been back yet.
--- a/crates/core/src/opaque/hold.rs
+++ b/crates/core/src/opaque/hold.rs
@@ -43,6 +43,13 @@
         self.flows.get(key)?.packets.first().map(Vec::as_slice)
     }
 
+    /// Holds the packets of a flow until then.
+    pub fn extend(&mut self, key: &FlowKey, until_ms: u64) {
+        if let Some(held) = self.flows.get_mut(key) {
+            held.until_ms = until_ms;
+        }
+    }
+
     /// Takes out the packets of a flow, in the order in which they came.
     pub fn take(&mut self, key: &FlowKey) -> Vec<Vec<u8>> {
         let packets = self.flows.remove(key).map_or_else(Vec::new, |it| it.packets);
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -5,7 +5,7 @@
 //!
 //! ```text
 //! 1 packet | ask | pool 8 | balancer 6 | for Open and Settle: limit 2, at 1, count 1, then 8 for each candidate | packet
-//! 2 answer | what | caller 6 | service 6 | the packet, if it is sent back
+//! 2 answer | what | pool 8, if it is another | caller 6 | service 6 | the packet, if it is sent back
 //! 3 message | Control
 //! 4 query | 12 for each flow: caller 6, service 6
 //! 5 verdicts | 13 for each flow: what, caller 6, service 6
@@ -107,10 +107,13 @@
     let code = match answer {
         Answer::Here => 0,
         Answer::Absent => 1,
-        Answer::WrongPool => 2,
+        Answer::WrongPool(_) => 2,
     };
     out.put_u8(ANSWER);
     out.put_u8(code);
+    if let Answer::WrongPool(pool) = answer {
+        out.put_u64(pool.0);
+    }
     put_key(key, out);
     out.put_slice(packet);
 }
@@ -181,7 +184,7 @@
 
 fn decode_packet(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
     let code = take_u8(&mut bytes)?;
-    let pool = PoolId(bytes.try_get_u64().map_err(|_| DecodeError::Truncated)?);
+    let pool = take_pool(&mut bytes)?;
     let balancer = take_address(&mut bytes)?;
     let ask = match code {
         0 => Ask::Open(take_walk(&mut bytes)?),
@@ -197,7 +200,7 @@
     let answer = match take_u8(&mut bytes)? {
         0 => Answer::Here,
         1 => Answer::Absent,
-        2 => Answer::WrongPool,
+        2 => Answer::WrongPool(take_pool(&mut bytes)?),
         code => return Err(DecodeError::Code(code)),
     };
     let key = take_key(&mut bytes)?;
@@ -251,6 +254,10 @@
     Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), take_u16(bytes)?))
 }
 
+fn take_pool(bytes: &mut &[u8]) -> Result<PoolId, DecodeError> {
+    bytes.try_get_u64().map(PoolId).map_err(|_| DecodeError::Truncated)
+}
+
 fn take_u16(bytes: &mut &[u8]) -> Result<u16, DecodeError> {
     bytes.try_get_u16().map_err(|_| DecodeError::Truncated)
 }
