The list of members is read again if some of them never reported

Cause: an agent that leaves while a balancer reads the list is listed there, never heard of, and waited for during 4.5 s; meanwhile no search of that balancer is certain and callers of dead flows wait. Ruled out: lost reports (the line of the leave stands at another balancer, 5 ms before this one's list).

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -45,6 +45,9 @@
 /// Time after the first list of members from which the balancer takes its view of them for complete: whoever joined
 /// after the list reports to this balancer within a round trip.
 const SETTLED_AFTER_MS: u64 = 300;
+/// Time after the first list of members at which it is read again if some of them never reported: they may have left
+/// just then. Two round trips of a greeting on a slow VM.
+const LIST_AGAIN_MS: u64 = 600;
 
 #[derive(Clone, Debug)]
 struct Search {
@@ -89,6 +92,7 @@
     hold: Hold,
     questions: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     listed_ms: Option<u64>,
+    listed_again: bool,
     pruned_ms: u64,
 }
 
@@ -104,6 +108,7 @@
             hold: Hold::default(),
             questions: BTreeMap::new(),
             listed_ms: None,
+            listed_again: false,
             pruned_ms: 0,
         }
     }
@@ -192,6 +197,7 @@
         for agent in self.fleet.to_greet(now_ms) {
             out.push(Effect::Greet { to: agent });
         }
+        self.list_again(now_ms, out);
         self.widen(now_ms, out);
         for key in self.hold.expired(now_ms) {
             self.expire(key, now_ms, out);
@@ -202,6 +208,18 @@
         }
     }
 
+    /// Asks once more for the list of members if the first one names some that never reported.
+    fn list_again(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        let due = self.listed_ms.is_some_and(|it| now_ms.saturating_sub(it) >= LIST_AGAIN_MS);
+        if !due || self.listed_again {
+            return;
+        }
+        self.listed_again = true;
+        if self.fleet.unheard() > 0 {
+            out.push(Effect::List);
+        }
+    }
+
     fn open(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
         let key = head.key;
         let copies = head.ack;
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -264,6 +264,8 @@
         /// The member.
         to: SocketAddrV4,
     },
+    /// Read the store's list of members again.
+    List,
     /// Report the agent's state to all balancers that it knows.
     Report,
     /// Log and count a decision.
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -302,6 +302,11 @@
         self.agents.is_empty()
     }
 
+    /// Agents that the store lists and that never reported.
+    pub fn unheard(&self) -> usize {
+        self.agents.values().filter(|it| it.listed && it.report.is_none()).count()
+    }
+
     /// Agents that were heard of lately.
     pub fn heard(&self, now_ms: u64) -> usize {
         self.agents.values().filter(|it| !it.is_silent(now_ms)).count()
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -214,6 +214,31 @@
     assert_eq!(resets(&tick(&mut it, 2_300)), 0);
 }
 
+// Bexley scale-2: an agent left while a balancer read the list. For 4.5 s no search of that balancer was concluded.
+#[test]
+fn a_member_that_left_while_the_list_was_read_is_not_waited_for() {
+    let mut it = Balancer::new(address(200), ZONE);
+    it.put_routes(routes(1));
+    let listed = |host| Listed { address: address(host), pool: Some(POOL), zone: ZONE };
+    it.list(&[listed(1), listed(2)], 0);
+    hear(&mut it, 1, 1, 10);
+    let lists = |out: &[Effect]| out.contains(&Effect::List);
+    assert!(!lists(&tick(&mut it, 500)));
+    assert!(lists(&tick(&mut it, 650)));
+    assert!(!lists(&tick(&mut it, 700)));
+    it.list(&[listed(1)], 710);
+    packet(&mut it, &data(1, 1, 1), 720);
+    assert_eq!(resets(&answer(&mut it, 1, Answer::Absent, 721)), 1);
+}
+
+#[test]
+fn the_list_is_not_read_again_if_all_members_reported() {
+    let mut it = Balancer::new(address(200), ZONE);
+    it.list(&[Listed { address: address(1), pool: Some(POOL), zone: ZONE }], 0);
+    hear(&mut it, 1, 1, 10);
+    assert!(!tick(&mut it, 650).contains(&Effect::List));
+}
+
 // Soak, seed 1: a balancer that started while the store was silent took a peer's part of the members for all of them.
 #[test]
 fn what_a_peer_knows_does_not_make_the_members_complete() {
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -470,6 +470,12 @@
                 }
                 Effect::Query { to, keys } => self.send_message(from, to, Message::Query(keys)),
                 Effect::Greet { to } => self.send_message(from, to, Message::Greeting),
+                Effect::List => {
+                    let members = self.listed();
+                    if let Some(it) = self.balancers.get_mut(&number) {
+                        it.list(&members, self.now);
+                    }
+                }
                 Effect::Reset { key, .. } => self.reset(key),
                 _ => {}
             }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -4,6 +4,7 @@
     collections::BTreeSet,
     io::ErrorKind,
     net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
     time::Duration,
 };
 
@@ -17,7 +18,7 @@
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
 use tokio::{
     net::{TcpStream, UdpSocket},
-    sync::{mpsc, oneshot, watch},
+    sync::{Notify, mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, timeout},
 };
 use tokio_util::sync::CancellationToken;
@@ -105,7 +106,8 @@
     let peers = Peers::new(socket::udp(own.address, "other processes")?);
     let (found, input) = mpsc::channel(WAITING);
     let seeds = settings.seeds.clone();
-    tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, found));
+    let never = Arc::new(Notify::new());
+    tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, never, found));
     // Without a listener there is no upstream that could hold flows from before this process.
     let learning = is_listening(settings.upstream).await;
     let id = Id::UpstreamLookedFor;
@@ -120,7 +122,7 @@
         learning,
         now,
     );
-    let process = Process {
+    let mut process = Process {
         state,
         codec,
         outbound,
@@ -137,6 +139,8 @@
     let leaves = process.serve(input, said, stop).await?;
     if leaves {
         withdraw(&store, &own.name).await;
+        // Who read the list just before that knows this process from it only.
+        process.set_plan(Plan::Leave);
     }
     let id = Id::Stopped;
     tracing::info!(id = id as u16, name = id.name(), leaves);
@@ -181,7 +185,7 @@
 {
     /// Serves until the stop is done; whether the upstream has ended, so that the agent leaves for good.
     async fn serve(
-        mut self,
+        &mut self,
         mut input: mpsc::Receiver<Found>,
         mut said: mpsc::Receiver<Said>,
         stop: CancellationToken,
@@ -447,7 +451,7 @@
                 Effect::Report => self.report(now),
                 Effect::Note { key, decision } => self.notes.write(key, &decision, now),
                 Effect::Verdicts { to, verdicts } => self.peers.verdicts(to, &verdicts),
-                Effect::Greet { .. } | Effect::Query { .. } => {
+                Effect::Greet { .. } | Effect::Query { .. } | Effect::List => {
                     unreachable!("only balancers do this")
                 }
             }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -20,7 +20,7 @@
 use rand::{Rng, seq::IteratorRandom};
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     time::{MissedTickBehavior, interval},
 };
 use tokio_util::sync::CancellationToken;
@@ -108,10 +108,12 @@
     let (newest, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     snapshot::serve(own.address, snapshots)?;
     let (found, input) = mpsc::channel(WAITING);
+    let list_again = Arc::new(Notify::new());
     tokio::spawn(discovery::join(
         store.clone(),
         own.clone(),
         settings.seeds.clone(),
+        list_again.clone(),
         found.clone(),
     ));
     tokio::spawn(discovery::follow(store.clone(), found.clone()));
@@ -129,6 +131,7 @@
         ready,
         newest,
         found,
+        list_again,
         balancers: BTreeSet::new(),
         records: Vec::new(),
         gone,
@@ -155,6 +158,7 @@
     ready: Ready,
     newest: watch::Sender<Arc<Snapshot>>,
     found: mpsc::Sender<Found>,
+    list_again: Arc<Notify>,
     /// The other balancers.
     balancers: BTreeSet<SocketAddrV4>,
     records: Vec<Record>,
@@ -466,6 +470,7 @@
                 }
                 Effect::Reset { key, seq } => self.reset(&key, seq),
                 Effect::Greet { to } => self.greet(to, false),
+                Effect::List => self.list_again.notify_one(),
                 Effect::Query { to, keys } => self.peers.query(to, &keys),
                 Effect::Note { key, decision } => self.notes.write(key, &decision, now),
                 Effect::Answer { .. }
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -1,14 +1,14 @@
 //! Finding the other processes and the configuration: in the store, or with peers while the store is of no use.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use camphorwinch_core::opaque::{fleet::Listed, route::Routes};
 use camphorwinch_wire::opaque::Snapshot;
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
 use tokio::{
-    sync::{mpsc, watch},
-    time::sleep,
+    sync::{Notify, mpsc, watch},
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -89,11 +89,12 @@
     rand::rng().random_range(0.6..1.0)
 }
 
-/// Lists this process in the store and the others for it, then again from time to time.
+/// Lists this process in the store and the others for it, then again from time to time and when `again` says so.
 pub(crate) async fn join<S>(
     store: S,
     own: Member,
     seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    again: Arc<Notify>,
     out: mpsc::Sender<Found>,
 ) where
     S: Store,
@@ -106,7 +107,8 @@
                 if out.send(Found::Members(members)).await.is_err() {
                     return;
                 }
-                sleep(LIST_EVERY.mul_f64(spread())).await;
+                // Either is a reason to list again.
+                let _ = timeout(LIST_EVERY.mul_f64(spread()), again.notified()).await;
             }
             Err(e) => {
                 let seeds = seeds.borrow().clone();
