camphorwinch explain; log classes and walks in one line; configuration watched from the store's revision

Logs: the limit on lines of single flows let steps push out outcomes, and a full pool wrote eight lines a flow. Now two classes, and the agent that takes a flow writes the whole walk. Ruled out: retries while the store is down (no line 613 in that span).

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod delete;
 mod drain;
+mod explain;
 mod get;
 mod keys;
 mod status;
@@ -17,6 +18,7 @@
     apply::{Apply, apply},
     delete::{Delete, delete},
     drain::{Drain, drain},
+    explain::{Explain, explain},
     get::{Get, get},
     keys::{Keys, keys},
     status::{Status, status},
@@ -49,6 +51,8 @@
     Status(#[bpaf(external(status))] Status),
     /// Shows events of all processes.
     Timeline(#[bpaf(external(timeline))] Timeline),
+    /// Tells from logs why an opaque flow ended as it did.
+    Explain(#[bpaf(external(explain))] Explain),
     /// Manages the fleet's keys.
     Keys(#[bpaf(external(keys))] Keys),
 }
@@ -65,6 +69,7 @@
             Cmd::Undrain(it) => &it.flags,
             Cmd::Status(it) => &it.flags,
             Cmd::Timeline(it) => &it.flags,
+            Cmd::Explain(it) => &it.flags,
             Cmd::Keys(it) => it.action.flags(),
         }
     }
@@ -80,6 +85,7 @@
             Cmd::Undrain(it) => it.run(settings).await,
             Cmd::Status(it) => it.run(settings).await,
             Cmd::Timeline(it) => it.run(settings).await,
+            Cmd::Explain(it) => it.run(settings.format),
             Cmd::Keys(it) => it.run(settings).await,
         }
     }
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -85,11 +85,7 @@
             faults.push(fault("--timeout", TIMEOUT, &text.unwrap_or_default(), "0.1 to 86400"));
         }
 
-        let text = pick(|it| &it.output, OUTPUT);
-        let format = text.as_deref().map_or(Some(Format::Table), Format::parse);
-        if format.is_none() {
-            faults.push(fault("--output", OUTPUT, &text.unwrap_or_default(), "table, json"));
-        }
+        let format = format(flags, &var).map_err(|it| faults.push(it)).ok();
 
         match (platform, timeout, format) {
             (Some(platform), Some(timeout), Some(format)) => {
@@ -100,6 +96,18 @@
     }
 }
 
+/// Checks the output format alone, for commands that need no platform.
+pub fn format<F>(flags: &[&Flags], var: F) -> Result<Format, Fault>
+where
+    F: Fn(&str) -> Option<String>,
+{
+    let text = flags.iter().find_map(|it| it.output.clone()).or_else(|| var(OUTPUT));
+    let format = text.as_deref().map_or(Some(Format::Table), Format::parse);
+    format.ok_or_else(|| {
+        fault("--output", OUTPUT, text.as_deref().unwrap_or_default(), "table, json")
+    })
+}
+
 fn fault(flag: &str, var: &str, value: &str, allowed: &'static str) -> Fault {
     Fault { name: format!("{flag} or {var}"), value: value.to_owned(), allowed }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cmd;
 pub mod config;
 pub mod error;
+pub mod explain;
 pub mod keys;
 pub mod manifest;
 pub mod output;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,13 @@
 };
 
 use bpaf::ParseFailure;
-use camphorwinch_cli::{app, config::Settings, error::Error, output::print};
+use camphorwinch_cli::{
+    app,
+    cmd::Cmd,
+    config::{self, Settings},
+    error::Error,
+    output::print,
+};
 
 fn main() -> ExitCode {
     let app = match app::app().run_inner(bpaf::Args::current_args()) {
@@ -26,7 +32,12 @@
 
 fn run(app: &app::App) -> Result<(), Error> {
     let var = |name: &str| env::var_os(name).map(|it| it.to_string_lossy().into_owned());
-    let settings = Settings::new(&[app.cmd.flags(), &app.flags], var)?;
+    let flags = [app.cmd.flags(), &app.flags];
+    if let Cmd::Explain(it) = &app.cmd {
+        let format = config::format(&flags, var).map_err(|it| Error::Settings(vec![it]))?;
+        return it.run(format);
+    }
+    let settings = Settings::new(&flags, var)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -401,7 +401,7 @@
         }
         let phase = Phase::Opening { walk: Some(walk), first: None };
         self.insert(head.key, phase, relay.balancer, now_ms);
-        note(head.key, Decision::Accepted { load, last }, out);
+        note(head.key, Decision::Accepted { load, last, walk }, out);
         out.push(Effect::Deliver);
     }
 
@@ -433,6 +433,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(best) = walk.settle() else {
+            note(head.key, Decision::NobodyAccepted { walk }, out);
             return reset(head.key, 0, Why::AllRefused, out);
         };
         if best == self.address {
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -119,6 +119,8 @@
         load: u16,
         /// Whether that was the last resort.
         last: Last,
+        /// The candidates, with the loads of those that were asked before.
+        walk: Walk,
     },
     /// An agent passed an opening packet on, as it is too loaded or may take no flow.
     PassedOn {
@@ -129,6 +131,11 @@
         /// Load up to which it would have accepted a flow that is kept.
         limit: u16,
     },
+    /// No candidate may take the flow.
+    NobodyAccepted {
+        /// The candidates and their loads.
+        walk: Walk,
+    },
     /// The upstream sent an opening packet back.
     Refused,
     /// The holder of a flow is searched for.
--- a/crates/core/src/opaque/walk.rs
+++ b/crates/core/src/opaque/walk.rs
@@ -5,7 +5,10 @@
 //! is exact; what balancers know of it is a second old and sets only the order and the limit. An agent above the limit
 //! writes its load into the packet and sends it on; the last one picks the least loaded of all.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddrV4},
+};
 
 /// Most candidates of one walk: the chance that all of them are above the mean is small already, and with 8 the
 /// packet stays below an Ethernet frame.
@@ -111,3 +114,18 @@
         self.current()
     }
 }
+
+/// The candidates in their order with the loads that they wrote down; `-` is one that may take no flow or was not asked.
+impl fmt::Display for Walk {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, seat) in self.seats().iter().enumerate() {
+            let gap = if at == 0 { "" } else { " " };
+            match seat.load {
+                CLOSED => write!(f, "{gap}{}=-", seat.agent)?,
+                UNSURE => write!(f, "{gap}{}=unsure", seat.agent)?,
+                load => write!(f, "{gap}{}={load}", seat.agent)?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/core/tests/opaque/walk.rs
+++ b/crates/core/tests/opaque/walk.rs
@@ -44,3 +44,11 @@
         walk.settle() == best
     }
 }
+
+#[test]
+fn a_walk_tells_what_was_judged() {
+    let mut walk = Walk::new([address(1), address(2), address(3)], 500);
+    walk.pass(620);
+    walk.record(UNSURE);
+    assert_eq!(walk.to_string(), "10.0.0.1:7720=620 10.0.0.2:7720=unsure 10.0.0.3:7720=-");
+}
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -1,5 +1,8 @@
 //! Finding the other processes and the configuration: in the store, or with peers while the store is of no use.
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use camphorwinch_core::opaque::{fleet::Listed, route::Routes};
@@ -139,37 +142,38 @@
     S: Store,
 {
     let mut backoff = Backoff::new();
-    let mut revision = 0;
+    let mut at = None;
     loop {
-        let step = if revision == 0 {
-            let read = count("read-config", store.routes(backoff.patience()).await);
-            read.map(|it| it.map_or(Watched::Compacted, Watched::Routes))
-        } else {
-            count("watch-config", store.watch(revision, WATCH_WAIT, backoff.patience()).await)
+        let step = match at {
+            None => {
+                let read = count("read-config", store.routes(backoff.patience()).await);
+                read.map(Watched::Seen)
+            }
+            Some(at) => {
+                let watched = store.watch(at, WATCH_WAIT, backoff.patience()).await;
+                count("watch-config", watched)
+            }
         };
         match step {
-            Ok(Watched::Routes(routes)) => {
+            Ok(Watched::Seen(seen)) => {
                 backoff.succeeded();
-                revision = routes.revision;
+                at = Some(seen.at);
+                let Some(routes) = seen.routes else {
+                    continue;
+                };
                 if out.send(Found::Routes(routes)).await.is_err() {
                     return;
                 }
             }
-            Ok(Watched::Nothing(at)) => {
-                backoff.succeeded();
-                revision = revision.max(at);
-            }
             Ok(Watched::Compacted) => {
-                if revision == 0 {
-                    // There is no configuration yet.
-                    sleep(FIRST_PAUSE).await;
-                }
-                revision = 0;
+                at = None;
+                // The store may go on dropping its history.
+                sleep(FIRST_PAUSE.mul_f64(spread())).await;
             }
             Err(e) => {
                 backoff.failed(&e).await;
                 // What came while the watch was broken may be in no history any more.
-                revision = 0;
+                at = None;
             }
         }
     }
--- /dev/null
+++ b/crates/opaque/src/discovery/tests.rs
@@ -0,0 +1,87 @@
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use camphorwinch_core::opaque::route::Routes;
+use tokio::{sync::mpsc, time::sleep};
+
+use super::{Found, follow};
+use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
+
+/// Revision of the store, far above that of its configuration.
+const STORE_AT: u64 = 900;
+/// Revision of the configuration, which the store's history no longer holds.
+const CONFIG_AT: u64 = 5;
+
+/// A store whose history goes back to [`STORE_AT`] only; with `forgets` it has none at all.
+#[derive(Clone, Default)]
+struct Fake {
+    forgets: bool,
+    calls: Arc<Mutex<Vec<Option<u64>>>>,
+}
+
+impl Fake {
+    fn calls(&self) -> Vec<Option<u64>> {
+        self.calls.lock().expect("not poisoned").clone()
+    }
+
+    fn note(&self, call: Option<u64>) {
+        self.calls.lock().expect("not poisoned").push(call);
+    }
+}
+
+impl Store for Fake {
+    async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn announce(&self, _: &Member, _: Duration) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn withdraw(&self, _: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn routes(&self, _: Duration) -> Result<Seen, StoreError> {
+        self.note(None);
+        let routes = Routes { revision: CONFIG_AT, version: 1, ..Routes::default() };
+        Ok(Seen { routes: Some(routes), at: STORE_AT })
+    }
+
+    async fn watch(&self, at: u64, wait: Duration, _: Duration) -> Result<Watched, StoreError> {
+        self.note(Some(at));
+        if self.forgets || at < STORE_AT {
+            return Ok(Watched::Compacted);
+        }
+        sleep(wait).await;
+        Ok(Watched::Seen(Seen { routes: None, at }))
+    }
+}
+
+async fn calls_in_a_second(store: &Fake) -> Vec<Option<u64>> {
+    let (out, mut found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), out));
+    let drain = tokio::spawn(async move { while found.recv().await.is_some() {} });
+    sleep(Duration::from_secs(1)).await;
+    task.abort();
+    drain.abort();
+    store.calls()
+}
+
+// Spb-edge scale-1: 4,076 calls to the store in 50 s. A watch began at the configuration's own revision, which the store
+// had dropped from its history, so that reading and watching went round without a pause.
+#[tokio::test]
+async fn a_watch_goes_on_from_the_revision_of_the_store() {
+    let store = Fake::default();
+    assert_eq!(calls_in_a_second(&store).await, [None, Some(STORE_AT)]);
+}
+
+#[tokio::test]
+async fn a_store_that_drops_its_history_all_the_time_is_not_called_in_a_loop() {
+    let store = Fake { forgets: true, ..Fake::default() };
+    let calls = calls_in_a_second(&store).await.len();
+    // A read and a watch for each pause of 90 to 150 ms.
+    assert!((8..=26).contains(&calls), "{calls}");
+}
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -57,5 +57,6 @@
     650 FlowReset "opaque-flow-reset" "a flow was reset";
     651 PacketDropped "opaque-packet-dropped" "a packet was dropped";
     652 UpstreamReset "opaque-upstream-reset" "the upstream reset a flow; of one that it does not hold that stays here";
+    653 FlowUnplaced "opaque-flow-unplaced" "no candidate may take the flow; their loads as they judged them";
     661 LinesSuppressed "opaque-lines-suppressed" "lines on single flows were left out, as there were too many";
 }
--- a/crates/opaque/src/log.rs
+++ b/crates/opaque/src/log.rs
@@ -15,8 +15,8 @@
 
 /// Lines that may wait for the writer: some seconds of the highest rate.
 const WAITING: usize = 1_024;
-/// Lines on single flows in a second. With some 300 bytes a line that is 15 KB/s.
-pub const FLOW_LINES_PER_S: u32 = 50;
+/// Lines on single flows in a second, of each class. With some 300 bytes a line both classes take 24 KB/s.
+pub const FLOW_LINES_PER_S: u32 = 40;
 /// Lines on single flows that may come at once after a quiet time.
 pub const FLOW_LINES_BURST: u32 = 200;
 
@@ -116,7 +116,7 @@
 }
 
 /// Lets lines on single flows through up to a rate and counts the others.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Limiter {
     tokens: u32,
     refilled_ms: u64,
--- a/crates/opaque/src/note.rs
+++ b/crates/opaque/src/note.rs
@@ -4,9 +4,22 @@
 
 use crate::{event::Id, log::Limiter, metrics};
 
+/// What a line is good for. Each class has its own share of the lines, so that the steps of many flows never push out
+/// the line that says why one of them failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    /// A step on a flow's way.
+    Step,
+    /// What a caller notices.
+    Outcome,
+    /// Told by a later line as well.
+    Detail,
+}
+
 /// Logs and counts decisions.
 pub(crate) struct Notes {
-    limiter: Limiter,
+    steps: Limiter,
+    outcomes: Limiter,
     reported_ms: u64,
 }
 
@@ -15,7 +28,8 @@
 
 impl Notes {
     pub(crate) fn new(now_ms: u64) -> Notes {
-        Notes { limiter: Limiter::new(now_ms), reported_ms: now_ms }
+        let limiter = Limiter::new(now_ms);
+        Notes { steps: limiter.clone(), outcomes: limiter, reported_ms: now_ms }
     }
 
     /// Counts a decision and writes its line, if the rate allows.
@@ -25,7 +39,12 @@
         if let Decision::Found { after_ms, .. } = decision {
             metrics::SEARCH_SECONDS.observe(*after_ms as f64 / 1_000.0);
         }
-        if !self.limiter.allow(now_ms) {
+        let allowed = match class(decision) {
+            Class::Step => self.steps.allow(now_ms),
+            Class::Outcome => self.outcomes.allow(now_ms),
+            Class::Detail => tracing::enabled!(tracing::Level::DEBUG),
+        };
+        if !allowed {
             return;
         }
         let flow = key.map(|it| it.to_string());
@@ -38,20 +57,40 @@
             return;
         }
         self.reported_ms = now_ms;
-        let lines = self.limiter.take_suppressed();
-        if lines > 0 {
+        let (steps, outcomes) = (self.steps.take_suppressed(), self.outcomes.take_suppressed());
+        if steps + outcomes > 0 {
             let id = Id::LinesSuppressed;
-            tracing::warn!(id = id as u16, name = id.name(), lines);
+            tracing::warn!(id = id as u16, name = id.name(), steps, outcomes);
         }
     }
 }
 
+fn class(decision: &Decision) -> Class {
+    match decision {
+        Decision::Placed { .. }
+        | Decision::Accepted { .. }
+        | Decision::Searched { .. }
+        | Decision::Found { .. }
+        | Decision::Absent
+        | Decision::Held { .. } => Class::Step,
+        // The line of the agent that takes the flow holds the whole walk.
+        Decision::PassedOn { .. } => Class::Detail,
+        Decision::NobodyAccepted { .. }
+        | Decision::Refused
+        | Decision::NotFound { .. }
+        | Decision::UpstreamReset { .. }
+        | Decision::Reset(_)
+        | Decision::Dropped(_) => Class::Outcome,
+    }
+}
+
 fn classify(decision: &Decision) -> (Id, &'static str) {
     match decision {
         Decision::Placed { .. } => (Id::FlowPlaced, "placed"),
         Decision::Accepted { last: Last::No, .. } => (Id::FlowAccepted, "accepted"),
         Decision::Accepted { last: Last::Yes, .. } => (Id::FlowAccepted, "accepted-last"),
         Decision::PassedOn { .. } => (Id::FlowPassed, "passed-on"),
+        Decision::NobodyAccepted { .. } => (Id::FlowUnplaced, "unplaced"),
         Decision::Refused => (Id::FlowRefused, "refused"),
         Decision::Searched { .. } => (Id::FlowSearched, "searched"),
         Decision::Found { .. } => (Id::FlowFound, "found"),
@@ -71,11 +110,15 @@
         Decision::Placed { first, copies } => {
             tracing::info!(id, name, flow, agent = %first, copies);
         }
-        Decision::Accepted { load, last } => {
-            tracing::info!(id, name, flow, load, last = last == Last::Yes);
+        Decision::Accepted { load, last, walk } => {
+            let (last, limit) = (last == Last::Yes, walk.limit);
+            tracing::info!(id, name, flow, load, last, limit, walk = %walk);
+        }
+        Decision::NobodyAccepted { walk } => {
+            tracing::warn!(id, name, flow, limit = walk.limit, walk = %walk);
         }
         Decision::PassedOn { to, load, limit } => {
-            tracing::info!(id, name, flow, agent = %to, load, limit);
+            tracing::debug!(id, name, flow, agent = %to, load, limit);
         }
         Decision::Searched { asked } => tracing::info!(id, name, flow, asked),
         Decision::Found { agent, after_ms } => {
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -42,13 +42,21 @@
     pub revision: u64,
 }
 
+/// The configuration as a call saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The configuration; none if there is none, or none newer than what was asked for.
+    pub routes: Option<Routes>,
+    /// The store's revision, from which a watch goes on. It may be far above that of the configuration, whose own may
+    /// have left the store's history.
+    pub at: u64,
+}
+
 /// What a watch of the configuration brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
-    /// A newer configuration.
-    Routes(Routes),
-    /// Nothing up to this revision.
-    Nothing(u64),
+    /// What happened up to a revision.
+    Seen(Seen),
     /// The store no longer has the history: read the configuration anew.
     Compacted,
 }
@@ -123,13 +131,10 @@
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// The configuration, not older than the call; none if there is none yet.
-    fn routes(
-        &self,
-        patience: Duration,
-    ) -> impl Future<Output = Result<Option<Routes>, StoreError>> + Send;
+    /// The configuration, not older than the call.
+    fn routes(&self, patience: Duration) -> impl Future<Output = Result<Seen, StoreError>> + Send;
 
-    /// Waits for a configuration newer than `revision`.
+    /// Waits for a configuration newer than `revision` of the store.
     fn watch(
         &self,
         revision: u64,
