A search is certain only if every agent that may hold the flow at its end was asked; standing still is no silence

Cause: a search did not ask agents that counted as gone when it began, and was certain when they spoke again during it. A balancer that was frozen for longer than 4.5 s called all agents gone at its first packet.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -47,6 +47,8 @@
 /// Time after the first list of members from which the balancer takes its view of them for complete: whoever joined
 /// after the list reports to this balancer within a round trip.
 const SETTLED_AFTER_MS: u64 = 300;
+/// Time without any event after which the balancer's process must have stood still: it looks at what is due each 20 ms.
+const STOOD_STILL_MS: u64 = 1_000;
 /// Time after the first list of members at which it is read again if some of them never reported: they may have left
 /// just then. Two round trips of a greeting on a slow VM.
 const LIST_AGAIN_MS: u64 = 600;
@@ -60,10 +62,17 @@
     rest: Vec<SocketAddrV4>,
     /// Agents whose upstreams have to be asked with a packet of the flow.
     unsure: Vec<SocketAddrV4>,
+    /// Agents that do not hold the flow.
+    absent: Vec<SocketAddrV4>,
     asked: usize,
 }
 
 impl Search {
+    fn new(rest: Vec<SocketAddrV4>, now_ms: u64) -> Search {
+        let (waiting, unsure, absent) = (Vec::new(), Vec::new(), Vec::new());
+        Search { since_ms: now_ms, waiting, rest, unsure, absent, asked: 0 }
+    }
+
     /// Whether nobody is waited for but agents that are not sure themselves.
     fn is_up_to_upstreams(&self) -> bool {
         !self.unsure.is_empty() && self.rest.is_empty() && self.waiting.len() == self.unsure.len()
@@ -104,6 +113,7 @@
     questions: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     listed_ms: Option<u64>,
     listed_again: bool,
+    event_ms: u64,
     pruned_ms: u64,
 }
 
@@ -120,6 +130,7 @@
             questions: BTreeMap::new(),
             listed_ms: None,
             listed_again: false,
+            event_ms: 0,
             pruned_ms: 0,
         }
     }
@@ -168,6 +179,7 @@
         now_ms: u64,
         out: &mut Vec<Effect>,
     ) -> Change {
+        self.wake(now_ms);
         let change = self.fleet.report(from, report, now_ms);
         if change == Change::Restarted {
             self.release(from, out);
@@ -177,6 +189,7 @@
 
     /// Takes a packet that a caller sent.
     pub fn packet(&mut self, head: &Head, bytes: &[u8], now_ms: u64, out: &mut Vec<Effect>) {
+        self.wake(now_ms);
         match head.kind {
             Kind::Open => self.open(head, now_ms, out),
             Kind::Data | Kind::Finish | Kind::Reset => self.carry(head, bytes, now_ms, out),
@@ -205,6 +218,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        self.wake(now_ms);
         for agent in self.fleet.to_greet(now_ms) {
             out.push(Effect::Greet { to: agent });
         }
@@ -219,6 +233,16 @@
         }
     }
 
+    /// Notes the time. While the process stood still it heard nobody, and that says nothing about the agents.
+    fn wake(&mut self, now_ms: u64) {
+        let passed = now_ms.saturating_sub(self.event_ms);
+        if passed > STOOD_STILL_MS && self.event_ms > 0 {
+            self.fleet.excuse(passed, now_ms);
+            self.listed_ms = self.listed_ms.map(|_| now_ms);
+        }
+        self.event_ms = now_ms;
+    }
+
     /// Asks once more for the list of members if the first one names some that never reported.
     fn list_again(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         let due = self.listed_ms.is_some_and(|it| now_ms.saturating_sub(it) >= LIST_AGAIN_MS);
@@ -340,8 +364,10 @@
         let asked = first.len();
         note(key, Decision::Searched { asked }, out);
         self.ask(&first, bytes, out);
-        let unsure = Vec::new();
-        let search = Search { since_ms: now_ms, waiting: first, rest, unsure, asked };
+        let mut search = Search::new(rest, now_ms);
+        search.waiting = first;
+        search.asked = asked;
+        search.absent.extend(except);
         self.flows.entry(key).or_default().search = Some(search);
         self.keep(key, bytes, now_ms + SEARCH_MS, out);
     }
@@ -487,6 +513,7 @@
         };
         if let Some(search) = &mut flow.search {
             search.waiting.retain(|&it| it != from);
+            search.absent.push(from);
             let open = search.waiting.is_empty();
             if let Some((_, bytes)) = returned {
                 self.keep(key, bytes, now_ms + SEARCH_MS, out);
@@ -550,8 +577,7 @@
         };
         let rest = self.fleet.holders(|it| route.allows(it), key.hash(), self.zone, now_ms);
         if let Some(flow) = self.flows.get_mut(&key) {
-            let (waiting, unsure) = (Vec::new(), Vec::new());
-            flow.search = Some(Search { since_ms: now_ms, waiting, rest, unsure, asked: 0 });
+            flow.search = Some(Search::new(rest, now_ms));
         }
         self.hold.extend(&key, now_ms + SEARCH_MS);
         if !self.ask_rest(key, out) {
@@ -560,7 +586,7 @@
     }
 
     /// Whether each agent that could hold the flow either answered that it does not, or has been gone for so long that
-    /// the flow is of no use to its caller.
+    /// the flow is of no use to its caller. One that was heard of only after the search began was not asked.
     fn is_held_nowhere(&self, key: &FlowKey, now_ms: u64) -> bool {
         let Some(search) = self.flows.get(key).and_then(|it| it.search.as_ref()) else {
             return false;
@@ -568,9 +594,10 @@
         let Lookup::Route(route) = self.routes.lookup(key.service) else {
             return false;
         };
-        let silent = search.waiting.iter().all(|&it| self.fleet.is_gone(it, now_ms));
+        let holders = self.fleet.holders(|it| route.allows(it), key.hash(), self.zone, now_ms);
+        let absent = holders.iter().all(|it| search.absent.contains(it));
         let known = self.fleet.is_complete(|it| route.allows(it), now_ms);
-        search.rest.is_empty() && silent && known && self.is_settled(now_ms)
+        absent && known && self.is_settled(now_ms)
     }
 
     /// Notes that a search was in vain; its flow, if there was one.
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -302,6 +302,13 @@
         self.agents.is_empty()
     }
 
+    /// Leaves out a time in which nobody could be heard.
+    pub fn excuse(&mut self, passed_ms: u64, now_ms: u64) {
+        for entry in self.agents.values_mut() {
+            entry.heard_ms = (entry.heard_ms + passed_ms).min(now_ms);
+        }
+    }
+
     /// Agents that the store lists and that never reported.
     pub fn unheard(&self) -> usize {
         self.agents.values().filter(|it| it.listed && it.report.is_none()).count()
