--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -10,7 +10,7 @@
     effect::{
         Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why, drop, note, reset,
     },
-    fleet::{Plan, Report, Upstream, ZoneId},
+    fleet::{Plan, REPORT_MS, Report, Upstream, ZoneId},
     flow::after,
     load::{Habit, Habits, Load},
     presence::{Presence, Sender},
@@ -64,9 +64,12 @@
 #[derive(Clone, Debug)]
 struct Flow {
     phase: Phase,
-    balancer: SocketAddrV4,
+    /// The balancer that sent its last packet; none of a flow that only its upstream has spoken of.
+    balancer: Option<SocketAddrV4>,
     since_ms: u64,
     seen_ms: u64,
+    /// Number in the opening packet; none if this agent has not seen it.
+    opened_seq: Option<u32>,
     busy: bool,
     requests: u32,
     /// The upstream is known to hold the flow: its offer was taken, or it sent a packet of the open flow.
@@ -78,13 +81,31 @@
     upstream_done: bool,
 }
 
+impl Flow {
+    /// Whether the opening packet is a copy of the one that opened this flow. A caller that uses its port again draws
+    /// another number.
+    fn is_opened_by(&self, head: &Head) -> bool {
+        self.opened_seq.is_none_or(|it| it == head.seq)
+    }
+}
+
+/// Who an agent is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Address at which other processes reach it.
+    pub address: SocketAddrV4,
+    /// Pool of its upstream.
+    pub pool: PoolId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// A number that differs between its starts.
+    pub incarnation: u64,
+}
+
 /// State of an agent.
 #[derive(Debug)]
 pub struct Agent {
-    address: SocketAddrV4,
-    pool: PoolId,
-    zone: ZoneId,
-    incarnation: u64,
+    own: Identity,
     report_seq: u64,
     report_ms: u32,
     started_ms: u64,
@@ -99,25 +120,13 @@
 }
 
 impl Agent {
-    /// An agent that other processes reach at `address`; `incarnation` differs between its starts and `beat_ms` is
-    /// the upstream's pause between heartbeats. `learning` says that the upstream may be older than the agent and hold
-    /// flows that it does not know.
-    pub fn new(
-        address: SocketAddrV4,
-        pool: PoolId,
-        zone: ZoneId,
-        incarnation: u64,
-        beat_ms: u64,
-        learning: bool,
-        now_ms: u64,
-    ) -> Agent {
+    /// An agent whose upstream sends a heartbeat each `beat_ms`. `learning` says that the upstream may be older than
+    /// the agent and hold flows that it does not know.
+    pub fn new(own: Identity, beat_ms: u64, learning: bool, now_ms: u64) -> Agent {
         Agent {
-            address,
-            pool,
-            zone,
-            incarnation,
+            own,
             report_seq: 0,
-            report_ms: 1_000,
+            report_ms: REPORT_MS,
             started_ms: now_ms,
             learning,
             plan: Plan::Stay,
@@ -161,15 +170,14 @@
     pub fn next_report(&mut self, now_ms: u64) -> Report {
         self.report_seq += 1;
         Report {
-            incarnation: self.incarnation,
+            incarnation: self.own.incarnation,
             seq: self.report_seq,
-            pool: self.pool,
-            zone: self.zone,
+            pool: self.own.pool,
+            zone: self.own.zone,
             upstream: self.upstream(now_ms),
             plan: self.plan,
             slots: self.presence.capacity(now_ms).0,
             load: self.lasting_load(now_ms),
-            learning: self.learning,
             every_ms: self.report_ms,
         }
     }
@@ -217,7 +225,7 @@
 
     /// Takes a caller's packet that another process sent.
     pub fn relayed(&mut self, relay: &Relay, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
-        if relay.pool != self.pool {
+        if relay.pool != self.own.pool {
             return self.turn_away(relay, head, out);
         }
         match relay.ask {
@@ -237,7 +245,7 @@
         out: &mut Vec<Effect>,
     ) {
         for &to in agents {
-            if to == self.address {
+            if to == self.own.address {
                 self.relayed(relay, head, now_ms, out);
             } else {
                 out.push(Effect::Relay { to, relay: *relay, payload: Payload::Current });
@@ -249,7 +257,7 @@
     /// and an opening packet goes on to the next candidate.
     fn turn_away(&self, relay: &Relay, head: &Head, out: &mut Vec<Effect>) {
         let returned = relay.ask == Ask::Deliver;
-        answer(relay.balancer, head.key, Answer::WrongPool(self.pool), returned, out);
+        answer(relay.balancer, head.key, Answer::WrongPool(self.own.pool), returned, out);
         let next = match relay.ask {
             Ask::Open(mut walk) => walk.pass(CLOSED).map(|to| (to, Ask::Open(walk))),
             Ask::Settle(_) | Ask::Deliver | Ask::Locate => None,
@@ -356,11 +364,17 @@
         now_ms: u64,
         out: &mut Vec<Effect>,
     ) {
-        let known = self.flows.get_mut(&head.key);
-        if let Some(flow) = known.filter(|it| matches!(it.phase, Phase::Opening { .. })) {
+        match self.flows.get_mut(&head.key) {
             // A copy: the upstream answers again.
-            flow.seen_ms = now_ms;
-            return out.push(Effect::Deliver);
+            Some(flow) if matches!(flow.phase, Phase::Opening { .. }) => {
+                flow.seen_ms = now_ms;
+                return out.push(Effect::Deliver);
+            }
+            // A copy that comes late, from a process that stood still: the upstream could take it for a new flow.
+            Some(flow) if flow.phase == Phase::Open && flow.is_opened_by(head) => {
+                return drop(head.key, Drop::LateCopy, out);
+            }
+            _ => {}
         }
         let state =
             if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
@@ -400,7 +414,10 @@
             return drop(head.key, Drop::NoUpstream, out);
         }
         let phase = Phase::Opening { walk: Some(walk), first: None };
-        self.insert(head.key, phase, relay.balancer, now_ms);
+        self.insert(head.key, phase, Some(relay.balancer), now_ms);
+        if let Some(flow) = self.flows.get_mut(&head.key) {
+            flow.opened_seq = Some(head.seq);
+        }
         note(head.key, Decision::Accepted { load, last, walk }, out);
         out.push(Effect::Deliver);
     }
@@ -436,7 +453,7 @@
             note(head.key, Decision::NobodyAccepted { walk }, out);
             return reset(head.key, 0, Why::AllRefused, out);
         };
-        if best == self.address {
+        if best == self.own.address {
             let load = self.load_for(&head.key, now_ms);
             return self.accept(relay, head, walk, load, Last::Yes, now_ms, out);
         }
@@ -448,7 +465,7 @@
         let Some(flow) = self.flows.get_mut(&head.key) else {
             return self.carry_unknown(relay, head, now_ms, out);
         };
-        flow.balancer = relay.balancer;
+        flow.balancer = Some(relay.balancer);
         flow.seen_ms = now_ms;
         if flow.phase == Phase::Absent || is_for_another(flow.phase, head) {
             return answer_absent(relay, head.key, out);
@@ -470,7 +487,7 @@
             return answer_absent(relay, head.key, out);
         }
         let phase = Phase::Probing { since_ms: now_ms, ask: relay.ask };
-        self.insert(head.key, phase, relay.balancer, now_ms);
+        self.insert(head.key, phase, Some(relay.balancer), now_ms);
         self.probing += 1;
         self.deliver(head, now_ms, out);
     }
@@ -501,7 +518,11 @@
             Phase::Opening { walk: Some(walk), .. } if head.kind == Kind::Open => {
                 self.remove(head.key, now_ms);
                 note(head.key, Decision::Refused, out);
-                let relay = Relay { ask: Ask::Open(walk), pool: self.pool, balancer };
+                let pool = self.own.pool;
+                let Some(balancer) = balancer else {
+                    return drop(head.key, Drop::StrayBounce, out);
+                };
+                let relay = Relay { ask: Ask::Open(walk), pool, balancer };
                 self.pass_on(&relay, head, walk, CLOSED, now_ms, out);
             }
             Phase::Probing { ask, .. } => {
@@ -519,11 +540,10 @@
     }
 
     fn learn(&mut self, head: &Head, now_ms: u64) {
-        let nobody = self.address;
-        self.insert(head.key, Phase::Open, nobody, now_ms);
+        self.insert(head.key, Phase::Open, None, now_ms);
     }
 
-    fn insert(&mut self, key: FlowKey, phase: Phase, balancer: SocketAddrV4, now_ms: u64) {
+    fn insert(&mut self, key: FlowKey, phase: Phase, balancer: Option<SocketAddrV4>, now_ms: u64) {
         self.remove(key, now_ms);
         let counted = !matches!(phase, Phase::Probing { .. });
         if counted {
@@ -534,6 +554,7 @@
             balancer,
             since_ms: now_ms,
             seen_ms: now_ms,
+            opened_seq: None,
             busy: false,
             requests: 0,
             proven: false,
@@ -694,6 +715,12 @@
     answer(relay.balancer, key, Answer::Absent, returned, out);
 }
 
-fn answer(to: SocketAddrV4, key: FlowKey, answer: Answer, returned: bool, out: &mut Vec<Effect>) {
+fn answer<T>(to: T, key: FlowKey, answer: Answer, returned: bool, out: &mut Vec<Effect>)
+where
+    T: Into<Option<SocketAddrV4>>,
+{
+    let Some(to) = to.into() else {
+        return;
+    };
     out.push(Effect::Answer { to, key, answer, returned });
 }
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -192,17 +192,20 @@
     WrongPool,
     /// The upstream bounced a packet of a flow that is not known.
     StrayBounce,
+    /// A copy of an opening packet, whose flow is open already.
+    LateCopy,
 }
 
 impl Drop {
     /// All reasons.
-    pub const ALL: [Drop; 6] = [
+    pub const ALL: [Drop; 7] = [
         Drop::NoConfig,
         Drop::NoRoute,
         Drop::NoUpstream,
         Drop::HoldFull,
         Drop::WrongPool,
         Drop::StrayBounce,
+        Drop::LateCopy,
     ];
 
     /// Name used in logs and metrics.
@@ -214,6 +217,7 @@
             Drop::HoldFull => "hold-full",
             Drop::WrongPool => "wrong-pool",
             Drop::StrayBounce => "stray-bounce",
+            Drop::LateCopy => "late-copy",
         }
     }
 }
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -5,6 +5,8 @@
 use super::{PoolId, flow::number, walk::MAX_SEATS};
 use crate::split_mix::mix;
 
+/// Pause between two reports of an agent to a balancer, in milliseconds; longer in a fleet of many balancers.
+pub const REPORT_MS: u32 = 1_000;
 /// Pauses between reports after which an agent that says nothing gets no new flows: two reports may be lost.
 const SILENT_REPORTS: u64 = 2;
 /// Time by which a report may be late, on top of that.
@@ -96,8 +98,6 @@
     pub slots: u32,
     /// Load in thousandths of the slots.
     pub load: u16,
-    /// The agent may not know all flows of its upstream.
-    pub learning: bool,
     /// Pause between two reports, in milliseconds.
     pub every_ms: u32,
 }
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -77,8 +77,6 @@
     pub revision: u64,
     /// Version that the operator gave to it.
     pub version: u64,
-    /// Time after which an idle flow may be forgotten, in milliseconds.
-    pub idle_ms: u64,
     /// Route of each address.
     pub by_address: FxHashMap<SocketAddrV4, Route>,
 }
--- a/crates/core/tests/opaque/agent.rs
+++ b/crates/core/tests/opaque/agent.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::support::{
-    POOL, ZONE, address, data, decisions, head, key, open_at, relay, relays, resets,
+    POOL, address, data, decisions, head, identity, key, open_at, relay, relays, resets,
 };
 
 const BEAT_MS: u64 = 1_000;
@@ -18,14 +18,14 @@
 
 /// An agent at host 1 with an upstream whose whole life it has seen.
 fn ready() -> Agent {
-    let mut agent = Agent::new(address(1), POOL, ZONE, 1, BEAT_MS, false, 0);
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, false, 0);
     agent.heartbeat(&beat("a", 1), 0, &mut Vec::new());
     agent
 }
 
 /// An agent that has restarted beside an upstream that it has just heard of.
 fn restarted() -> Agent {
-    let mut agent = Agent::new(address(1), POOL, ZONE, 2, BEAT_MS, true, 0);
+    let mut agent = Agent::new(identity(1, 2), BEAT_MS, true, 0);
     agent.heartbeat(&beat("a", 40), 0, &mut Vec::new());
     agent
 }
@@ -83,7 +83,7 @@
 
 #[test]
 fn an_upstream_of_unknown_state_is_the_last_resort() {
-    let mut agent = Agent::new(address(1), POOL, ZONE, 1, BEAT_MS, true, 0);
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, true, 0);
     let out = run(|out| agent.relayed(&open_at(&[1, 2], 9_000), &head(1, Kind::Open), 1, out));
     let Some((_, Ask::Open(walk))) = relays(&out).first().copied() else { panic!("{out:?}") };
     assert_eq!(walk.seats()[0].load, UNSURE);
@@ -212,6 +212,33 @@
     assert_eq!(agent.flows(), 0);
 }
 
+// Own day freeze-long on 10 Mbit/s links, seed 7965, and soak, seed 1051: a process that woke up sent on a copy of an
+// opening packet that was seconds old. The agent took the open flow for one that opens, and forgot it 10 s later.
+#[test]
+fn a_late_copy_of_the_opening_packet_leaves_an_open_flow_as_it_is() {
+    let mut agent = ready();
+    opened(&mut agent, 1, 10);
+    let late = open_at(&[1, 2], 5_000);
+    let out = run(|out| agent.relayed(&late, &head(1, Kind::Open), 6_000, out));
+    assert_eq!(decisions(&out), [Decision::Dropped(Drop::LateCopy)]);
+    assert!(!out.contains(&Effect::Deliver));
+    assert_eq!(agent.flows(), 1);
+    agent.tick(17_000, &mut Vec::new());
+    let out = run(|out| agent.relayed(&relay(Ask::Deliver), &data(1, 101, 1_001), 17_010, out));
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+    assert!(answers(&out).is_empty());
+}
+
+#[test]
+fn a_caller_that_uses_its_port_again_opens_a_new_flow() {
+    let mut agent = ready();
+    opened(&mut agent, 1, 10);
+    let again = Head { seq: 77_000, ..head(1, Kind::Open) };
+    let out = run(|out| agent.relayed(&open_at(&[1], 5_000), &again, 1_000, out));
+    assert!(out.contains(&Effect::Deliver));
+    assert_eq!(agent.flows(), 1);
+}
+
 #[test]
 fn a_packet_for_several_agents_is_passed_on_and_asked_about_here() {
     let mut agent = restarted();
@@ -294,7 +321,7 @@
 // Spb-grown trouble-1: agents whose upstreams had ended claimed every flow, as nobody bounced anything.
 #[test]
 fn an_agent_that_never_heard_its_upstream_claims_nothing() {
-    let mut agent = Agent::new(address(1), POOL, ZONE, 1, BEAT_MS, true, 0);
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, true, 0);
     agent.relayed(&relay(Ask::Locate), &data(5, 1, 1), 1, &mut Vec::new());
     assert!(answers(&run(|out| agent.tick(30, out))).is_empty());
     assert_eq!(agent.flows(), 0);
@@ -302,7 +329,7 @@
 
 #[test]
 fn an_agent_that_found_no_listener_holds_nothing() {
-    let mut agent = Agent::new(address(1), POOL, ZONE, 1, BEAT_MS, false, 0);
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, false, 0);
     assert_eq!(agent.upstream(1), Upstream::Ended);
     let out = run(|out| agent.relayed(&relay(Ask::Locate), &data(5, 1, 1), 1, out));
     assert_eq!(answers(&out), [(Answer::Absent, false)]);
--- a/crates/core/tests/opaque/support.rs
+++ b/crates/core/tests/opaque/support.rs
@@ -4,6 +4,7 @@
 
 use camphorwinch_core::opaque::{
     FlowKey, Head, Kind, PoolId,
+    agent::Identity,
     effect::{Ask, Decision, Effect, Relay},
     fleet::{Plan, Report, Upstream, ZoneId},
     route::{Route, Routes, Share},
@@ -19,6 +20,10 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), 7720)
 }
 
+pub(crate) fn identity(host: u8, incarnation: u64) -> Identity {
+    Identity { address: address(host), pool: POOL, zone: ZONE, incarnation }
+}
+
 pub(crate) fn service() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
@@ -59,7 +64,6 @@
         plan: Plan::Stay,
         slots: 4,
         load,
-        learning: false,
         every_ms: 1_000,
     }
 }
@@ -70,7 +74,7 @@
 
 /// The same addresses with flows that go to `pool`.
 pub(crate) fn routes_to(revision: u64, pool: PoolId) -> Routes {
-    let mut routes = Routes { revision, version: revision, idle_ms: 60_000, ..Routes::default() };
+    let mut routes = Routes { revision, version: revision, ..Routes::default() };
     let share = Share { pool, weight: 1 };
     for address in [service(), single_service()] {
         routes.by_address.insert(address, Route::new(vec![share]));
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -10,7 +10,7 @@
 
 use camphorwinch_core::opaque::{
     FlowKey, Head, Kind,
-    agent::{Agent, Heartbeat},
+    agent::{Agent, Heartbeat, Identity},
     balancer::Balancer,
     effect::{Answer, Effect, Payload, Relay, Verdict},
     fleet::{Change, Listed, Plan, Report, ZoneId},
@@ -226,7 +226,8 @@
         };
         let learning = it.upstream.is_some();
         let now = self.now;
-        it.agent = Some(Agent::new(address(host), POOL, zone, incarnation, BEAT_MS, learning, now));
+        let own = Identity { address: address(host), pool: POOL, zone, incarnation };
+        it.agent = Some(Agent::new(own, BEAT_MS, learning, now));
         it.balancers = balancers.into_iter().collect();
         self.report(host);
     }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -1,19 +1,13 @@
 //! The process beside an upstream: gives it callers' packets and sends its answers to the callers.
 
-use std::{
-    collections::BTreeSet,
-    io::ErrorKind,
-    net::{SocketAddr, SocketAddrV4},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, io::ErrorKind, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use camphorwinch_core::opaque::{
     PoolId,
-    agent::{Agent, Heard, Heartbeat},
+    agent::{Agent, Heard, Heartbeat, Identity},
     effect::{Effect, Payload, Relay},
-    fleet::{Listed, Plan, Upstream, ZoneId},
+    fleet::{Listed, Plan, REPORT_MS, Upstream, ZoneId},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
 use tokio::{
@@ -29,7 +23,7 @@
     codec::{Codec, MAX_PACKET},
     discovery::{self, Found},
     event::Id,
-    member::Peers,
+    member::{Peers, count_faulty, count_misdirected},
     metrics,
     note::Notes,
     socket,
@@ -40,11 +34,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Packets taken from one socket before the others get their turn.
 const TURN: usize = 64;
-/// Pause between two reports to each balancer.
-const REPORT_MS: u64 = 1_000;
 /// Reports that an agent sends in a second at the most, to all balancers together: with many balancers the pause
 /// between two reports to one of them grows.
-const REPORTS_PER_S: u64 = 40;
+const REPORTS_PER_S: u32 = 40;
 /// Shortest time of a stop, in which balancers hear of it and send new flows elsewhere.
 const PAUSE_MS: u64 = 120;
 /// Longest time that a stop waits for a moment without a request in progress. Longer does not help a busy upstream:
@@ -113,15 +105,13 @@
     let id = Id::UpstreamLookedFor;
     tracing::info!(id = id as u16, name = id.name(), peer = %settings.upstream, found = learning);
     let now = now_ms();
-    let state = Agent::new(
-        own.address,
-        PoolId::of(&settings.pool),
-        ZoneId::of(&own.zone),
-        rand::random(),
-        settings.heartbeat.as_millis() as u64,
-        learning,
-        now,
-    );
+    let identity = Identity {
+        address: own.address,
+        pool: PoolId::of(&settings.pool),
+        zone: ZoneId::of(&own.zone),
+        incarnation: rand::random(),
+    };
+    let state = Agent::new(identity, settings.heartbeat.as_millis() as u64, learning, now);
     let mut process = Process {
         state,
         codec,
@@ -265,7 +255,7 @@
             };
             let packet = &mut buffer[..len];
             let Some(head) = self.codec.upstream_head(packet) else {
-                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                count_faulty();
                 continue;
             };
             if head.bounced {
@@ -281,13 +271,10 @@
     fn take_peers(&mut self) {
         let mut buffer = [0; MAX_PACKET];
         for _ in 0..TURN {
-            let Ok((len, from)) = self.peers.socket().try_recv_from(&mut buffer) else {
+            let Some((from, bytes)) = self.peers.receive(&mut buffer) else {
                 return;
             };
-            let SocketAddr::V4(from) = from else {
-                continue;
-            };
-            self.take_datagram(from, &buffer[..len]);
+            self.take_datagram(from, bytes);
         }
     }
 
@@ -301,7 +288,7 @@
             Ok(Datagram::Control(message)) => match message.body {
                 Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting, now),
                 Some(Body::Report(_)) | None => {
-                    metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+                    count_misdirected();
                 }
             },
             Ok(Datagram::Query(keys)) => {
@@ -309,10 +296,10 @@
                 self.apply(&[], now);
             }
             Ok(Datagram::Answer { .. } | Datagram::Verdicts(_)) => {
-                metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+                count_misdirected();
             }
             Err(e) => {
-                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                count_faulty();
                 tracing::debug!("datagram from {from}: {e}");
             }
         }
@@ -321,7 +308,7 @@
     /// Takes a caller's packet, for these agents if any are named.
     fn take_packet(&mut self, relay: &Relay, agents: &[SocketAddrV4], packet: &[u8], now: u64) {
         let Some(head) = self.codec.caller_head(packet) else {
-            metrics::PACKETS.with_label_values(&["faulty"]).inc();
+            count_faulty();
             return;
         };
         if agents.is_empty() {
@@ -359,8 +346,7 @@
     }
 
     fn pace(&mut self) {
-        let pause = REPORT_MS.max(self.balancers.len() as u64 * 1_000 / REPORTS_PER_S);
-        self.state.set_report_pause(pause as u32);
+        self.state.set_report_pause(report_pause_ms(self.balancers.len()));
     }
 
     fn take_said(&mut self, said: Said) {
@@ -405,8 +391,8 @@
         self.state.tick(now, &mut self.effects);
         self.apply(&[], now);
         self.notes.tick(now);
-        let pause = REPORT_MS.max(self.balancers.len() as u64 * 1_000 / REPORTS_PER_S);
-        if now.saturating_sub(self.reported_ms) >= pause {
+        let pause = report_pause_ms(self.balancers.len());
+        if now.saturating_sub(self.reported_ms) >= u64::from(pause) {
             self.report(now);
         }
         metrics::FLOWS.set(i64::from(self.state.flows()));
@@ -486,6 +472,11 @@
     }
 }
 
+/// Pause between two reports to one of so many balancers.
+fn report_pause_ms(balancers: usize) -> u32 {
+    REPORT_MS.max(balancers as u32 * 1_000 / REPORTS_PER_S)
+}
+
 fn balancer_address(member: &Listed) -> Option<SocketAddrV4> {
     member.pool.is_none().then_some(member.address)
 }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -30,7 +30,7 @@
     codec::{Codec, MAX_PACKET},
     discovery::{self, Found},
     event::Id,
-    member::{Peers, send},
+    member::{Peers, count_faulty, count_misdirected, send},
     metrics,
     note::Notes,
     snapshot, socket,
@@ -228,7 +228,7 @@
             };
             let packet = &buffer[..len];
             let Some(head) = self.codec.caller_head(packet) else {
-                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                count_faulty();
                 continue;
             };
             let now = now_ms();
@@ -241,13 +241,10 @@
     fn take_peers(&mut self) {
         let mut buffer = [0; MAX_PACKET];
         for _ in 0..TURN {
-            let Ok((len, from)) = self.peers.socket().try_recv_from(&mut buffer) else {
+            let Some((from, bytes)) = self.peers.receive(&mut buffer) else {
                 return;
             };
-            let std::net::SocketAddr::V4(from) = from else {
-                continue;
-            };
-            self.take_datagram(from, &buffer[..len]);
+            self.take_datagram(from, bytes);
         }
     }
 
@@ -265,7 +262,7 @@
             Ok(Datagram::Control(message)) => match message.body {
                 Some(Body::Report(report)) => self.take_report(from, report, now),
                 Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting),
-                None => metrics::PACKETS.with_label_values(&["faulty"]).inc(),
+                None => count_faulty(),
             },
             Ok(Datagram::Verdicts(verdicts)) => {
                 for (key, verdict) in verdicts {
@@ -274,10 +271,10 @@
                 self.apply(&[], now);
             }
             Ok(Datagram::Packet { .. } | Datagram::Spread { .. } | Datagram::Query(_)) => {
-                metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+                count_misdirected();
             }
             Err(e) => {
-                metrics::PACKETS.with_label_values(&["faulty"]).inc();
+                count_faulty();
                 tracing::debug!("datagram from {from}: {e}");
             }
         }
@@ -290,7 +287,7 @@
         now: u64,
     ) {
         let Ok(report) = report.try_into() else {
-            metrics::PACKETS.with_label_values(&["faulty"]).inc();
+            count_faulty();
             return;
         };
         let change = self.state.report(from, report, now, &mut self.effects);
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -36,6 +36,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pause between two lists of members, which find what was missed at the start.
 const LIST_EVERY: Duration = Duration::from_secs(45);
+/// Members up to which that pause holds. It grows with more of them, as each list takes more calls then: at 6,420 members
+/// and 500 on a page they make some 100 calls a second in all.
+const LIST_MEMBERS: usize = 300;
 
 /// What was found.
 #[derive(Debug)]
@@ -107,11 +110,12 @@
         match enter(&store, &own, backoff.patience()).await {
             Ok(members) => {
                 backoff.succeeded();
+                let pause = list_pause(members.len()).mul_f64(spread());
                 if out.send(Found::Members(members)).await.is_err() {
                     return;
                 }
                 // Either is a reason to list again.
-                let _ = timeout(LIST_EVERY.mul_f64(spread()), again.notified()).await;
+                let _ = timeout(pause, again.notified()).await;
             }
             Err(e) => {
                 let seeds = seeds.borrow().clone();
@@ -122,6 +126,10 @@
     }
 }
 
+fn list_pause(members: usize) -> Duration {
+    LIST_EVERY.mul_f64((members as f64 / LIST_MEMBERS as f64).max(1.0))
+}
+
 /// The members, this process among them. Whoever lists after writing sees each process that did so before, so of two
 /// that start at once one sees the other.
 async fn enter<S>(store: &S, own: &Member, patience: Duration) -> Result<Vec<Record>, StoreError>
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -6,7 +6,7 @@
 use camphorwinch_core::opaque::route::Routes;
 use tokio::{sync::mpsc, time::sleep};
 
-use super::{Found, follow};
+use super::{Found, follow, list_pause};
 use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
@@ -70,6 +70,16 @@
     store.calls()
 }
 
+#[test]
+fn lists_of_members_stay_within_the_rates_of_the_store() {
+    assert_eq!(list_pause(20), Duration::from_secs(45));
+    // The size designed for: 520 balancers and 5,900 agents, 500 members on a page; pauses are drawn from 0.6 of this on.
+    let members = 6_420;
+    let calls = f64::from(members) * (f64::from(members) / 500.0).ceil();
+    let calls_per_s = calls / (list_pause(members as usize).as_secs_f64() * 0.8);
+    assert!(calls_per_s < 150.0, "{calls_per_s}");
+}
+
 // Spb-edge scale-1: 4,076 calls to the store in 50 s. A watch began at the configuration's own revision, which the store
 // had dropped from its history, so that reading and watching went round without a pause.
 #[tokio::test]
--- a/crates/opaque/src/member.rs
+++ b/crates/opaque/src/member.rs
@@ -1,6 +1,6 @@
 //! Datagrams to other processes.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 
 use camphorwinch_core::opaque::{
     FlowKey,
@@ -26,6 +26,16 @@
         &self.socket
     }
 
+    /// The next datagram that has arrived, if there is one.
+    pub(crate) fn receive<'a>(&self, buffer: &'a mut [u8]) -> Option<(SocketAddrV4, &'a [u8])> {
+        let (len, from) = self.socket.try_recv_from(buffer).ok()?;
+        // The socket is bound to an IPv4 address.
+        let SocketAddr::V4(from) = from else {
+            return None;
+        };
+        Some((from, &buffer[..len]))
+    }
+
     /// Sends a caller's packet to another process.
     pub(crate) fn relay(&mut self, to: SocketAddrV4, relay: &Relay, packet: &[u8]) {
         self.buffer.clear();
@@ -90,6 +100,16 @@
     }
 }
 
+/// Counts a packet that can't be read.
+pub(crate) fn count_faulty() {
+    metrics::PACKETS.with_label_values(&["faulty"]).inc();
+}
+
+/// Counts a datagram that is not for this kind of process.
+pub(crate) fn count_misdirected() {
+    metrics::PACKETS.with_label_values(&["misdirected"]).inc();
+}
+
 /// Sends a datagram without waiting. One that does not fit into the kernel's buffer is lost, as on the network.
 pub(crate) fn send(socket: &UdpSocket, to: SocketAddrV4, bytes: &[u8], outcome: &str) {
     match socket.try_send_to(bytes, to.into()) {
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -356,9 +356,6 @@
     /// Load in thousandths of the slots.
     #[prost(uint32, tag = "8")]
     pub load: u32,
-    /// Flows may be unknown.
-    #[prost(bool, tag = "9")]
-    pub learning: bool,
     /// Pause between two reports, in milliseconds.
     #[prost(uint32, tag = "10")]
     pub every_ms: u32,
@@ -385,7 +382,6 @@
             },
             slots: it.slots,
             load: u32::from(it.load),
-            learning: it.learning,
             every_ms: it.every_ms,
         }
     }
@@ -416,7 +412,6 @@
             },
             slots: it.slots,
             load: u16::try_from(it.load).map_err(|_| DecodeError::Field("load"))?,
-            learning: it.learning,
             every_ms: it.every_ms,
         })
     }
@@ -431,9 +426,6 @@
     /// Version that the operator gave to it.
     #[prost(uint64, tag = "2")]
     pub version: u64,
-    /// Idle time after which flows may be forgotten, in milliseconds.
-    #[prost(uint64, tag = "3")]
-    pub idle_ms: u64,
     /// The routes.
     #[prost(message, repeated, tag = "4")]
     pub routes: Vec<RouteEntry>,
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -20,7 +20,6 @@
         Snapshot {
             revision: routes.revision,
             version: routes.version,
-            idle_ms: routes.idle_ms,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
         }
@@ -31,12 +30,8 @@
         if self.revision == 0 {
             return Ok(None);
         }
-        let mut routes = Routes {
-            revision: self.revision,
-            version: self.version,
-            idle_ms: self.idle_ms,
-            ..Routes::default()
-        };
+        let mut routes =
+            Routes { revision: self.revision, version: self.version, ..Routes::default() };
         for entry in &self.routes {
             let shares = entry.shares.iter();
             let shares =
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -43,7 +43,6 @@
         plan: Plan::Restart,
         slots: 11,
         load: 12,
-        learning: true,
         every_ms: 13,
     }
 }
@@ -158,7 +157,7 @@
 
 #[test]
 fn snapshots_come_back_as_they_were() {
-    let mut routes = Routes { revision: 3, version: 2, idle_ms: 1, ..Routes::default() };
+    let mut routes = Routes { revision: 3, version: 2, ..Routes::default() };
     let shares = vec![Share { pool: PoolId(1), weight: 9 }, Share { pool: PoolId(2), weight: 1 }];
     routes.by_address.insert(address(1), Route::new(shares));
     let members = [
