Objects of agents that are gone or left are removed within seconds

Cause: after a loss of power each balancer starts from the store's list. One listed agent that never speaks keeps every search uncertain for 4.5 s, so that callers of dead flows are not told. Such objects stayed for 30 s after a VM was lost for good, and for the next list or longer if an agent left while the store was away. New with it: an agent whose object was removed though it lives is told so by the balancer that hears it, and lists itself again.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -3,7 +3,10 @@
 //! A balancer remembers where the flows are whose packets it gets, but nothing depends on that memory: what it does
 //! not know it searches for among the agents of the route's pools.
 
-use std::{collections::BTreeMap, net::SocketAddrV4};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+};
 
 use rustc_hash::FxHashMap;
 
@@ -12,7 +15,7 @@
     effect::{
         Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why, drop, note, reset,
     },
-    fleet::{Change, Fleet, Listed, Report, ZoneId},
+    fleet::{Change, Fleet, Listed, Plan, Report, ZoneId},
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
@@ -49,6 +52,14 @@
 const SETTLED_AFTER_MS: u64 = 300;
 /// Pause between two looks for agents to greet: a look passes over all of them, 5,900 in the size designed for.
 const GREET_LOOK_MS: u64 = 60;
+/// Silence after which an agent's object is removed: well above that of a restart on a slow VM, and short, as each object
+/// of an agent that is gone keeps a fleet that lost power from being certain of anything for seconds.
+const WITHDRAW_MS: u64 = 11_000;
+/// Time for which an agent that leaves may remove its object itself: longer than its call may take, shorter than the time
+/// after which its address may belong to another one.
+const LEFT_MS: u64 = 1_500;
+/// Withdrawn agents that are remembered.
+const MAX_WITHDRAWN: usize = 10_000;
 /// Time without any event after which the balancer's process must have stood still: it looks at what is due each 20 ms.
 const STOOD_STILL_MS: u64 = 1_000;
 /// Time after the first list of members at which it is read again if some of them never reported: they may have left
@@ -113,6 +124,10 @@
     flows: FxHashMap<FlowKey, Flow>,
     hold: Hold,
     questions: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
+    /// Agents whose objects this balancer had taken off the store's list, as they were gone.
+    withdrawn: BTreeSet<SocketAddrV4>,
+    /// Agents that said that they leave, and when. While the store is away they can't remove their objects themselves.
+    left: BTreeMap<SocketAddrV4, u64>,
     listed_ms: Option<u64>,
     listed_again: bool,
     event_ms: u64,
@@ -131,6 +146,8 @@
             flows: FxHashMap::default(),
             hold: Hold::default(),
             questions: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            left: BTreeMap::new(),
             listed_ms: None,
             listed_again: false,
             event_ms: 0,
@@ -170,6 +187,23 @@
         self.fleet.list(members, now_ms);
     }
 
+    /// Agents whose objects should be removed, as they left or have been gone for long: a fleet that starts anew would
+    /// wait for them.
+    pub fn to_withdraw(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let mut agents = self.fleet.long_gone(WITHDRAW_MS, now_ms);
+        let left = self.left.iter().filter(|it| now_ms.saturating_sub(*it.1) >= LEFT_MS);
+        agents.extend(left.map(|it| it.0));
+        agents
+    }
+
+    /// The object of an agent is removed. If the agent is heard of again, it is told so.
+    pub fn withdraw(&mut self, agent: SocketAddrV4) {
+        self.left.remove(&agent);
+        if self.withdrawn.len() < MAX_WITHDRAWN {
+            self.withdrawn.insert(agent);
+        }
+    }
+
     /// Takes members that a peer knows of, which may be some of them only.
     pub fn learn(&mut self, members: &[Listed], now_ms: u64) {
         self.fleet.learn(members, now_ms);
@@ -188,6 +222,16 @@
         if change == Change::Restarted {
             self.release(from, out);
         }
+        if change == Change::Left && self.left.len() < MAX_WITHDRAWN {
+            self.left.insert(from, now_ms);
+        }
+        if change == Change::Old || report.plan == Plan::Leave {
+            return change;
+        }
+        self.left.remove(&from);
+        if self.withdrawn.remove(&from) {
+            out.push(Effect::Unlisted { to: from });
+        }
         change
     }
 
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -288,6 +288,11 @@
     },
     /// Read the store's list of members again.
     List,
+    /// Tell an agent that its object was taken off the store's list, so that it lists itself again.
+    Unlisted {
+        /// The agent.
+        to: SocketAddrV4,
+    },
     /// Report the agent's state to all balancers that it knows.
     Report,
     /// Log and count a decision.
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -356,6 +356,53 @@
     assert!(!tick(&mut it, 650).contains(&Effect::List));
 }
 
+// Spb-edge, a drawn day (fresh-8329): a VM was lost for good 10 s and more before all lost power, and its object kept every
+// search of the new balancers from being certain for 4.5 s.
+#[test]
+fn the_object_of_an_agent_that_is_gone_is_removed_before_a_fleet_may_wait_for_it() {
+    let mut it = Balancer::new(address(200), ZONE);
+    it.put_routes(routes(1));
+    let listed = |host| Listed { address: address(host), pool: Some(POOL), zone: ZONE };
+    it.list(&[listed(1), listed(2)], 0);
+    hear(&mut it, 2, 1, 10);
+    for now in (100..11_000).step_by(100) {
+        it.report(address(1), report(now, 0), now, &mut Vec::new());
+        tick(&mut it, now);
+        assert!(it.to_withdraw(now).is_empty(), "{now}");
+    }
+    it.report(address(1), report(12_000, 0), 11_100, &mut Vec::new());
+    assert_eq!(it.to_withdraw(11_100), [address(2)]);
+}
+
+// Bexley, a drawn day (fresh-43db): an agent left while the store was away and could not remove its object; 17 s later all
+// VMs lost power, and each balancer waited for it.
+#[test]
+fn the_object_of_an_agent_that_left_is_removed_if_it_could_not_do_so_itself() {
+    let mut it = balancer(2);
+    let leaves = Report { plan: Plan::Leave, ..report(2, 0) };
+    it.report(address(2), leaves, 100, &mut Vec::new());
+    assert!(it.to_withdraw(1_000).is_empty());
+    assert_eq!(it.to_withdraw(1_600), [address(2)]);
+    // Another agent has the address now.
+    let other = Report { incarnation: 7, ..report(1, 0) };
+    it.report(address(2), other, 1_700, &mut Vec::new());
+    assert!(it.to_withdraw(1_800).is_empty());
+}
+
+#[test]
+fn an_agent_that_is_heard_of_after_its_removal_lists_itself_again() {
+    let mut it = balancer(2);
+    it.withdraw(address(2));
+    let mut out = Vec::new();
+    it.report(address(1), report(2, 0), 100, &mut out);
+    assert!(out.is_empty());
+    it.report(address(2), report(2, 0), 100, &mut out);
+    assert_eq!(out, [Effect::Unlisted { to: address(2) }]);
+    out.clear();
+    it.report(address(2), report(3, 0), 200, &mut out);
+    assert!(out.is_empty());
+}
+
 // Soak, seed 1: a balancer that started while the store was silent took a peer's part of the members for all of them.
 #[test]
 fn what_a_peer_knows_does_not_make_the_members_complete() {
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -98,8 +98,9 @@
     let peers = Peers::new(socket::udp(own.address, "other processes")?);
     let (found, input) = mpsc::channel(WAITING);
     let seeds = settings.seeds.clone();
-    let never = Arc::new(Notify::new());
-    tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, never, found));
+    let list_again = Arc::new(Notify::new());
+    let again = list_again.clone();
+    tokio::spawn(discovery::join(store.clone(), own.clone(), seeds, again, found));
     // Without a listener there is no upstream that could hold flows from before this process.
     let learning = is_listening(settings.upstream).await;
     let id = Id::UpstreamLookedFor;
@@ -119,6 +120,7 @@
         upstream,
         peers,
         balancers: BTreeSet::new(),
+        list_again,
         effects: Vec::new(),
         scratch: Vec::new(),
         notes: Notes::new(now),
@@ -161,6 +163,7 @@
     upstream: UdpSocket,
     peers: Peers,
     balancers: BTreeSet<SocketAddrV4>,
+    list_again: Arc<Notify>,
     effects: Vec<Effect>,
     scratch: Vec<u8>,
     notes: Notes,
@@ -320,6 +323,11 @@
     }
 
     fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting, now: u64) {
+        if greeting.unlisted {
+            let id = Id::Unlisted;
+            tracing::info!(id = id as u16, name = id.name(), peer = %from);
+            self.list_again.notify_one();
+        }
         if greeting.leaving {
             self.balancers.remove(&from);
         } else {
@@ -449,7 +457,8 @@
                 Effect::Greet { .. }
                 | Effect::Query { .. }
                 | Effect::Spread { .. }
-                | Effect::List => {
+                | Effect::List
+                | Effect::Unlisted { .. } => {
                     unreachable!("only balancers do this")
                 }
             }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -56,10 +56,8 @@
 const START_MS: u64 = 3_000;
 /// Share of the agents that must be heard of.
 const HEARD_SHARE: f64 = 0.34;
-/// Silence after which an agent's object is removed: it lists itself again if it comes back.
-const WITHDRAW_MS: u64 = 30_000;
 /// Pause between two looks for such agents.
-const WEED_MS: u64 = 10_000;
+const WEED_MS: u64 = 1_500;
 /// What may wait between discovery and the loop.
 const WAITING: usize = 64;
 
@@ -427,15 +425,19 @@
         }
         self.weed_ms = now;
         let balancers = self.balancers.len() + 1;
-        let gone = self.state.fleet().long_gone(WITHDRAW_MS, now);
-        for record in self.records.iter().filter(|it| gone.contains(&it.member.address)) {
+        let gone = self.state.to_withdraw(now);
+        let due = self.records.iter().filter(|it| gone.contains(&it.member.address));
+        for record in due.cloned().collect::<Vec<_>>() {
             if !rand::rng().random_ratio(1, balancers as u32) {
                 continue;
             }
             // A full queue means that calls are slow: the next look finds the agent again.
-            if self.gone.try_send(record.clone()).is_err() {
+            let agent = record.member.address;
+            if self.gone.try_send(record).is_err() {
                 return;
             }
+            self.state.withdraw(agent);
+            self.records.retain(|it| it.member.address != agent);
         }
     }
 
@@ -452,7 +454,7 @@
 
     fn greet(&mut self, to: SocketAddrV4, leaving: bool) {
         let revision = self.state.routes().revision();
-        self.peers.control(to, Body::Greeting(Greeting { revision, leaving }));
+        self.peers.control(to, Body::Greeting(Greeting { revision, leaving, unlisted: false }));
     }
 
     fn greet_all(&mut self, leaving: bool) {
@@ -476,6 +478,11 @@
                 Effect::Reset { key, seq } => self.reset(&key, seq),
                 Effect::Greet { to } => self.greet(to, false),
                 Effect::List => self.list_again.notify_one(),
+                Effect::Unlisted { to } => {
+                    let revision = self.state.routes().revision();
+                    let greeting = Greeting { revision, unlisted: true, ..Greeting::default() };
+                    self.peers.control(to, Body::Greeting(greeting));
+                }
                 Effect::Query { to, keys } => self.peers.query(to, &keys),
                 Effect::Spread { to, relay, agents, packet } => {
                     self.peers.spread(to, &relay, &agents, &packet);
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -34,6 +34,8 @@
 /// Time for which one call waits for a change. A connection that went silent is noticed after this time, and peers'
 /// greetings tell of a newer configuration meanwhile.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
+/// Calls for one removal, with half a second or more between them: an outage of the store lasts seconds.
+const WITHDRAW_TRIES: u32 = 30;
 /// Pause between two lists of members, which find what was missed at the start.
 const LIST_EVERY: Duration = Duration::from_secs(45);
 /// Members up to which that pause holds. It grows with more of them, as each list takes more calls then: at 6,420 members
@@ -194,9 +196,8 @@
 {
     while let Some(record) = gone.recv().await {
         let name = &record.member.name;
-        let done = store.withdraw(name, Some(record.revision), FIRST_PATIENCE).await;
         let id = Id::MemberWithdrawn;
-        match count("withdraw", done) {
+        match withdraw(&store, &record).await {
             Ok(()) => tracing::info!(id = id as u16, name = id.name(), member = name),
             Err(e) => {
                 let error = e.to_string();
@@ -206,6 +207,27 @@
     }
 }
 
+/// Removes a member's object, again and again while the store is away.
+async fn withdraw<S>(store: &S, record: &Record) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let mut tries = 0;
+    loop {
+        let name = &record.member.name;
+        let done = store.withdraw(name, Some(record.revision), FIRST_PATIENCE).await;
+        let error = match count("withdraw", done) {
+            Ok(()) => return Ok(()),
+            Err(e) => e,
+        };
+        tries += 1;
+        if tries == WITHDRAW_TRIES || !error.is_passing() {
+            return Err(error);
+        }
+        sleep(LONGEST_PAUSE.mul_f64(spread())).await;
+    }
+}
+
 /// Asks peers, all at once, and takes the first answer.
 pub(crate) async fn ask_any(peers: &[SocketAddrV4], own: SocketAddrV4, out: &mpsc::Sender<Found>) {
     let others = peers.iter().copied().filter(|&it| it != own);
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -6,7 +6,7 @@
 use camphorwinch_core::opaque::route::Routes;
 use tokio::{sync::mpsc, time::sleep};
 
-use super::{Found, follow, list_pause};
+use super::{Found, follow, list_pause, withdraw};
 use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
@@ -40,8 +40,14 @@
         Ok(())
     }
 
-    async fn withdraw(&self, _: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
-        Ok(())
+    async fn withdraw(&self, _: &str, at: Option<u64>, _: Duration) -> Result<(), StoreError> {
+        self.note(at);
+        let step = "withdraw a member";
+        match self.calls().len() {
+            1 | 2 => Err(StoreError::Busy { step, status: 503 }),
+            _ if self.forgets => Err(StoreError::Conflict { step }),
+            _ => Ok(()),
+        }
     }
 
     async fn routes(&self, _: Duration) -> Result<Seen, StoreError> {
@@ -70,6 +76,26 @@
     store.calls()
 }
 
+fn record() -> Record {
+    let address = "10.0.0.1:7720".parse().expect("an address");
+    let member = Member { name: "one".to_owned(), address, pool: None, zone: "a".to_owned() };
+    Record { member, revision: 7 }
+}
+
+#[tokio::test]
+async fn a_removal_is_repeated_while_the_store_is_away() {
+    let store = Fake::default();
+    withdraw(&store, &record()).await.expect("removed");
+    assert_eq!(store.calls(), [Some(7); 3]);
+}
+
+#[tokio::test]
+async fn a_removal_ends_if_the_object_has_changed() {
+    let store = Fake { forgets: true, ..Fake::default() };
+    let error = withdraw(&store, &record()).await.expect_err("it has changed");
+    assert!(matches!(error, StoreError::Conflict { .. }), "{error}");
+}
+
 #[test]
 fn lists_of_members_stay_within_the_rates_of_the_store() {
     assert_eq!(list_pause(20), Duration::from_secs(45));
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -38,6 +38,7 @@
     615 MembersListed "opaque-members-listed" "the list of members was taken";
     616 PeerAsked "opaque-peer-asked" "a peer was asked for what it knows, as the store was not of use";
     617 MemberWithdrawn "opaque-member-withdrawn" "a member that was gone for long was taken off the list";
+    618 Unlisted "opaque-unlisted" "a balancer had taken this process off the list of members: it lists itself again";
     621 AgentChanged "opaque-agent-changed" "what is believed of an agent changed";
     622 Connected "opaque-connected" "agents are heard of: the balancer is ready";
     623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -108,6 +108,18 @@
     },
 }
 
+impl StoreError {
+    /// Whether the same call may succeed later.
+    pub fn is_passing(&self) -> bool {
+        match self {
+            StoreError::Timeout { .. }
+            | StoreError::Connection { .. }
+            | StoreError::Busy { .. } => true,
+            StoreError::Conflict { .. } | StoreError::Answer { .. } => false,
+        }
+    }
+}
+
 /// The store. `patience` is how long a call may take.
 pub trait Store: Clone + Send + Sync + 'static {
     /// All members, not older than the call.
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -327,6 +327,9 @@
     /// The sender stops.
     #[prost(bool, tag = "2")]
     pub leaving: bool,
+    /// The receiver's object was taken off the store's list.
+    #[prost(bool, tag = "3")]
+    pub unlisted: bool,
 }
 
 /// An agent's state; `core::opaque::fleet::Report` says what the fields mean.
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -100,7 +100,7 @@
 
 #[test]
 fn messages_come_back_as_they_were() {
-    let greeting = Body::Greeting(Greeting { revision: 5, leaving: true });
+    let greeting = Body::Greeting(Greeting { revision: 5, leaving: true, unlisted: true });
     for body in [Body::Report(report().into()), greeting] {
         let mut bytes = Vec::new();
         encode_control(&Control { body: Some(body.clone()) }, &mut bytes);
