--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -1,9 +1,12 @@
 //! Decisions of an agent on opaque flows.
 
+mod flows;
+
 use std::net::SocketAddrV4;
 
 use rustc_hash::FxHashMap;
 
+use self::flows::{Flow, Phase, Side};
 pub use super::presence::Heartbeat;
 use super::{
     FlowKey, Head, Kind, PoolId,
@@ -21,15 +24,6 @@
 /// Time after its start for which an agent may not know all flows of its upstream, unless it has seen the upstream
 /// start: longer than flows that must be kept may live.
 const LEARN_MS: u64 = 65_000;
-/// Time after which a flow without packets is forgotten. A packet that comes later is treated as after a restart.
-const FLOW_IDLE_MS: u64 = 65_000;
-/// Time for which an ended or absent flow is remembered, for packets that are still on their way.
-const ENDED_MS: u64 = 3_000;
-/// Time after which an offer counts as not taken: callers end an attempt after 1.4 s and send a lost packet again within
-/// 1.6 s.
-const OPENING_MS: u64 = 10_000;
-/// Time after which an upstream that has not bounced a packet is taken to hold its flow: a local round trip, many times.
-const PROBE_MS: u64 = 12;
 /// Pause between two looks for old flows.
 const PRUNE_EVERY_MS: u64 = 1_000;
 /// Room above what the caller has acknowledged within which it may acknowledge the upstream's opening packet: what
@@ -47,48 +41,6 @@
     Late,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// The opening packet was given to the upstream, whose first number is known once it has answered.
-    Opening { walk: Option<Walk>, first: Option<u32> },
-    /// Packets went to and fro.
-    Open,
-    /// A packet of a flow that is not known was given to the upstream, which may bounce it.
-    Probing { since_ms: u64, ask: Ask },
-    /// The upstream does not hold the flow.
-    Absent,
-    /// Both ends have finished, or one has reset the flow.
-    Ended,
-}
-
-#[derive(Clone, Debug)]
-struct Flow {
-    phase: Phase,
-    /// The balancer that sent its last packet; none of a flow that only its upstream has spoken of.
-    balancer: Option<SocketAddrV4>,
-    since_ms: u64,
-    seen_ms: u64,
-    /// Number in the opening packet; none if this agent has not seen it.
-    opened_seq: Option<u32>,
-    busy: bool,
-    requests: u32,
-    /// The upstream is known to hold the flow: its offer was taken, or it sent a packet of the open flow.
-    proven: bool,
-    counted: bool,
-    caller_end: Option<u32>,
-    ack: u32,
-    caller_done: bool,
-    upstream_done: bool,
-}
-
-impl Flow {
-    /// Whether the opening packet is a copy of the one that opened this flow. A caller that uses its port again draws
-    /// another number.
-    fn is_opened_by(&self, head: &Head) -> bool {
-        self.opened_seq.is_none_or(|it| it == head.seq)
-    }
-}
-
 /// Who an agent is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -539,137 +491,6 @@
         }
     }
 
-    fn learn(&mut self, head: &Head, now_ms: u64) {
-        self.insert(head.key, Phase::Open, None, now_ms);
-    }
-
-    fn insert(&mut self, key: FlowKey, phase: Phase, balancer: Option<SocketAddrV4>, now_ms: u64) {
-        self.remove(key, now_ms);
-        let counted = !matches!(phase, Phase::Probing { .. });
-        if counted {
-            self.load.add_flow();
-        }
-        let flow = Flow {
-            phase,
-            balancer,
-            since_ms: now_ms,
-            seen_ms: now_ms,
-            opened_seq: None,
-            busy: false,
-            requests: 0,
-            proven: false,
-            counted,
-            caller_end: None,
-            ack: 0,
-            caller_done: false,
-            upstream_done: false,
-        };
-        self.flows.insert(key, flow);
-    }
-
-    fn remove(&mut self, key: FlowKey, now_ms: u64) {
-        self.end_flow(key, Phase::Ended, now_ms);
-        if let Some(flow) = self.flows.remove(&key)
-            && matches!(flow.phase, Phase::Probing { .. })
-        {
-            self.probing -= 1;
-        }
-    }
-
-    /// Takes the flow out of the load and sets its last phase.
-    fn end_flow(&mut self, key: FlowKey, phase: Phase, now_ms: u64) {
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        if flow.busy {
-            self.load.end(now_ms);
-        }
-        if flow.counted {
-            self.load.remove_flow();
-            self.habits.record(key.service, flow.requests);
-        }
-        flow.busy = false;
-        flow.counted = false;
-        if !matches!(flow.phase, Phase::Probing { .. }) || phase == Phase::Absent {
-            flow.phase = phase;
-        }
-    }
-
-    fn settle_probe(&mut self, key: FlowKey) {
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        flow.phase = Phase::Open;
-        flow.counted = true;
-        self.probing -= 1;
-        self.load.add_flow();
-    }
-
-    /// Ends probes that the upstream has not bounced. It holds these flows, unless it was not heard of at all: then
-    /// nobody may be there to bounce anything, and no answer is better than a wrong one.
-    fn end_probes(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
-        let due = self.flows.iter().filter(|(_, it)| match it.phase {
-            Phase::Probing { since_ms, .. } => now_ms.saturating_sub(since_ms) >= PROBE_MS,
-            _ => false,
-        });
-        let due: Vec<_> = due.map(|(&key, it)| (key, it.balancer)).collect();
-        let heard = self.presence.is_known();
-        for (key, balancer) in due {
-            if heard {
-                self.settle_probe(key);
-                answer(balancer, key, Answer::Here, false, out);
-            } else {
-                self.remove(key, now_ms);
-            }
-        }
-    }
-
-    fn follow_end(&mut self, head: &Head, side: Side, now_ms: u64) {
-        let Some(flow) = self.flows.get_mut(&head.key) else {
-            return;
-        };
-        match (head.kind, side) {
-            (Kind::Finish, Side::Caller) => flow.caller_done = true,
-            (Kind::Finish, Side::Upstream) => flow.upstream_done = true,
-            (Kind::Reset, _) => {
-                flow.caller_done = true;
-                flow.upstream_done = true;
-            }
-            _ => {}
-        }
-        let probing = matches!(flow.phase, Phase::Probing { .. });
-        if flow.caller_done && flow.upstream_done && !probing {
-            self.end_flow(head.key, Phase::Ended, now_ms);
-        }
-    }
-
-    /// Resets the flows that began at `until_ms` or before. Those that the upstream is not known to have held may live at
-    /// another one.
-    fn reset_flows(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
-        let alive = |it: &Flow| it.phase == Phase::Open && it.proven;
-        let due = self.flows.iter().filter(|(_, it)| alive(it) && it.since_ms <= until_ms);
-        let due: Vec<_> = due.map(|(&key, it)| (key, it.ack)).collect();
-        for (key, seq) in due {
-            self.end_flow(key, Phase::Ended, now_ms);
-            reset(key, seq, Why::UpstreamEnded, out);
-        }
-    }
-
-    fn prune(&mut self, now_ms: u64) {
-        let old = self.flows.iter().filter(|(_, it)| {
-            let idle = now_ms.saturating_sub(it.seen_ms);
-            match it.phase {
-                Phase::Ended | Phase::Absent => idle > ENDED_MS,
-                Phase::Opening { .. } => idle > OPENING_MS,
-                _ => idle > FLOW_IDLE_MS,
-            }
-        });
-        let old: Vec<_> = old.map(|(&key, _)| key).collect();
-        for key in old {
-            self.remove(key, now_ms);
-        }
-    }
-
     fn lasting_load(&mut self, now_ms: u64) -> u16 {
         let (slots, cold) = self.presence.capacity(now_ms);
         self.load.lasting(slots, cold, now_ms)
@@ -694,12 +515,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Side {
-    Caller,
-    Upstream,
-}
-
 /// Whether the caller acknowledges another upstream's answer to its opening packet.
 fn is_for_another(phase: Phase, head: &Head) -> bool {
     match phase {
