--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -379,11 +379,6 @@
         })
     }
 
-    /// Whether the pool has an agent at all, live or not.
-    pub fn has_pool(&self, pool: PoolId) -> bool {
-        self.agents.of(pool).next().is_some()
-    }
-
     /// Agents to greet now; those that nothing was heard of for very long are forgotten.
     pub fn to_greet(&mut self, now_ms: u64) -> Vec<SocketAddrV4> {
         self.agents.retain(|it| it.listed || now_ms.saturating_sub(it.heard_ms) < FORGET_MS);
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -417,8 +417,8 @@
         heard as f64 >= known as f64 * HEARD_SHARE
     }
 
-    /// Has agents that are gone for long taken off the list. Each balancer does so for a random share of them, so that
-    /// about one call is made for each.
+    /// Has agents that left or are gone for long taken off the list. At each look a balancer does so for a random share of
+    /// them, so that not all balancers call the store at once.
     fn weed(&mut self, now: u64) {
         if now.saturating_sub(self.weed_ms) < WEED_MS || !self.ready.get() {
             return;
