Three balancers remove the object of an agent that left, not all; explain tells of requests that waited

Change: each agent has an order of its own over the balancers; the first three call, three more after 50 s, when lists are read anew. explain: a request that waited 50 ms or more at the agent is a cause; a full walk says how many candidates it had. Test: three_balancers_remove_an_object_and_more_if_it_stays; a_request_that_waited_at_the_agent.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -76,6 +76,15 @@
         /// The candidates with the loads that they judged.
         walk: String,
     },
+    /// A request waited at the agent for a slot of its upstream, as the whole pool was full.
+    Waited {
+        /// The agent.
+        process: String,
+        /// For how long, in milliseconds.
+        waited_ms: u64,
+        /// Why it went to the upstream then.
+        cause: String,
+    },
     /// The flow was placed, and nothing went wrong in the system.
     Served {
         /// The agent that took it.
@@ -115,6 +124,7 @@
             walk: line.text("walk").unwrap_or("").to_owned(),
         }),
         642 => Some(Cause::Served { process }),
+        654 => waited(line),
         644 => Some(Cause::Refused { process }),
         647 => Some(match line.text("silent") {
             Some(agent) => Cause::Silent { agent: agent.to_owned() },
@@ -128,6 +138,15 @@
     }
 }
 
+/// Waits of fewer milliseconds are told by no caller from a common service time.
+const NOTICED_MS: u64 = 50;
+
+fn waited(line: &Line) -> Option<Cause> {
+    let waited_ms = line.number("waited_ms").filter(|&it| it >= NOTICED_MS)?;
+    let cause = line.text("cause").unwrap_or("").to_owned();
+    Some(Cause::Waited { process: line.process.clone(), waited_ms, cause })
+}
+
 fn reset(line: &Line, own: &[&Line], context: &[&Line]) -> Option<Cause> {
     let process = line.process.clone();
     let in_force = || {
@@ -218,7 +237,12 @@
             Cause::Dropped { process, why } => write!(f, "{process} dropped a packet: {why}"),
             Cause::Full { process, load, walk } => write!(
                 f,
-                "all candidates were above the limit; {process} took the flow at {load} thousandths of its slots: {walk}"
+                "all {} candidates that the balancer knew were above the limit; {process} took the flow at {load} thousandths of its slots: {walk}",
+                walk.split_whitespace().count()
+            ),
+            Cause::Waited { process, waited_ms, cause } => write!(
+                f,
+                "a request waited {waited_ms} ms at {process}, as the pool was full; it went to the upstream by `{cause}`"
             ),
             Cause::Served { process } => {
                 write!(
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -57,9 +57,22 @@
         of_flow(10.0, 642, &format!(r#""load":5850,"last":true,"limit":5700,"walk":"{walk}""#));
     let account = account(&[("side-1", agent)]);
     let expected = Cause::Full { process: "side-1".to_owned(), load: 5_850, walk: walk.to_owned() };
+    assert!(account.cause.to_string().starts_with("all 2 candidates"), "{}", account.cause);
     assert_eq!(account.cause, expected);
 }
 
+#[test]
+fn a_request_that_waited_at_the_agent() {
+    let placed = of_flow(10.0, 642, r#""load":5,"last":false,"limit":40,"walk":"10.0.0.9:7720=-""#);
+    let long = of_flow(10.5, 654, r#""waited_ms":400,"cause":"overdue","waiting":7"#);
+    let short = of_flow(11.5, 654, r#""waited_ms":20,"cause":"slot","waiting":0"#);
+    let account_of = |text: String| account(&[("side-1", text)]).cause;
+    let expected =
+        Cause::Waited { process: "side-1".to_owned(), waited_ms: 400, cause: "overdue".to_owned() };
+    assert_eq!(account_of(placed.clone() + &long + &short), expected);
+    assert_eq!(account_of(placed + &short), Cause::Served { process: "side-1".to_owned() });
+}
+
 #[test]
 fn a_refusal_tells_the_configuration_in_force() {
     let balancer = line(8.5, 611, r#""revision":31,"version":7,"before":20,"routes":13"#)
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -16,7 +16,8 @@
 use super::{
     FlowKey, Head, Kind, PoolId,
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why, drop, note, reset},
-    fleet::{Change, Fleet, Listed, Plan, Report, ZoneId},
+    fleet::{Change, Fleet, Listed, Plan, Report, ZoneId, rank},
+    flow::number,
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
@@ -39,6 +40,11 @@
 /// Time for which an agent that leaves may remove its object itself: longer than its call may take, shorter than the time
 /// after which its address may belong to another one.
 const LEFT_MS: u64 = 1_500;
+/// Balancers that have an agent's object removed: that all of them are gone at the same time is rare, and each further one
+/// costs a call to the store. With all nine balancers of a small fleet nine calls were made for each agent that left.
+const REMOVERS: usize = 3;
+/// Time after which more balancers try: the pause between two lists of members, and some.
+const REMOVAL_MS: u64 = 50_000;
 /// Withdrawn agents that are remembered.
 const MAX_WITHDRAWN: usize = 10_000;
 /// Time without any event after which the balancer's process must have stood still: it looks at what is due each 20 ms.
@@ -144,6 +150,18 @@
         agents
     }
 
+    /// Whether it is up to this balancer, among the others, to have an agent's object removed that is due since so long: each
+    /// agent has an order of its own over the balancers, and the first few of it call the store. Whoever is left out
+    /// learns of the removal with its next list.
+    pub fn is_remover<'a, I>(&self, agent: SocketAddrV4, others: I, since_ms: u64) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let own = rank(self.address, number(agent));
+        let before = others.into_iter().filter(|&&it| rank(it, number(agent)) < own).count();
+        before < REMOVERS * (1 + (since_ms / REMOVAL_MS) as usize)
+    }
+
     /// The object of an agent is removed. If the agent is heard of again, it is told so.
     pub fn withdraw(&mut self, agent: SocketAddrV4) {
         self.left.remove(&agent);
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -455,6 +455,6 @@
 }
 
 /// Rendezvous hashing: each flow has an order of its own over the agents.
-fn rank(agent: SocketAddrV4, hash: u64) -> u64 {
+pub(super) fn rank(agent: SocketAddrV4, hash: u64) -> u64 {
     mix(number(agent) ^ hash)
 }
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -404,6 +404,24 @@
 }
 
 // Soak, seed 1: a balancer that started while the store was silent took a peer's part of the members for all of them.
+// Each of seven balancers removed the same object, as none learnt that another one had done so.
+#[test]
+fn three_balancers_remove_an_object_and_more_if_it_stays() {
+    let all: Vec<_> = (100..120).map(address).collect();
+    let removers = |agent: u8, since_ms: u64| {
+        let is_remover = |it: &&SocketAddrV4| {
+            let others = all.iter().filter(|other| other != it);
+            Balancer::new(**it, ZONE).is_remover(address(agent), others, since_ms)
+        };
+        all.iter().filter(is_remover).copied().collect::<Vec<_>>()
+    };
+    assert_eq!(removers(1, 0).len(), 3);
+    assert_eq!(removers(1, 60_000).len(), 6);
+    assert_eq!(removers(1, 600_000).len(), all.len());
+    // The work is shared: other agents have others.
+    assert!((2..9).any(|it| removers(it, 0) != removers(1, 0)));
+}
+
 #[test]
 fn what_a_peer_knows_does_not_make_the_members_complete() {
     let mut it = Balancer::new(address(200), ZONE);
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -1,7 +1,7 @@
 //! The process on an entry VM: takes callers' packets and sends them to agents.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -17,7 +17,7 @@
     fleet::{Change, Listed, ZoneId},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Snapshot, decode};
-use rand::{Rng, seq::IteratorRandom};
+use rand::seq::IteratorRandom;
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc, watch},
@@ -136,6 +136,7 @@
         list_again,
         balancers: BTreeSet::new(),
         records: Vec::new(),
+        due: BTreeMap::new(),
         gone,
         effects: Vec::new(),
         scratch: Vec::new(),
@@ -165,6 +166,8 @@
     /// The other balancers.
     balancers: BTreeSet<SocketAddrV4>,
     records: Vec<Record>,
+    /// Agents whose objects are to be removed, and since when.
+    due: BTreeMap<SocketAddrV4, u64>,
     gone: mpsc::Sender<Record>,
     effects: Vec<Effect>,
     scratch: Vec<u8>,
@@ -419,22 +422,22 @@
         heard as f64 >= known as f64 * HEARD_SHARE
     }
 
-    /// Has agents that left or are gone for long taken off the list. At each look a balancer does so for a random share of
-    /// them, so that not all balancers call the store at once.
+    /// Has agents that left or are gone for long taken off the list, as far as that is up to this balancer.
     fn weed(&mut self, now: u64) {
         if now.saturating_sub(self.weed_ms) < WEED_MS || !self.ready.get() {
             return;
         }
         self.weed_ms = now;
-        let balancers = self.balancers.len() + 1;
         let gone = self.state.to_withdraw(now);
+        self.due.retain(|it, _| gone.contains(it));
         let due = self.records.iter().filter(|it| gone.contains(&it.member.address));
         for record in due.cloned().collect::<Vec<_>>() {
-            if !rand::rng().random_ratio(1, balancers as u32) {
+            let agent = record.member.address;
+            let since_ms = now.saturating_sub(*self.due.entry(agent).or_insert(now));
+            if !self.state.is_remover(agent, &self.balancers, since_ms) {
                 continue;
             }
             // A full queue means that calls are slow: the next look finds the agent again.
-            let agent = record.member.address;
             if self.gone.try_send(record).is_err() {
                 return;
             }
