An agent without an upstream says that it leaves, and takes its old object off the list

Cause: agents that leave while the store is away can't remove their objects. Ruled out: admission (the failures are of flows that nobody reset, not of requests that waited), resets without certainty (would break open flows). Change: an agent that finds no upstream and its own object on the list removes it; to balancers it says that it leaves, until its upstream's first heartbeat.

--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -141,7 +141,8 @@
         self.presence.state(now_ms).unwrap_or(unheard)
     }
 
-    /// The next report to balancers.
+    /// The next report to balancers. An agent that never had an upstream says that it leaves: balancers that know it from
+    /// a list, or from before its start, need not ask it for flows.
     pub fn next_report(&mut self, now_ms: u64) -> Report {
         self.report_seq += 1;
         Report {
@@ -150,7 +151,7 @@
             pool: self.own.pool,
             zone: self.own.zone,
             upstream: self.upstream(now_ms),
-            plan: self.plan,
+            plan: if self.has_served() { self.plan } else { Plan::Leave },
             slots: self.presence.capacity(now_ms).0,
             load: self.lasting_load(now_ms),
             service_ms: self.admission.mean_ms().map(|it| it.max(1.0) as u32),
--- a/crates/core/tests/opaque/agent.rs
+++ b/crates/core/tests/opaque/agent.rs
@@ -71,6 +71,19 @@
     assert!(out.contains(&Effect::Deliver));
 }
 
+// Spb-edge-grown trouble-1: 36 agents had left while the store was away, so their objects stayed on its list. Their VMs were
+// powered on once more and gone again, and searches waited for each of them: 1,786 of 92,200 requests failed.
+#[test]
+fn an_agent_that_never_had_an_upstream_is_not_waited_for() {
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, false, 0);
+    assert_eq!(agent.next_report(10).plan, Plan::Leave);
+    agent.heartbeat(&beat("a", 1), 20, &mut Vec::new());
+    assert_eq!(agent.next_report(30).plan, Plan::Stay);
+    // One whose upstream has ended says so, and may be asked for its flows.
+    agent.upstream_ended(40, &mut Vec::new());
+    assert_eq!(agent.next_report(50).plan, Plan::Stay);
+}
+
 #[test]
 fn a_draining_upstream_refuses_at_once_if_there_is_no_other() {
     let mut agent = ready();
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -357,9 +357,7 @@
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
         self.balancers.extend(members.iter().filter_map(balancer_address));
         self.pace();
-        if self.state.has_served() {
-            self.report(now_ms());
-        }
+        self.report(now_ms());
     }
 
     fn pace(&mut self) {
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -161,7 +161,12 @@
     S: Store,
 {
     let members = count("list", store.members(patience).await)?;
-    if !serving || members.iter().any(|it| it.member == *own) {
+    let listed = members.iter().any(|it| it.member == *own);
+    if listed && !serving {
+        // From a former life that could not remove it, as the store was away.
+        count("withdraw", store.withdraw(&own.name, None, patience).await)?;
+    }
+    if listed || !serving {
         return Ok(members);
     }
     count("announce", store.announce(own, patience).await)?;
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -190,15 +190,21 @@
     task.abort();
 }
 
-/// A store that notes who is announced.
+/// A store that lists who was announced and not withdrawn.
 #[derive(Clone, Default)]
 struct Announced {
     names: Arc<Mutex<Vec<String>>>,
 }
 
+impl Announced {
+    fn names(&self) -> Vec<String> {
+        self.names.lock().expect("not poisoned").clone()
+    }
+}
+
 impl Store for Announced {
     async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
-        Ok(Vec::new())
+        Ok(self.names().iter().map(|_| record()).collect())
     }
 
     async fn announce(&self, member: &Member, _: Duration) -> Result<(), StoreError> {
@@ -206,7 +212,8 @@
         Ok(())
     }
 
-    async fn withdraw(&self, _: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+    async fn withdraw(&self, name: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+        self.names.lock().expect("not poisoned").retain(|it| it != name);
         Ok(())
     }
 
@@ -225,6 +232,8 @@
 #[tokio::test]
 async fn an_agent_without_an_upstream_is_not_on_the_list() {
     let store = Announced::default();
+    // From before it was powered off, when the store was away.
+    store.announce(&record().member, Duration::ZERO).await.expect("announced");
     let (serves, serving) = watch::channel(false);
     let (_keep, seeds) = watch::channel(Vec::new());
     let (out, mut found) = mpsc::channel(16);
@@ -232,10 +241,10 @@
     let task =
         tokio::spawn(join(store.clone(), record().member, serving, seeds, again.clone(), out));
     found.recv().await.expect("a list");
-    assert!(store.names.lock().expect("not poisoned").is_empty());
+    assert!(store.names().is_empty());
     serves.send_replace(true);
     again.notify_one();
     found.recv().await.expect("another list");
-    assert_eq!(*store.names.lock().expect("not poisoned"), ["one"]);
+    assert_eq!(store.names(), ["one"]);
     task.abort();
 }
