--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -1,30 +1,26 @@
 //! Decisions of an agent on opaque flows.
 
 mod flows;
+mod opening;
 mod requests;
+mod upstream;
 
 use std::net::SocketAddrV4;
 
 use rustc_hash::FxHashMap;
 
-use self::{
-    flows::{Flow, Phase, Side},
-    requests::age_ms,
-};
+use self::flows::{Flow, Phase};
 pub use super::presence::Heartbeat;
 use super::{
     FlowKey, Head, Kind, PoolId,
     admission::Admission,
-    effect::{
-        Answer, Ask, Decision, Drop, Effect, Payload, Relay, Verdict, Why, drop, note, reset,
-    },
+    effect::{Answer, Ask, Effect, Payload, Relay, Verdict},
     fleet::{Plan, REPORT_MS, Report, Upstream, ZoneId},
     hold::Hold,
-    load::{Habit, Habits, Load, usable},
+    load::{Habits, Load},
     presence::{Presence, Sender},
-    walk::{CLOSED, Last, UNSURE, Walk},
+    walk::Last,
 };
-use crate::invariant::{self, Invariant};
 
 /// Time after its start for which an agent may not know all flows of its upstream, unless it has seen the upstream
 /// start: longer than flows that must be kept may live.
@@ -239,22 +235,6 @@
         }
     }
 
-    /// A packet that is meant for another pool is not for the upstream here. The balancer learns whom it sent it to,
-    /// and an opening packet goes on to the next candidate.
-    fn turn_away(&self, relay: &Relay, head: &Head, out: &mut Vec<Effect>) {
-        let returned = relay.ask == Ask::Deliver;
-        answer(relay.balancer, head.key, Answer::WrongPool(self.own.pool), returned, out);
-        let next = match relay.ask {
-            Ask::Open(mut walk) => walk.pass(CLOSED).map(|to| (to, Ask::Open(walk))),
-            Ask::Settle(_) | Ask::Deliver | Ask::Locate => None,
-        };
-        let Some((to, ask)) = next else {
-            return drop(head.key, Drop::WrongPool, out);
-        };
-        let relay = Relay { ask, ..*relay };
-        out.push(Effect::Relay { to, relay, payload: Payload::Current });
-    }
-
     /// Answers a balancer that asks for flows.
     pub fn query(&self, balancer: SocketAddrV4, keys: &[FlowKey], out: &mut Vec<Effect>) {
         let verdicts = keys.iter().map(|&it| (it, self.verdict(&it))).collect();
@@ -271,62 +251,6 @@
         }
     }
 
-    /// Takes a packet that the upstream sent.
-    pub fn sent(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
-        if head.bounced {
-            return self.bounced(head, now_ms, out);
-        }
-        if head.kind == Kind::Reset && !self.pass_reset(head, now_ms, out) {
-            return;
-        }
-        out.push(Effect::Reply);
-        let Some(flow) = self.flows.get_mut(&head.key) else {
-            // A flow from before this agent started.
-            if head.kind != Kind::Reset {
-                self.learn(head, now_ms);
-            }
-            return;
-        };
-        flow.seen_ms = now_ms;
-        if head.kind != Kind::Open {
-            flow.proven = true;
-        }
-        match flow.phase {
-            Phase::Opening { walk, first } if head.kind == Kind::Open => {
-                if first.is_none() {
-                    answer(flow.balancer, head.key, Answer::Here, false, out);
-                }
-                flow.phase = Phase::Opening { walk, first: Some(head.seq) };
-            }
-            Phase::Probing { .. } => {
-                answer(flow.balancer, head.key, Answer::Here, false, out);
-                self.settle_probe(head.key);
-            }
-            _ => {}
-        }
-        if head.len > 0 {
-            self.answered(head.key, now_ms);
-        }
-        self.follow_end(head, Side::Upstream, now_ms);
-        self.admit(now_ms, out);
-    }
-
-    /// Whether the upstream's reset goes to the caller. That of an upstream which was only asked whether it holds the
-    /// flow says no more than that it does not: the flow may live at another one.
-    fn pass_reset(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) -> bool {
-        let phase = self.flows.get(&head.key).map(|it| it.phase);
-        let passed = matches!(phase, Some(Phase::Opening { .. } | Phase::Open | Phase::Ended));
-        note(head.key, Decision::UpstreamReset { passed }, out);
-        if let Some(Phase::Probing { .. }) = phase {
-            let balancer = self.flows[&head.key].balancer;
-            self.probing -= 1;
-            self.end_flow(head.key, Phase::Absent, now_ms);
-            answer(balancer, head.key, Answer::Absent, false, out);
-            note(head.key, Decision::Absent, out);
-        }
-        passed
-    }
-
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         if self.probing > 0 {
@@ -346,117 +270,6 @@
         }
     }
 
-    fn open(
-        &mut self,
-        relay: &Relay,
-        head: &Head,
-        mut walk: Walk,
-        last: Last,
-        now_ms: u64,
-        out: &mut Vec<Effect>,
-    ) {
-        match self.flows.get_mut(&head.key) {
-            // A copy: the upstream answers again.
-            Some(flow) if matches!(flow.phase, Phase::Opening { .. }) => {
-                flow.seen_ms = now_ms;
-                return out.push(Effect::Deliver);
-            }
-            // A copy that comes late, from a process that stood still: the upstream could take it for a new flow.
-            Some(flow) if flow.phase == Phase::Open && flow.is_opened_by(head) => {
-                return drop(head.key, Drop::LateCopy, out);
-            }
-            _ => {}
-        }
-        self.admission.hear_pool(walk.pool, now_ms);
-        let state =
-            if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
-        let load = match state {
-            Upstream::Ready => self.load_for(&head.key, now_ms),
-            Upstream::Unknown => UNSURE,
-            Upstream::Draining | Upstream::Ended => CLOSED,
-        };
-        let accepts = match last {
-            Last::No => {
-                state == Upstream::Ready && self.has_room(&head.key, load, walk.limit, now_ms)
-            }
-            Last::Yes => load != CLOSED,
-        };
-        if accepts {
-            return self.accept(relay, head, walk, load, last, now_ms, out);
-        }
-        if last == Last::Yes {
-            walk.record(CLOSED);
-            return self.settle(relay, head, walk, now_ms, out);
-        }
-        self.pass_on(relay, head, walk, load, now_ms, out);
-    }
-
-    fn accept(
-        &mut self,
-        relay: &Relay,
-        head: &Head,
-        walk: Walk,
-        load: u16,
-        last: Last,
-        now_ms: u64,
-        out: &mut Vec<Effect>,
-    ) {
-        let closed = matches!(self.upstream(now_ms), Upstream::Draining | Upstream::Ended);
-        if !invariant::check(Invariant::DrainHolds, !closed) {
-            return drop(head.key, Drop::NoUpstream, out);
-        }
-        let phase = Phase::Opening { walk: Some(walk), first: None };
-        self.insert(head.key, phase, Some(relay.balancer), now_ms);
-        if let Some(flow) = self.flows.get_mut(&head.key) {
-            flow.opened_seq = Some(head.seq);
-            flow.age_ms = age_ms(head.ack);
-        }
-        if let Some(objective) = walk.objective {
-            self.admission.set_objective(head.key.service, objective);
-        }
-        note(head.key, Decision::Accepted { load, last, walk }, out);
-        out.push(Effect::Deliver);
-    }
-
-    fn pass_on(
-        &mut self,
-        relay: &Relay,
-        head: &Head,
-        mut walk: Walk,
-        load: u16,
-        now_ms: u64,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(to) = walk.pass(load) else {
-            return self.settle(relay, head, walk, now_ms, out);
-        };
-        let limit = walk.limit;
-        note(head.key, Decision::PassedOn { to, load, limit }, out);
-        let relay = Relay { ask: Ask::Open(walk), ..*relay };
-        out.push(Effect::Relay { to, relay, payload: Payload::Current });
-    }
-
-    /// All candidates were asked: the least loaded one gets the flow.
-    fn settle(
-        &mut self,
-        relay: &Relay,
-        head: &Head,
-        mut walk: Walk,
-        now_ms: u64,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(best) = walk.settle() else {
-            note(head.key, Decision::NobodyAccepted { walk }, out);
-            return reset(head.key, 0, Why::AllRefused, out);
-        };
-        if best == self.own.address {
-            let load = self.load_for(&head.key, now_ms);
-            return self.accept(relay, head, walk, load, Last::Yes, now_ms, out);
-        }
-        let relay = Relay { ask: Ask::Settle(walk), ..*relay };
-        out.push(Effect::Relay { to: best, relay, payload: Payload::Current });
-    }
-
     fn carry(
         &mut self,
         relay: &Relay,
@@ -501,63 +314,6 @@
         self.probing += 1;
         self.deliver(head, bytes, now_ms, out);
     }
-
-    fn bounced(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
-        let Some(flow) = self.flows.get(&head.key) else {
-            return drop(head.key, Drop::StrayBounce, out);
-        };
-        let balancer = flow.balancer;
-        match flow.phase {
-            Phase::Opening { walk: Some(walk), .. } if head.kind == Kind::Open => {
-                self.remove(head.key, now_ms);
-                note(head.key, Decision::Refused, out);
-                let pool = self.own.pool;
-                let Some(balancer) = balancer else {
-                    return drop(head.key, Drop::StrayBounce, out);
-                };
-                let relay = Relay { ask: Ask::Open(walk), pool, balancer };
-                self.pass_on(&relay, head, walk, CLOSED, now_ms, out);
-            }
-            Phase::Probing { ask, .. } => {
-                self.probing -= 1;
-                self.end_flow(head.key, Phase::Absent, now_ms);
-                answer(balancer, head.key, Answer::Absent, ask != Ask::Locate, out);
-            }
-            Phase::Ended => {}
-            _ => {
-                self.end_flow(head.key, Phase::Absent, now_ms);
-                note(head.key, Decision::Absent, out);
-                answer(balancer, head.key, Answer::Absent, true, out);
-            }
-        }
-    }
-
-    fn usable_slots(&self, now_ms: u64) -> f64 {
-        let (slots, cold) = self.presence.capacity(now_ms);
-        usable(slots, cold, self.admission.mean_ms(), self.admission.pool_ms())
-    }
-
-    fn lasting_load(&mut self, now_ms: u64) -> u16 {
-        let slots = self.usable_slots(now_ms);
-        self.load.lasting(slots, now_ms)
-    }
-
-    /// The load that counts for a new flow.
-    fn load_for(&mut self, key: &FlowKey, now_ms: u64) -> u16 {
-        let slots = self.usable_slots(now_ms);
-        match self.habits.of(key.service) {
-            Habit::Single => self.load.present(slots, now_ms),
-            Habit::Kept => self.load.lasting(slots, now_ms),
-        }
-    }
-
-    /// Whether the flow is accepted without looking for a less loaded upstream.
-    fn has_room(&self, key: &FlowKey, load: u16, limit: u16, now_ms: u64) -> bool {
-        match self.habits.of(key.service) {
-            Habit::Single => self.load.has_room(self.usable_slots(now_ms)),
-            Habit::Kept => load <= limit,
-        }
-    }
 }
 
 /// Whether the caller acknowledges another upstream's answer to its opening packet.
