Long files split: what processes take in, and the choice of candidates, in modules of their own

The order over processes (rank) stands beside the number that it is made of. Nothing that they do has changed.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -16,8 +16,8 @@
 use super::{
     FlowKey, Head, Kind, PoolId,
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why, drop, note, reset},
-    fleet::{Change, Fleet, Listed, Plan, Report, ZoneId, rank},
-    flow::number,
+    fleet::{Change, Fleet, Listed, Plan, Report, ZoneId},
+    flow::{number, rank},
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
--- a/crates/core/src/opaque/flow.rs
+++ b/crates/core/src/opaque/flow.rs
@@ -72,3 +72,8 @@
 pub(crate) fn after(a: u32, b: u32) -> bool {
     a != b && a.wrapping_sub(b) < 1 << 31
 }
+
+/// Rendezvous hashing: each hash, as that of a flow, has an order of its own over the processes.
+pub(super) fn rank(address: SocketAddrV4, hash: u64) -> u64 {
+    mix(number(address) ^ hash)
+}
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -1,15 +1,17 @@
 //! The process beside an upstream: gives it callers' packets and sends its answers to the callers.
 
+mod input;
+
 use std::{collections::BTreeSet, io::ErrorKind, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use camphorwinch_core::opaque::{
     PoolId,
-    agent::{Agent, Heard, Heartbeat, Identity},
-    effect::{Effect, Payload, Relay},
+    agent::{Agent, Heartbeat, Identity},
+    effect::{Effect, Payload},
     fleet::{Listed, Plan, REPORT_MS, Upstream, ZoneId},
 };
-use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
+use camphorwinch_wire::opaque::Body;
 use tokio::{
     net::{TcpStream, UdpSocket},
     sync::{Notify, mpsc, oneshot, watch},
@@ -18,12 +20,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    balancer::caller_address,
     clock::now_ms,
-    codec::{Codec, MAX_PACKET},
+    codec::Codec,
     discovery::{self, Found},
     event::Id,
-    member::{Peers, count_faulty, count_misdirected},
+    member::Peers,
     metrics,
     note::Notes,
     socket,
@@ -257,153 +258,10 @@
         self.apply(&[], now);
     }
 
-    fn take_upstream(&mut self) {
-        let mut buffer = [0; MAX_PACKET];
-        for _ in 0..TURN {
-            let Ok((len, _)) = self.outbound.try_recv_from(&mut buffer) else {
-                return;
-            };
-            let packet = &mut buffer[..len];
-            let Some(head) = self.codec.upstream_head(packet) else {
-                count_faulty();
-                continue;
-            };
-            if head.bounced {
-                self.codec.restore(packet);
-            }
-            let now = now_ms();
-            self.state.sent(&head, now, &mut self.effects);
-            let to = caller_address(&head, self.caller_port);
-            self.apply_to(packet, Some(to), now);
-        }
-    }
-
-    fn take_peers(&mut self) {
-        let mut buffer = [0; MAX_PACKET];
-        for _ in 0..TURN {
-            let Some((from, bytes)) = self.peers.receive(&mut buffer) else {
-                return;
-            };
-            self.take_datagram(from, bytes);
-        }
-    }
-
-    fn take_datagram(&mut self, from: SocketAddrV4, bytes: &[u8]) {
-        let now = now_ms();
-        match decode(bytes) {
-            Ok(Datagram::Packet { relay, packet }) => self.take_packet(&relay, &[], packet, now),
-            Ok(Datagram::Spread { relay, agents, packet }) => {
-                self.take_packet(&relay, &agents, packet, now);
-            }
-            Ok(Datagram::Control(message)) => match message.body {
-                Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting, now),
-                Some(Body::Report(_)) | None => {
-                    count_misdirected();
-                }
-            },
-            Ok(Datagram::Query(keys)) => {
-                self.state.query(from, &keys, &mut self.effects);
-                self.apply(&[], now);
-            }
-            Ok(Datagram::Answer { .. } | Datagram::Verdicts(_)) => {
-                count_misdirected();
-            }
-            Err(e) => {
-                count_faulty();
-                tracing::debug!("datagram from {from}: {e}");
-            }
-        }
-    }
-
-    /// Takes a caller's packet, for these agents if any are named.
-    fn take_packet(&mut self, relay: &Relay, agents: &[SocketAddrV4], packet: &[u8], now: u64) {
-        let Some(head) = self.codec.caller_head(packet) else {
-            count_faulty();
-            return;
-        };
-        if agents.is_empty() {
-            self.state.relayed(relay, &head, packet, now, &mut self.effects);
-        } else {
-            self.state.spread(relay, agents, &head, packet, now, &mut self.effects);
-        }
-        self.apply(packet, now);
-    }
-
-    fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting, now: u64) {
-        if greeting.unlisted {
-            let id = Id::Unlisted;
-            tracing::info!(id = id as u16, name = id.name(), peer = %from);
-            self.list_again.notify_one();
-        }
-        if greeting.leaving {
-            self.balancers.remove(&from);
-        } else {
-            self.balancers.insert(from);
-            self.report_to(from, now);
-        }
-        self.pace();
-    }
-
-    fn take_found(&mut self, found: Found) {
-        let members = match found {
-            Found::Members(records) => {
-                self.balancers.clear();
-                records.iter().map(|it| it.member.listed()).collect()
-            }
-            Found::PeerMembers(members) => members,
-            Found::Routes(_) => return,
-        };
-        let id = Id::MembersListed;
-        tracing::info!(id = id as u16, name = id.name(), members = members.len());
-        self.balancers.extend(members.iter().filter_map(balancer_address));
-        self.pace();
-        self.report(now_ms());
-    }
-
     fn pace(&mut self) {
         self.state.set_report_pause(report_pause_ms(self.balancers.len()));
     }
 
-    fn take_said(&mut self, said: Said) {
-        let now = now_ms();
-        let before = self.state.upstream(now);
-        let reply = match said {
-            Said::Heartbeat(beat, reply) => {
-                let heard = self.state.heartbeat(&beat, now, &mut self.effects);
-                let id = match heard {
-                    Heard::Changed => Some(Id::UpstreamChanged),
-                    Heard::Late => Some(Id::HeartbeatLate),
-                    Heard::Same => None,
-                };
-                if let Some(id) = id {
-                    tracing::info!(
-                        id = id as u16,
-                        name = id.name(),
-                        upstream = beat.id,
-                        seq = beat.seq,
-                        draining = beat.draining,
-                        slots = beat.slots,
-                        cold_ms = beat.cold_ms,
-                        before = before.as_str(),
-                    );
-                }
-                reply
-            }
-            Said::Deregister(upstream, reply) => {
-                let present = self.state.deregister(&upstream, &mut self.effects);
-                let id = if present { Id::UpstreamChanged } else { Id::HeartbeatLate };
-                tracing::info!(id = id as u16, name = id.name(), upstream, ended = true);
-                reply
-            }
-        };
-        self.apply(&[], now);
-        if self.state.has_served() && !self.serves.send_replace(true) {
-            self.list_again.notify_one();
-        }
-        // Whoever asked may have gone.
-        let _ = reply.send(());
-    }
-
     fn tick(&mut self) {
         let now = now_ms();
         self.state.tick(now, &mut self.effects);
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -1,5 +1,7 @@
 //! The process on an entry VM: takes callers' packets and sends them to agents.
 
+mod input;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
@@ -14,9 +16,9 @@
     FlowKey, Head,
     balancer::Balancer,
     effect::{Effect, Payload},
-    fleet::{Change, Listed, ZoneId},
+    fleet::{Listed, ZoneId},
 };
-use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Snapshot, decode};
+use camphorwinch_wire::opaque::{Body, Greeting, Snapshot};
 use rand::seq::IteratorRandom;
 use tokio::{
     net::UdpSocket,
@@ -27,10 +29,10 @@
 
 use crate::{
     clock::now_ms,
-    codec::{Codec, MAX_PACKET},
+    codec::Codec,
     discovery::{self, Found},
     event::Id,
-    member::{Peers, count_faulty, count_misdirected, send},
+    member::{Peers, send},
     metrics,
     note::Notes,
     snapshot, socket,
@@ -227,154 +229,6 @@
         since > STOP_MS || (since > LEAVE_MS && quiet)
     }
 
-    fn take_callers(&mut self) {
-        let mut buffer = [0; MAX_PACKET];
-        for _ in 0..TURN {
-            let Ok((len, _)) = self.callers.try_recv_from(&mut buffer) else {
-                return;
-            };
-            let packet = &buffer[..len];
-            let Some(head) = self.codec.caller_head(packet) else {
-                count_faulty();
-                continue;
-            };
-            let now = now_ms();
-            self.packet_ms = now;
-            self.state.packet(&head, packet, now, &mut self.effects);
-            self.apply(packet, now);
-        }
-    }
-
-    fn take_peers(&mut self) {
-        let mut buffer = [0; MAX_PACKET];
-        for _ in 0..TURN {
-            let Some((from, bytes)) = self.peers.receive(&mut buffer) else {
-                return;
-            };
-            self.take_datagram(from, bytes);
-        }
-    }
-
-    fn take_datagram(&mut self, from: SocketAddrV4, bytes: &[u8]) {
-        let now = now_ms();
-        match decode(bytes) {
-            Ok(Datagram::Answer { key, answer, packet }) => {
-                let mut packet = packet.to_vec();
-                self.codec.restore(&mut packet);
-                let head = self.codec.caller_head(&packet);
-                let returned = head.as_ref().map(|it| (it, packet.as_slice()));
-                self.state.answer(from, key, answer, returned, now, &mut self.effects);
-                self.apply(&packet, now);
-            }
-            Ok(Datagram::Control(message)) => match message.body {
-                Some(Body::Report(report)) => self.take_report(from, report, now),
-                Some(Body::Greeting(greeting)) => self.take_greeting(from, greeting),
-                None => count_faulty(),
-            },
-            Ok(Datagram::Verdicts(verdicts)) => {
-                for (key, verdict) in verdicts {
-                    self.state.verdict(from, key, verdict, now, &mut self.effects);
-                }
-                self.apply(&[], now);
-            }
-            Ok(Datagram::Packet { .. } | Datagram::Spread { .. } | Datagram::Query(_)) => {
-                count_misdirected();
-            }
-            Err(e) => {
-                count_faulty();
-                tracing::debug!("datagram from {from}: {e}");
-            }
-        }
-    }
-
-    fn take_report(
-        &mut self,
-        from: SocketAddrV4,
-        report: camphorwinch_wire::opaque::Report,
-        now: u64,
-    ) {
-        let Ok(report) = report.try_into() else {
-            count_faulty();
-            return;
-        };
-        let change = self.state.report(from, report, now, &mut self.effects);
-        if !matches!(change, Change::None | Change::Old) {
-            let id = Id::AgentChanged;
-            tracing::info!(
-                id = id as u16,
-                name = id.name(),
-                agent = %from,
-                change = ?change,
-                upstream = report.upstream.as_str(),
-                plan = ?report.plan,
-                incarnation = report.incarnation,
-                seq = report.seq,
-            );
-            self.publish();
-        }
-        self.apply(&[], now);
-    }
-
-    fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting) {
-        if !greeting.leaving && self.balancers.insert(from) {
-            self.publish();
-        }
-        let revision = self.state.routes().revision();
-        if greeting.revision <= revision.max(self.asked_revision) {
-            return;
-        }
-        self.asked_revision = greeting.revision;
-        let (own, found) = (self.own, self.found.clone());
-        tokio::spawn(async move { discovery::ask_any(&[from], own, &found).await });
-    }
-
-    fn take_found(&mut self, found: Found) {
-        let now = now_ms();
-        match found {
-            Found::Routes(routes) => self.put_routes(routes),
-            Found::Members(members) => {
-                let id = Id::MembersListed;
-                tracing::info!(id = id as u16, name = id.name(), members = members.len());
-                let listed: Vec<Listed> = members.iter().map(|it| it.member.listed()).collect();
-                self.records = members;
-                self.state.list(&listed, now);
-                self.balancers.clear();
-                for member in listed.iter().filter(|it| it.pool.is_none()) {
-                    self.add_balancer(member.address);
-                }
-            }
-            Found::PeerMembers(members) => {
-                let id = Id::MembersListed;
-                tracing::info!(id = id as u16, name = id.name(), peer_members = members.len());
-                self.state.learn(&members, now);
-                for member in members.iter().filter(|it| it.pool.is_none()) {
-                    self.add_balancer(member.address);
-                }
-            }
-        }
-        self.publish();
-    }
-
-    fn put_routes(&mut self, routes: camphorwinch_core::opaque::route::Routes) {
-        let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
-        let before = self.state.routes().revision();
-        let id = if self.state.put_routes(routes) {
-            Id::ConfigInForce
-        } else if revision == before {
-            return;
-        } else {
-            Id::ConfigOld
-        };
-        tracing::info!(id = id as u16, name = id.name(), revision, version, before, routes = count);
-        metrics::REVISION.set(self.state.routes().revision() as i64);
-    }
-
-    fn add_balancer(&mut self, address: SocketAddrV4) {
-        if address != self.own {
-            self.balancers.insert(address);
-        }
-    }
-
     /// Makes what is known here available to peers that can't ask the store.
     fn publish(&self) {
         let mut members = self.state.fleet().members();
