--- a/crates/core/src/opaque/agent/flows.rs
+++ b/crates/core/src/opaque/agent/flows.rs
@@ -9,7 +9,7 @@
         walk::Walk,
     },
     Agent, answer,
-    requests::Request,
+    requests::{End, Request},
 };
 
 /// Time after which a flow without packets is forgotten. A packet that comes later is treated as after a restart.
@@ -119,7 +119,7 @@
 
     /// Takes the flow out of the load and sets its last phase.
     pub(super) fn end_flow(&mut self, key: FlowKey, phase: Phase, now_ms: u64) {
-        self.break_off(key, now_ms);
+        self.end_request(key, End::BrokenOff, now_ms);
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -32,6 +32,15 @@
     Uncounted,
 }
 
+/// How a request ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// Its upstream began to answer.
+    Answered,
+    /// Its flow ended.
+    BrokenOff,
+}
+
 /// Age of the caller's request when this copy of its opening packet arrives.
 pub(super) fn age_ms(copies: u32) -> u64 {
     let last = COPY_AGES_MS.len() - 1;
@@ -111,32 +120,18 @@
         }
     }
 
-    /// The upstream answered the flow's request.
-    pub(super) fn answered(&mut self, key: FlowKey, now_ms: u64) {
+    /// The flow's request ends, if one is in progress.
+    pub(super) fn end_request(&mut self, key: FlowKey, how: End, now_ms: u64) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
         let request = std::mem::replace(&mut flow.request, Request::None);
         match request {
             Request::None => return,
-            Request::Running { since_ms, at_once } => {
+            Request::Running { since_ms, at_once } if how == End::Answered => {
                 let took_ms = at_once.then(|| now_ms.saturating_sub(since_ms));
                 self.admission.answered(took_ms, self.presence.slots(), now_ms);
             }
-            Request::Waiting { .. } => self.forget_waiting(key),
-            Request::Uncounted => {}
-        }
-        self.load.end(now_ms);
-    }
-
-    /// The flow ends, and its request with it.
-    pub(super) fn break_off(&mut self, key: FlowKey, now_ms: u64) {
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let request = std::mem::replace(&mut flow.request, Request::None);
-        match request {
-            Request::None => return,
             Request::Running { .. } => self.admission.end(),
             Request::Waiting { .. } => self.forget_waiting(key),
             Request::Uncounted => {}
--- a/crates/core/src/opaque/agent/upstream.rs
+++ b/crates/core/src/opaque/agent/upstream.rs
@@ -8,6 +8,7 @@
     },
     Agent, answer,
     flows::{Phase, Side},
+    requests::End,
 };
 
 impl Agent {
@@ -45,7 +46,7 @@
             _ => {}
         }
         if head.len > 0 {
-            self.answered(head.key, now_ms);
+            self.end_request(head.key, End::Answered, now_ms);
         }
         self.follow_end(head, Side::Upstream, now_ms);
         self.admit(now_ms, out);
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -131,26 +131,36 @@
     assert!((8..=26).contains(&calls), "{calls}");
 }
 
-/// A store that is busy at the first call and then lists nobody but the caller.
+/// A store that lists who was announced and not withdrawn, after it was busy for some calls.
 #[derive(Clone, Default)]
-struct BusyOnce {
-    called: Arc<Mutex<bool>>,
+struct Announced {
+    busy: Arc<Mutex<u32>>,
+    names: Arc<Mutex<Vec<String>>>,
 }
 
-impl Store for BusyOnce {
+impl Announced {
+    fn names(&self) -> Vec<String> {
+        self.names.lock().expect("not poisoned").clone()
+    }
+}
+
+impl Store for Announced {
     async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
-        let mut called = self.called.lock().expect("not poisoned");
-        if std::mem::replace(&mut *called, true) {
-            return Ok(vec![record()]);
+        let mut busy = self.busy.lock().expect("not poisoned");
+        if *busy > 0 {
+            *busy -= 1;
+            return Err(StoreError::Busy { step: "list members", status: 503 });
         }
-        Err(StoreError::Busy { step: "list members", status: 503 })
+        Ok(self.names().iter().map(|_| record()).collect())
     }
 
-    async fn announce(&self, _: &Member, _: Duration) -> Result<(), StoreError> {
+    async fn announce(&self, member: &Member, _: Duration) -> Result<(), StoreError> {
+        self.names.lock().expect("not poisoned").push(member.name.clone());
         Ok(())
     }
 
-    async fn withdraw(&self, _: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+    async fn withdraw(&self, name: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+        self.names.lock().expect("not poisoned").retain(|it| it != name);
         Ok(())
     }
 
@@ -171,8 +181,10 @@
     let SocketAddr::V4(at) = peer.local_addr().expect("its address") else { panic!("not IPv4") };
     let (_keep, seeds) = watch::channel(vec![at]);
     let (out, mut found) = mpsc::channel(16);
+    let store = Announced::default();
+    *store.busy.lock().expect("not poisoned") = 1;
     let task = tokio::spawn(join(
-        BusyOnce::default(),
+        store,
         record().member,
         watch::channel(true).1,
         seeds,
@@ -190,42 +202,6 @@
     task.abort();
 }
 
-/// A store that lists who was announced and not withdrawn.
-#[derive(Clone, Default)]
-struct Announced {
-    names: Arc<Mutex<Vec<String>>>,
-}
-
-impl Announced {
-    fn names(&self) -> Vec<String> {
-        self.names.lock().expect("not poisoned").clone()
-    }
-}
-
-impl Store for Announced {
-    async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
-        Ok(self.names().iter().map(|_| record()).collect())
-    }
-
-    async fn announce(&self, member: &Member, _: Duration) -> Result<(), StoreError> {
-        self.names.lock().expect("not poisoned").push(member.name.clone());
-        Ok(())
-    }
-
-    async fn withdraw(&self, name: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
-        self.names.lock().expect("not poisoned").retain(|it| it != name);
-        Ok(())
-    }
-
-    async fn routes(&self, _: Duration) -> Result<Seen, StoreError> {
-        Ok(Seen { routes: None, at: STORE_AT })
-    }
-
-    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched, StoreError> {
-        Ok(Watched::Seen(Seen { routes: None, at }))
-    }
-}
-
 // Chillwatch trouble-1, seed 12: VMs on their way out were powered on once more and listed themselves, then they were gone.
 // For 5 s no caller was told that its flow was dead, since those agents might have held it: 406 of 18,600 requests failed
 // instead of 232.
