--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -25,6 +25,9 @@
 /// Time after its start for which an agent may not know all flows of its upstream, unless it has seen the upstream
 /// start: longer than flows that must be kept may live.
 const LEARN_MS: u64 = 65_000;
+/// Reports between two regular ones, at the most, that the upstream is full or no longer: each goes to all balancers. With
+/// 520 balancers and 60 bytes a report they take 10 KB/s at worst.
+const FULL_REPORTS: u32 = 4;
 /// Pause between two looks for old flows.
 const PRUNE_EVERY_MS: u64 = 1_000;
 /// Room above what the caller has acknowledged within which it may acknowledge the upstream's opening packet: what
@@ -68,6 +71,9 @@
     load: Load,
     habits: Habits,
     admission: Admission,
+    /// Whether the upstream has become full or no longer is since that was last told, and when that was.
+    full_untold: bool,
+    full_told_ms: Option<u64>,
     /// Packets of requests that wait.
     hold: Hold,
     flows: FxHashMap<FlowKey, Flow>,
@@ -90,6 +96,8 @@
             load: Load::default(),
             habits: Habits::default(),
             admission: Admission::default(),
+            full_untold: false,
+            full_told_ms: None,
             hold: Hold::default(),
             flows: FxHashMap::default(),
             probing: 0,
@@ -257,9 +265,7 @@
             self.end_probes(now_ms, out);
         }
         self.admit(now_ms, out);
-        if self.admission.look(self.presence.slots()) {
-            out.push(Effect::Report);
-        }
+        self.tell_full(now_ms, out);
         if now_ms.saturating_sub(self.started_ms) > LEARN_MS {
             self.learning = false;
         }
@@ -270,6 +276,19 @@
         }
     }
 
+    /// Reports that the upstream is full, or no longer, if it has not done so just before.
+    fn tell_full(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        self.full_untold |= self.admission.look(self.presence.slots());
+        let pause_ms = u64::from(self.report_ms / FULL_REPORTS);
+        let just_told = self.full_told_ms.is_some_and(|it| now_ms.saturating_sub(it) < pause_ms);
+        if !self.full_untold || just_told {
+            return;
+        }
+        self.full_untold = false;
+        self.full_told_ms = Some(now_ms);
+        out.push(Effect::Report);
+    }
+
     fn carry(
         &mut self,
         relay: &Relay,
--- a/crates/core/tests/opaque/admission.rs
+++ b/crates/core/tests/opaque/admission.rs
@@ -134,6 +134,38 @@
     assert!(reported && agent.next_report(240).full);
 }
 
+#[test]
+fn an_upstream_that_is_full_by_turns_is_reported_each_time_but_more_rarely_in_a_large_fleet() {
+    let mut agent = ready();
+    let mut reports = 0;
+    // Full for half a second, then empty for as long, ten times.
+    for at in 0..500u64 {
+        let (turn, step, now) = (at / 50, at % 50, at * 20);
+        let flows = (turn as u16 * 8)..(turn as u16 * 8 + 8);
+        for number in flows {
+            match step {
+                0 => drop(ask(&mut agent, number, now)),
+                25 => drop(answer(&mut agent, number, now)),
+                _ => {}
+            }
+        }
+        let mut out = Vec::new();
+        agent.tick(now, &mut out);
+        reports += usize::from(out.contains(&Effect::Report));
+    }
+    assert_eq!(reports, 20);
+    // In a large fleet reports are rarer, and these are, too.
+    agent.set_report_pause(13_000);
+    let mut out = Vec::new();
+    for number in 9_000..9_008 {
+        ask(&mut agent, number, 10_000);
+    }
+    for at in 0..20 {
+        agent.tick(10_000 + at * 20, &mut out);
+    }
+    assert!(!out.contains(&Effect::Report));
+}
+
 #[test]
 fn who_can_be_in_time_goes_before_who_cannot() {
     let mut agent = full_at(900);
