--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -10,6 +10,7 @@
     },
     Fleet, ZoneId,
 };
+
 /// Room above the mean load up to which an agent accepts a flow at once: a tenth, so that kept flows are spread evenly,
 /// and a part of a slot so that idle pools keep flows in their zone.
 const LIMIT_FACTOR: f64 = 1.0;
