Upstreams that start again under their id, and entries of other writers

Cause: an agent told an upstream's lives apart by id alone. One that came back under its id was taken for late until its count passed the old one, or for ever; its old flows were not given up and its load was that of its former life. And one object of our kind that could not be read failed a whole page of the list (or a watch), so no process learnt any member.

Now a life is an id with the time of its start (born). A later start ends what is known at once; an earlier one (held up on its way, or a clock that jumped back) is believed only if it goes on while the known life is silent, and is not acknowledged before. Each object of the store is read by itself; each bad one is logged once and counted.

Ruled out: ordering by the time of the start alone (a clock that jumps back would shut the upstream out for good); believing a lower count (a heartbeat held up by a cut looks the same).

--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -90,6 +90,14 @@
         (self.samples >= ENOUGH).then_some(self.mean_ms)
     }
 
+    /// Forgets how long the upstream works on a request: another process takes its place.
+    pub(super) fn forget_times(&mut self) {
+        self.mean_ms = 0.0;
+        self.samples = 0;
+        self.ended_ms = None;
+        self.recent = f64::from(self.running) + self.waiting.len() as f64;
+    }
+
     /// Notes the objective of a service.
     pub(super) fn set_objective(&mut self, service: SocketAddrV4, objective: Objective) {
         self.objectives.insert(service, objective);
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use self::flows::{Flow, Phase};
-pub use super::presence::Heartbeat;
+pub use super::presence::{Heartbeat, Life};
 use super::{
     FlowKey, Head, Kind, PoolId,
     admission::Admission,
@@ -43,6 +43,11 @@
     Changed,
     /// It is older than what is known and was ignored.
     Late,
+    /// It may be of a former life of the upstream or of a new one: nothing is concluded from it, so its sender must not
+    /// take it as acknowledged.
+    Unclear,
+    /// It is not from an upstream here: it does not say when its sender started.
+    Foreign,
 }
 
 /// Who an agent is.
@@ -174,12 +179,16 @@
         let before = self.upstream(now_ms);
         match self.presence.hear(beat, now_ms) {
             Sender::Late => return Heard::Late,
+            Sender::Unclear => return Heard::Unclear,
+            Sender::Foreign => return Heard::Foreign,
             Sender::Known => {}
             Sender::Newborn => self.learning = false,
-            Sender::Successor { heard_ms } => {
+            Sender::Successor { until_ms } => {
                 self.learning = false;
                 // Flows that were opened after the former upstream's last heartbeat may already be with the new one.
-                self.reset_flows(heard_ms, now_ms, out);
+                self.forget_life(until_ms, now_ms, out);
+                out.push(Effect::Report);
+                return Heard::Changed;
             }
         }
         if self.upstream(now_ms) == before {
@@ -190,8 +199,8 @@
     }
 
     /// The upstream says that it ends; whether it was the present one.
-    pub fn deregister(&mut self, id: &str, out: &mut Vec<Effect>) -> bool {
-        let present = self.presence.deregister(id);
+    pub fn deregister(&mut self, life: &Life, out: &mut Vec<Effect>) -> bool {
+        let present = self.presence.deregister(life);
         if present {
             out.push(Effect::Report);
         }
@@ -202,7 +211,15 @@
     pub fn upstream_ended(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         self.presence.end();
         self.learning = false;
-        self.reset_flows(now_ms, now_ms, out);
+        self.forget_life(now_ms, now_ms, out);
+    }
+
+    /// Forgets what was learnt of an upstream's life that has ended: flows that began at `until_ms` or before, requests
+    /// on them, service times.
+    fn forget_life(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
+        self.reset_flows(until_ms, now_ms, out);
+        self.break_off_requests(until_ms, now_ms);
+        self.admission.forget_times();
     }
 
     /// Takes a caller's packet that another process sent.
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -190,6 +190,15 @@
         note(key, Decision::Admitted { waited_ms, cause, waiting }, out);
     }
 
+    /// Ends the requests on flows that began at `until_ms` or before, as nobody works on them any longer.
+    pub(super) fn break_off_requests(&mut self, until_ms: u64, now_ms: u64) {
+        let due = self.flows.iter().filter(|(_, it)| it.since_ms <= until_ms);
+        let due: Vec<_> = due.map(|(&key, _)| key).collect();
+        for key in due {
+            self.end_request(key, End::BrokenOff, now_ms);
+        }
+    }
+
     /// Requests without an answer for longer than anybody waits for one no longer count as taking a slot.
     pub(super) fn give_up_lost(&mut self, now_ms: u64) {
         for (key, flow) in &mut self.flows {
--- a/crates/core/tests/opaque/admission.rs
+++ b/crates/core/tests/opaque/admission.rs
@@ -9,7 +9,7 @@
     walk::{PoolLoad, Walk},
 };
 
-use crate::support::{address, decisions, identity, key, relay};
+use crate::support::{address, decisions, identity, key, life, relay};
 
 const BEAT_MS: u64 = 1_000;
 const SLOTS: u32 = 2;
@@ -19,7 +19,7 @@
 
 fn ready() -> Agent {
     let mut agent = Agent::new(identity(1, 1), BEAT_MS, false, 0);
-    let beat = Heartbeat { id: "a".to_owned(), seq: 1, draining: false, slots: SLOTS, cold_ms: 0 };
+    let beat = Heartbeat { life: life("a"), seq: 1, draining: false, slots: SLOTS, cold_ms: 0 };
     agent.heartbeat(&beat, 0, &mut Vec::new());
     agent
 }
@@ -297,7 +297,7 @@
 #[test]
 fn a_request_from_before_the_agents_start_takes_no_slot() {
     let mut agent = Agent::new(identity(1, 2), BEAT_MS, true, 0);
-    let beat = Heartbeat { id: "a".to_owned(), seq: 9, draining: false, slots: SLOTS, cold_ms: 0 };
+    let beat = Heartbeat { life: life("a"), seq: 9, draining: false, slots: SLOTS, cold_ms: 0 };
     agent.heartbeat(&beat, 0, &mut Vec::new());
     for number in 0..10 {
         request(&mut agent, number, 500, 1);
--- a/crates/core/tests/opaque/agent.rs
+++ b/crates/core/tests/opaque/agent.rs
@@ -7,13 +7,13 @@
 };
 
 use crate::support::{
-    POOL, address, data, decisions, head, identity, key, open_at, relay, relays, resets,
+    POOL, address, data, decisions, head, identity, key, life, open_at, relay, relays, resets,
 };
 
 const BEAT_MS: u64 = 1_000;
 
 fn beat(id: &str, seq: u64) -> Heartbeat {
-    Heartbeat { id: id.to_owned(), seq, draining: false, slots: 2, cold_ms: 0 }
+    Heartbeat { life: life(id), seq, draining: false, slots: 2, cold_ms: 0 }
 }
 
 /// An agent at host 1 with an upstream whose whole life it has seen.
@@ -128,7 +128,7 @@
         Heard::Late
     );
     assert_eq!(agent.upstream(4), Upstream::Ready);
-    assert!(!agent.deregister("a", out));
+    assert!(!agent.deregister(&life("a"), out));
     assert_eq!(agent.upstream(4), Upstream::Ready);
 }
 
--- a/crates/core/tests/opaque/support.rs
+++ b/crates/core/tests/opaque/support.rs
@@ -4,7 +4,7 @@
 
 use camphorwinch_core::opaque::{
     FlowKey, Head, Kind, PoolId,
-    agent::Identity,
+    agent::{Identity, Life},
     effect::{Ask, Decision, Effect, Relay},
     fleet::{Plan, Report, Upstream, ZoneId},
     route::{Route, Routes, Share},
@@ -24,6 +24,11 @@
     Identity { address: address(host), pool: POOL, zone: ZONE, incarnation }
 }
 
+/// A life of an upstream that does not say when it started.
+pub(crate) fn life(id: &str) -> Life {
+    Life { id: id.to_owned(), born_ms: None }
+}
+
 pub(crate) fn service() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -10,7 +10,7 @@
 
 use camphorwinch_core::opaque::{
     FlowKey, Head, Kind,
-    agent::{Agent, Heartbeat, Identity},
+    agent::{Agent, Heartbeat, Identity, Life},
     balancer::Balancer,
     effect::{Answer, Effect, Payload, Relay, Verdict},
     fleet::{Change, Listed, Plan, Report, ZoneId},
@@ -97,6 +97,7 @@
 /// An upstream: it accepts flows, runs requests in its slots and bounces what it does not hold.
 struct Upstream {
     id: u64,
+    born_ms: u64,
     beats: u64,
     draining_since: Option<u64>,
     opening: HashMap<FlowKey, u32>,
@@ -105,6 +106,17 @@
     waiting: VecDeque<u64>,
 }
 
+impl Upstream {
+    /// Upstreams of odd hosts start again under the id that they had and say when; others take a new id.
+    fn life(&self, host: u8) -> Life {
+        if host % 2 == 1 {
+            Life { id: host.to_string(), born_ms: Some(self.born_ms) }
+        } else {
+            Life { id: self.id.to_string(), born_ms: None }
+        }
+    }
+}
+
 struct Host {
     agent: Option<Agent>,
     balancers: BTreeSet<SocketAddrV4>,
@@ -254,6 +266,7 @@
         if let Some(it) = self.hosts.get_mut(&host) {
             it.upstream = Some(Upstream {
                 id,
+                born_ms: self.now,
                 beats: 0,
                 draining_since: None,
                 opening: HashMap::new(),
@@ -379,7 +392,7 @@
         };
         it.beats += 1;
         let beat = Heartbeat {
-            id: it.id.to_string(),
+            life: it.life(host),
             seq: it.beats,
             draining: it.draining_since.is_some(),
             slots,
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use camphorwinch_core::opaque::{
     PoolId,
-    agent::{Agent, Heartbeat, Identity},
+    agent::{Agent, Heartbeat, Identity, Life},
     effect::{Effect, Payload},
     fleet::{Listed, Plan, REPORT_MS, Upstream, ZoneId},
 };
@@ -69,13 +69,24 @@
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
 }
 
-/// What the upstream says of itself. The reply is sent once it is in force.
+/// What the upstream says of itself. The reply is sent once that is decided on.
 #[derive(Debug)]
 pub enum Said {
     /// A heartbeat.
-    Heartbeat(Heartbeat, oneshot::Sender<()>),
-    /// The upstream of this id ends.
-    Deregister(String, oneshot::Sender<()>),
+    Heartbeat(Heartbeat, oneshot::Sender<Taken>),
+    /// An upstream ends.
+    Deregister(Life, oneshot::Sender<Taken>),
+}
+
+/// What became of the upstream's word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is in force, or older than what is.
+    Acknowledged,
+    /// Nothing was concluded from it yet: it is to be said again.
+    Unclear,
+    /// It is not from an upstream here.
+    Foreign,
 }
 
 /// Where what the upstream says goes.
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddrV4;
 
-use camphorwinch_core::opaque::{agent::Heard, effect::Relay};
+use camphorwinch_core::opaque::{
+    agent::{Heard, Heartbeat},
+    effect::Relay,
+    fleet::Upstream,
+};
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, decode};
 
-use super::{Process, Said, TURN, balancer_address};
+use super::{Process, Said, TURN, Taken, balancer_address};
 use crate::{
     balancer::caller_address,
     clock::now_ms,
@@ -125,33 +129,24 @@
     pub(super) fn take_said(&mut self, said: Said) {
         let now = now_ms();
         let before = self.state.upstream(now);
-        let reply = match said {
+        let (reply, taken) = match said {
             Said::Heartbeat(beat, reply) => {
                 let heard = self.state.heartbeat(&beat, now, &mut self.effects);
-                let id = match heard {
-                    Heard::Changed => Some(Id::UpstreamChanged),
-                    Heard::Late => Some(Id::HeartbeatLate),
-                    Heard::Same => None,
-                };
-                if let Some(id) = id {
-                    tracing::info!(
-                        id = id as u16,
-                        name = id.name(),
-                        upstream = beat.id,
-                        seq = beat.seq,
-                        draining = beat.draining,
-                        slots = beat.slots,
-                        cold_ms = beat.cold_ms,
-                        before = before.as_str(),
-                    );
-                }
-                reply
+                log_heartbeat(&beat, heard, before);
+                (reply, taken(heard))
             }
-            Said::Deregister(upstream, reply) => {
-                let present = self.state.deregister(&upstream, &mut self.effects);
+            Said::Deregister(life, reply) => {
+                let present = self.state.deregister(&life, &mut self.effects);
                 let id = if present { Id::UpstreamChanged } else { Id::HeartbeatLate };
-                tracing::info!(id = id as u16, name = id.name(), upstream, ended = true);
-                reply
+                tracing::info!(
+                    id = id as u16,
+                    name = id.name(),
+                    upstream = life.id,
+                    born_ms = life.born_ms,
+                    before = before.as_str(),
+                    ended = true,
+                );
+                (reply, Taken::Acknowledged)
             }
         };
         self.apply(&[], now);
@@ -159,6 +154,35 @@
             self.list_again.notify_one();
         }
         // Whoever asked may have gone.
-        let _ = reply.send(());
+        let _ = reply.send(taken);
     }
 }
+
+fn taken(heard: Heard) -> Taken {
+    match heard {
+        Heard::Same | Heard::Changed | Heard::Late => Taken::Acknowledged,
+        Heard::Unclear => Taken::Unclear,
+        Heard::Foreign => Taken::Foreign,
+    }
+}
+
+fn log_heartbeat(beat: &Heartbeat, heard: Heard, before: Upstream) {
+    let id = match heard {
+        Heard::Changed => Id::UpstreamChanged,
+        Heard::Late => Id::HeartbeatLate,
+        Heard::Unclear => Id::HeartbeatUnclear,
+        Heard::Foreign => Id::HeartbeatForeign,
+        Heard::Same => return,
+    };
+    tracing::info!(
+        id = id as u16,
+        name = id.name(),
+        upstream = beat.life.id,
+        born_ms = beat.life.born_ms,
+        seq = beat.seq,
+        draining = beat.draining,
+        slots = beat.slots,
+        cold_ms = beat.cold_ms,
+        before = before.as_str(),
+    );
+}
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -39,6 +39,7 @@
     616 PeerAsked "opaque-peer-asked" "a peer was asked for what it knows, as the store was not of use";
     617 MemberWithdrawn "opaque-member-withdrawn" "a member that was gone for long was taken off the list";
     618 Unlisted "opaque-unlisted" "a balancer had taken this process off the list of members: it lists itself again";
+    619 EntryUnreadable "opaque-entry-unreadable" "an object of another writer could not be read and is left out";
     621 AgentChanged "opaque-agent-changed" "what is believed of an agent changed";
     622 Connected "opaque-connected" "agents are heard of: the balancer is ready";
     623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
@@ -46,6 +47,8 @@
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
     633 UpstreamGone "opaque-upstream-gone" "the upstream's process is proven to have ended";
+    634 HeartbeatUnclear "opaque-heartbeat-unclear" "a heartbeat may be of a former life of the upstream: not acknowledged";
+    635 HeartbeatForeign "opaque-heartbeat-foreign" "a heartbeat that does not say when its sender started was refused";
     641 FlowPlaced "opaque-flow-placed" "an opening packet was sent to its first candidate";
     642 FlowAccepted "opaque-flow-accepted" "an agent gave the flow to its upstream";
     643 FlowPassed "opaque-flow-passed" "an agent passed an opening packet on to the next candidate";
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::sync::LazyLock;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, TextEncoder,
-    default_registry,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    TextEncoder, default_registry,
 };
 
 /// Bounds of latency histograms, in seconds: from a local round trip to a caller's patience.
@@ -39,6 +39,14 @@
     register!(IntCounterVec::new(opts, &["step", "result"]))
 });
 
+/// Objects of the store that could not be read, counted with each list.
+pub static UNREADABLE: LazyLock<IntCounter> = LazyLock::new(|| {
+    register!(IntCounter::new(
+        "camphorwinch_opaque_unreadable_objects_total",
+        "Objects of the store that could not be read, counted with each list."
+    ))
+});
+
 /// Flows known.
 pub static FLOWS: LazyLock<IntGauge> = LazyLock::new(|| {
     register!(IntGauge::new("camphorwinch_opaque_flows", "Flows that the process knows."))
