The breaker opens from three resets in a row

Hypothesis: an upstream that resets half of its requests stays below a share of one half for too long.

--- a/crates/core/src/opaque/breaker.rs
+++ b/crates/core/src/opaque/breaker.rs
@@ -1,21 +1,21 @@
 //! A circuit breaker for an upstream that resets requests.
 //!
 //! An upstream may say that it is well, take flows and reset each of them at its first request. Its load is then low, so
-//! it would draw flows from those that serve. Its agent sees the resets: from four in a row on new flows go elsewhere
+//! it would draw flows from those that serve. Its agent sees the resets: from three in a row on new flows go elsewhere
 //! along their walk, as long as another agent takes them. Now and then one flow is let through to see whether requests
 //! are answered again. It is one whose request the caller may send again; others come only after a longer pause.
 //!
 //! With a tenth of the upstreams resetting, one in eight single requests fails without it and one in two hundred with it
 //! (model of a fleet, `callers_are_kept_from_upstreams_that_reset_requests`).
 
-/// Weight of the newest request in the share of those that were reset: four in a row open the breaker, one in five does
-/// not, and some ten requests settle it.
+/// Weight of the newest request in the share of those that were reset: some ten requests settle it.
 const WEIGHT: f64 = 0.2;
-/// Share of resets from which the breaker opens: callers of every second request fail.
-const OPEN_SHARE: f64 = 0.5;
+/// Share of resets from which the breaker opens: three in a row do, one in five does not. An upstream that resets half of
+/// its requests is found out within some ten of them.
+const OPEN_SHARE: f64 = 0.4;
 /// Trials in a row that are answered before it closes: an upstream that resets every second request rarely does so.
 const TRIALS: u32 = 3;
-/// Share of resets that is assumed when it closes: two more in a row open it again.
+/// Share of resets that is assumed when it closes: one more at once opens it again.
 const CLOSE_SHARE: f64 = 0.25;
 /// Pause before the first trial, in milliseconds: a process that ends and starts again takes about as long.
 const FIRST_PAUSE_MS: u64 = 500;
