--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -23,11 +23,11 @@
 /// Requests from whose service times an upstream can be compared with others: their mean is then within a fifth.
 const ENOUGH: u32 = 20;
 /// Service times, in means, within which a request is expected to end: eight of ten of a log-normal distribution with a
-/// spread of a half do. After a loss of power half of it costs up to 0.005 of worth, twice as much changes nothing.
+/// spread of a half do. With fewer, requests that end late go before some that could be in time.
 const TIME_MARGIN: f64 = 1.5;
-/// Share of the timeout within which all that waits can be served. What is more goes to the upstream, which refuses it at
-/// once if its own queue is full: nobody waits for what can't come. Half of it costs up to 0.015 of worth after a loss of
-/// power, as more of those that could still be served are refused.
+/// Share of the timeout within which all that waits can be served; the rest is for service times that vary and for the
+/// answer's way. What is more goes to the upstream, which refuses it at once if its own queue is full: nobody waits for what
+/// can't come. With half of it requests are refused that could be served while their callers stay.
 const BACKLOG_SHARE: f64 = 0.8;
 /// Share of the pool's slots at full upstreams from which requests wait. With less, a refusal at once is better for a
 /// caller: it comes back to an upstream with room, and flows that are kept move away from one that has too many.
@@ -37,8 +37,8 @@
 /// Weight of a look at the requests in progress, each 20 ms, in their mean: a time constant of 150 ms, so that a few
 /// requests at once don't count as full and a burst does within a quarter of a second.
 const LOOK_WEIGHT: f64 = 0.125;
-/// Share of the time that its caller still has for which a request waits at the most. The rest is for serving it. Half of it
-/// costs up to 0.008 of worth after a loss of power.
+/// Share of the time that its caller still has for which a request waits at the most. The rest is for serving it: half a
+/// second of a timeout of 2.5 s, several service times.
 const WAIT_SHARE: f64 = 0.8;
 /// Longest wait of a request whose timeout is not known: some service times, well below the patience of callers.
 const UNKNOWN_WAIT_MS: u64 = 300;
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -3,6 +3,7 @@
 //! A balancer remembers where the flows are whose packets it gets, but nothing depends on that memory: what it does
 //! not know it searches for among the agents of the route's pools.
 
+mod duties;
 mod search;
 
 use std::{
@@ -12,12 +13,14 @@
 
 use rustc_hash::FxHashMap;
 
-use self::search::{SEARCH_MS, Search};
+use self::{
+    duties::MAX_WITHDRAWN,
+    search::{SEARCH_MS, Search},
+};
 use super::{
     FlowKey, Head, Kind, PoolId,
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why, drop, note, reset},
     fleet::{Change, Fleet, Listed, Plan, Report, ZoneId},
-    flow::{number, rank},
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
@@ -36,27 +39,6 @@
 const SETTLED_AFTER_MS: u64 = 100;
 /// Pause between two looks for agents to greet: a look passes over all of them, 5,900 in the size designed for.
 const GREET_LOOK_MS: u64 = 60;
-/// Silence after which an agent's object is removed: well above that of a restart on a slow VM, and short, as each object
-/// of an agent that is gone keeps a fleet that lost power from being certain of anything for seconds.
-const WITHDRAW_MS: u64 = 11_000;
-/// Time for which an agent that leaves may remove its object itself: longer than its call may take, shorter than the time
-/// after which its address may belong to another one.
-const LEFT_MS: u64 = 1_500;
-/// Balancers that have an agent's object removed: that all of them are gone at the same time is rare, and each further one
-/// costs a call to the store. With all nine balancers of a small fleet nine calls were made for each agent that left.
-const REMOVERS: usize = 3;
-/// Balancers that wait at the store for changes of the configuration; they tell all others. With a third of all VMs turned
-/// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
-/// 59, and nobody else's connection waits there.
-const WATCHERS: usize = 8;
-/// Number that gives the balancers an order for that.
-const WATCH_ORDER: u64 = 0x77a7;
-/// Time after which a peer is asked again for a configuration that did not come: a call that fails takes 600 ms.
-const ASK_AGAIN_MS: u64 = 700;
-/// Time after which more balancers try: the pause between two lists of members, and some.
-const REMOVAL_MS: u64 = 50_000;
-/// Withdrawn agents that are remembered.
-const MAX_WITHDRAWN: usize = 10_000;
 /// Time without any event after which the balancer's process must have stood still: it looks at what is due each 20 ms.
 const STOOD_STILL_MS: u64 = 1_000;
 /// Time after the first list of members at which it is read again if some of them never reported: they may have left
@@ -154,58 +136,6 @@
         self.fleet.list(members, now_ms);
     }
 
-    /// Agents whose objects should be removed, as they left or have been gone for long: a fleet that starts anew would
-    /// wait for them.
-    pub fn to_withdraw(&self, now_ms: u64) -> Vec<SocketAddrV4> {
-        let mut agents = self.fleet.long_gone(WITHDRAW_MS, now_ms);
-        let left = self.left.iter().filter(|it| now_ms.saturating_sub(*it.1) >= LEFT_MS);
-        agents.extend(left.map(|it| it.0));
-        agents
-    }
-
-    /// Whether it is up to this balancer, among the others, to have an agent's object removed that is due since so long: each
-    /// agent has an order of its own over the balancers, and the first few of it call the store. Whoever is left out
-    /// learns of the removal with its next list.
-    pub fn is_remover<'a, I>(&self, agent: SocketAddrV4, others: I, since_ms: u64) -> bool
-    where
-        I: IntoIterator<Item = &'a SocketAddrV4>,
-    {
-        let own = rank(self.address, number(agent));
-        let before = others.into_iter().filter(|&&it| rank(it, number(agent)) < own).count();
-        before < REMOVERS * (1 + (since_ms / REMOVAL_MS) as usize)
-    }
-
-    /// Whether it is up to this balancer, among the others, to wait at the store for changes of the configuration.
-    pub fn is_watcher<'a, I>(&self, others: I) -> bool
-    where
-        I: IntoIterator<Item = &'a SocketAddrV4>,
-    {
-        let own = rank(self.address, WATCH_ORDER);
-        others.into_iter().filter(|&&it| rank(it, WATCH_ORDER) < own).count() < WATCHERS
-    }
-
-    /// Whether to ask a peer for the configuration of this revision, which it has in force.
-    pub fn wants(&mut self, revision: u64, now_ms: u64) -> bool {
-        if revision <= self.routes.revision() {
-            return false;
-        }
-        let asked = self.asked.is_some_and(|(asked, at_ms)| {
-            asked >= revision && now_ms.saturating_sub(at_ms) < ASK_AGAIN_MS
-        });
-        if !asked {
-            self.asked = Some((revision, now_ms));
-        }
-        !asked
-    }
-
-    /// The object of an agent is removed. If the agent is heard of again, it is told so.
-    pub fn withdraw(&mut self, agent: SocketAddrV4) {
-        self.left.remove(&agent);
-        if self.withdrawn.len() < MAX_WITHDRAWN {
-            self.withdrawn.insert(agent);
-        }
-    }
-
     /// Takes members that a peer knows of, which may be some of them only.
     pub fn learn(&mut self, members: &[Listed], now_ms: u64) {
         self.fleet.learn(members, now_ms);
--- /dev/null
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -0,0 +1,85 @@
+//! What balancers do for the whole fleet, and which of them does it: remove objects of agents that are gone, wait for
+//! changes of the configuration, fetch one from a peer.
+
+use std::net::SocketAddrV4;
+
+use super::{
+    super::flow::{number, rank},
+    Balancer,
+};
+
+/// Silence after which an agent's object is removed: well above that of a restart on a slow VM, and short, as each object
+/// of an agent that is gone keeps a fleet that lost power from being certain of anything for seconds.
+const WITHDRAW_MS: u64 = 11_000;
+/// Time for which an agent that leaves may remove its object itself: longer than its call may take, shorter than the time
+/// after which its address may belong to another one.
+const LEFT_MS: u64 = 1_500;
+/// Balancers that have an agent's object removed: that all of them are gone at the same time is rare, and each further one
+/// costs a call to the store. With all nine balancers of a small fleet nine calls were made for each agent that left.
+const REMOVERS: usize = 3;
+/// Balancers that wait at the store for changes of the configuration; they tell all others. With a third of all VMs turned
+/// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
+/// 59, and nobody else's connection waits there.
+const WATCHERS: usize = 8;
+/// Number that gives the balancers an order for that.
+const WATCH_ORDER: u64 = 0x77a7;
+/// Time after which a peer is asked again for a configuration that did not come: a call that fails takes 600 ms.
+const ASK_AGAIN_MS: u64 = 700;
+/// Time after which more balancers try: the pause between two lists of members, and some.
+const REMOVAL_MS: u64 = 50_000;
+/// Withdrawn agents that are remembered.
+pub(super) const MAX_WITHDRAWN: usize = 10_000;
+
+impl Balancer {
+    /// Agents whose objects should be removed, as they left or have been gone for long: a fleet that starts anew would
+    /// wait for them.
+    pub fn to_withdraw(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let mut agents = self.fleet.long_gone(WITHDRAW_MS, now_ms);
+        let left = self.left.iter().filter(|it| now_ms.saturating_sub(*it.1) >= LEFT_MS);
+        agents.extend(left.map(|it| it.0));
+        agents
+    }
+
+    /// Whether it is up to this balancer, among the others, to have an agent's object removed that is due since so long: each
+    /// agent has an order of its own over the balancers, and the first few of it call the store. Whoever is left out
+    /// learns of the removal with its next list.
+    pub fn is_remover<'a, I>(&self, agent: SocketAddrV4, others: I, since_ms: u64) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let own = rank(self.address, number(agent));
+        let before = others.into_iter().filter(|&&it| rank(it, number(agent)) < own).count();
+        before < REMOVERS * (1 + (since_ms / REMOVAL_MS) as usize)
+    }
+
+    /// Whether it is up to this balancer, among the others, to wait at the store for changes of the configuration.
+    pub fn is_watcher<'a, I>(&self, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let own = rank(self.address, WATCH_ORDER);
+        others.into_iter().filter(|&&it| rank(it, WATCH_ORDER) < own).count() < WATCHERS
+    }
+
+    /// Whether to ask a peer for the configuration of this revision, which it has in force.
+    pub fn wants(&mut self, revision: u64, now_ms: u64) -> bool {
+        if revision <= self.routes.revision() {
+            return false;
+        }
+        let asked = self.asked.is_some_and(|(asked, at_ms)| {
+            asked >= revision && now_ms.saturating_sub(at_ms) < ASK_AGAIN_MS
+        });
+        if !asked {
+            self.asked = Some((revision, now_ms));
+        }
+        !asked
+    }
+
+    /// The object of an agent is removed. If the agent is heard of again, it is told so.
+    pub fn withdraw(&mut self, agent: SocketAddrV4) {
+        self.left.remove(&agent);
+        if self.withdrawn.len() < MAX_WITHDRAWN {
+            self.withdrawn.insert(agent);
+        }
+    }
+}
--- a/crates/core/src/opaque/load.rs
+++ b/crates/core/src/opaque/load.rs
@@ -15,7 +15,8 @@
 /// between two requests of a flow does not look like room.
 const AVERAGE_MS: f64 = 1_500.0;
 /// Requests that an open flow without one stands for. Flows that callers keep open bring requests later, where their
-/// opening can't be steered any more; measured on the standard days, a kept flow has 0.02 to 0.06 requests in progress.
+/// opening can't be steered any more. A feed that asks each one to three seconds has 0.02 to 0.06 requests in progress; more
+/// counts for flows that will be used more than they are now.
 const FLOW_SHARE: f64 = 0.15;
 /// Slots that a cold upstream counts for, as a share, until its service times are known: cold upstreams work about 1.6
 /// times as long.
