--- a/crates/core/src/opaque/agent/upstream.rs
+++ b/crates/core/src/opaque/agent/upstream.rs
@@ -46,29 +46,29 @@
             }
             _ => {}
         }
-        if head.kind == Kind::Reset {
-            self.count_reset(head, now_ms, out);
-        }
+        self.count_end(head, now_ms, out);
         if head.len > 0 {
             self.end_request(head.key, End::Answered, now_ms);
-            let turn = self.breaker.answered(now_ms);
-            note_turn(turn, out);
         }
         self.follow_end(head, Side::Upstream, now_ms);
         self.admit(now_ms, out);
     }
 
-    /// Counts the reset of a flow whose request the upstream has. One that follows the upstream's own end of the flow only
-    /// crossed with a request.
-    fn count_reset(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
-        let failed = self.flows.get(&head.key).is_some_and(|it| {
-            let begun = matches!(it.request, Request::Running { .. } | Request::Uncounted);
-            begun && !it.upstream_done
-        });
-        if failed {
-            let turn = self.breaker.reset(now_ms);
-            note_turn(turn, out);
+    /// Counts how the request ends that the upstream has on this flow: with its answer, or with a reset. A reset after the
+    /// upstream's own end of the flow only crossed with a request.
+    fn count_end(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get(&head.key) else {
+            return;
+        };
+        if !matches!(flow.request, Request::Running { .. } | Request::Uncounted) {
+            return;
         }
+        let turn = match head.kind {
+            Kind::Reset if !flow.upstream_done => self.breaker.reset(now_ms),
+            Kind::Data | Kind::Finish if head.len > 0 => self.breaker.answered(now_ms),
+            _ => return,
+        };
+        note_turn(turn, out);
     }
 
     /// Whether the upstream's reset goes to the caller. That of an upstream which was only asked whether it holds the
--- a/crates/core/tests/opaque/agent.rs
+++ b/crates/core/tests/opaque/agent.rs
@@ -448,6 +448,21 @@
     assert!(is_taken(&mut agent, 60, false, now_ms) && is_taken(&mut agent, 61, false, now_ms));
 }
 
+// An answer of many packets is one request that was answered.
+#[test]
+fn further_packets_of_an_answer_do_not_close_the_breaker() {
+    let mut agent = resetting(3);
+    assert!(is_taken(&mut agent, 50, true, 520));
+    let answer = Head { seq: 1_000, ..head(50, Kind::Open) };
+    agent.sent(&answer, 520, &mut Vec::new());
+    agent.relayed(&relay(Ask::Deliver), &data(50, 1, 1_001), &[], 521, &mut Vec::new());
+    for at in 0..9 {
+        agent.sent(&data(50, 1_001 + at * 100, 101), 530, &mut Vec::new());
+    }
+    assert!(is_taken(&mut agent, 51, true, 531), "the next trial");
+    assert!(!is_taken(&mut agent, 52, true, 532), "and no more than that");
+}
+
 #[test]
 fn a_reset_without_a_request_or_after_the_upstreams_end_says_nothing() {
     let mut agent = ready();
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -160,8 +160,8 @@
     if agent { pause * AGENT_PAUSES } else { pause }
 }
 
-/// The members, this process among them if it serves; `absent` says that it was not on the list before. Whoever lists after writing sees each process that did so before,
-/// so of two that start at once one sees the other.
+/// The members, this process among them if it serves; `absent` says that it was not on the list before. Whoever lists
+/// after writing sees each process that did so before, so of two that start at once one sees the other.
 async fn enter<S>(
     store: &S,
     own: &Member,
