--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -37,20 +37,21 @@
             _ => {}
         }
         self.admission.hear_pool(walk.pool, now_ms);
-        let state =
-            if self.plan == Plan::Stay { self.upstream(now_ms) } else { Upstream::Draining };
         let idempotent = walk.objective.is_some_and(|it| it.idempotent);
-        let load = match state {
+        let state = match self.upstream(now_ms) {
+            _ if self.plan != Plan::Stay => Upstream::Draining,
             // Whom nobody else takes is better off here than refused.
-            Upstream::Ready if !self.breaker.lets_through(idempotent, now_ms) => UNSURE,
+            Upstream::Ready if !self.breaker.lets_through(idempotent, now_ms) => Upstream::Unknown,
+            known => known,
+        };
+        let load = match state {
             Upstream::Ready => self.load_for(&head.key, now_ms),
             Upstream::Unknown => UNSURE,
             Upstream::Draining | Upstream::Ended => CLOSED,
         };
         let accepts = match last {
             Last::No => {
-                let sure = state == Upstream::Ready && load != UNSURE;
-                sure && self.has_room(&head.key, load, walk.limit, now_ms)
+                state == Upstream::Ready && self.has_room(&head.key, load, walk.limit, now_ms)
             }
             Last::Yes => load != CLOSED,
         };
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -47,9 +47,8 @@
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        let own = rank(self.address, number(agent));
-        let before = others.into_iter().filter(|&&it| rank(it, number(agent)) < own).count();
-        before < REMOVERS * (1 + (since_ms / REMOVAL_MS) as usize)
+        let removers = REMOVERS * (1 + (since_ms / REMOVAL_MS) as usize);
+        self.is_among_first(removers, number(agent), others)
     }
 
     /// Whether it is up to this balancer, among the others, to wait at the store for changes of the configuration.
@@ -57,8 +56,16 @@
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        let own = rank(self.address, WATCH_ORDER);
-        others.into_iter().filter(|&&it| rank(it, WATCH_ORDER) < own).count() < WATCHERS
+        self.is_among_first(WATCHERS, WATCH_ORDER, others)
+    }
+
+    /// Whether this balancer is one of the first `count` in an order that `seed` gives, by rendezvous hashing.
+    fn is_among_first<'a, I>(&self, count: usize, seed: u64, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let own = rank(self.address, seed);
+        others.into_iter().filter(|&&it| rank(it, seed) < own).count() < count
     }
 
     /// Whether to ask a peer for the configuration of this revision, which it has in force.
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -333,19 +333,18 @@
         self.peers.control(to, Body::Greeting(Greeting { revision, leaving, unlisted: false }));
     }
 
-    /// Tells all balancers of the revision that is in force here.
-    fn greet_balancers(&mut self) {
+    /// Tells all balancers of the revision that is in force here, and whether this one leaves.
+    fn greet_balancers(&mut self, leaving: bool) {
         for to in self.balancers.clone() {
-            self.greet(to, false);
+            self.greet(to, leaving);
         }
     }
 
     fn greet_all(&mut self, leaving: bool) {
-        let agents = self.state.fleet().members().into_iter().map(|it| it.address);
-        let all: Vec<SocketAddrV4> = agents.chain(self.balancers.iter().copied()).collect();
-        for to in all {
-            self.greet(to, leaving);
+        for agent in self.state.fleet().members() {
+            self.greet(agent.address, leaving);
         }
+        self.greet_balancers(leaving);
     }
 
     fn apply(&mut self, current: &[u8], now: u64) {
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -124,7 +124,7 @@
             }
             Found::News(routes) => {
                 if self.put_routes(routes) {
-                    self.greet_balancers();
+                    self.greet_balancers(false);
                 }
             }
             Found::Members(members) => {
@@ -155,8 +155,8 @@
         let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
         let before = self.state.routes().revision();
         let newer = self.state.put_routes(routes);
-        if revision == before {
-            return newer;
+        if !newer && revision == before {
+            return false;
         }
         let id = if newer { Id::ConfigInForce } else { Id::ConfigOld };
         tracing::info!(id = id as u16, name = id.name(), revision, version, before, routes = count);
