Zones can be taken out of service

An operator's entry in the store names a zone whose upstreams get no new flow until it is removed.

One notion in core (opaque::zone): the set of zones out as of a revision of the store; a lower revision never replaces a higher one. Balancers leave agents of such zones out when they place a flow, and place none before the set is known. Agents need not know it. Ruled out: a read of the set with each read of the configuration instead of a watch: as many calls (one each 6 s for a watcher), seconds later.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -24,6 +24,7 @@
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
+    zone::{ZoneNews, ZonesOut},
 };
 
 /// Time for which packets are held for an agent that restarts: a start takes about a second.
@@ -105,6 +106,11 @@
         }
     }
 
+    /// A balancer that places no flow before it knows which zones are out of service.
+    pub fn with_unknown_zones(self) -> Balancer {
+        Balancer { fleet: self.fleet.with_unknown_zones(), ..self }
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
@@ -130,6 +136,11 @@
         self.routes.put(routes)
     }
 
+    /// Takes news on zones out of service.
+    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        self.fleet.put_zones(news)
+    }
+
     /// Takes the store's list of members.
     pub fn list(&mut self, members: &[Listed], now_ms: u64) {
         self.listed_ms.get_or_insert(now_ms);
@@ -254,10 +265,13 @@
         let Some(pool) = pool else {
             return reset(key, 0, Why::NoUpstream, out);
         };
+        if self.fleet.zones_out().is_none() {
+            return drop(key, Drop::NoConfig, out);
+        }
         let known = self.flows.get(&key).filter(|_| copies > 0);
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The flow's upstream has answered, so the answer was lost: its agent sends another one.
-            if let Some(agent) = flow.agent {
+            if let Some(agent) = flow.agent.filter(|&it| !self.fleet.is_out(it)) {
                 let pool = flow.pool.unwrap_or(pool);
                 return self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
             }
@@ -279,7 +293,8 @@
     fn open_nowhere(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
         let complete = self.is_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms);
         if complete {
-            reset(key, 0, Why::NoUpstream, out)
+            let why = if self.fleet.has_out(pool) { Why::ZonesOut } else { Why::NoUpstream };
+            reset(key, 0, why, out)
         } else {
             drop(key, Drop::NoUpstream, out)
         }
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -71,6 +71,8 @@
     RouteDropped,
     /// The pool has no upstream that may take new flows.
     NoUpstream,
+    /// All upstreams that may take new flows are in zones out of service.
+    ZonesOut,
     /// Every upstream that was asked refused the flow.
     AllRefused,
     /// The upstream that held the flow has ended.
@@ -81,10 +83,11 @@
 
 impl Why {
     /// All reasons.
-    pub const ALL: [Why; 6] = [
+    pub const ALL: [Why; 7] = [
         Why::NoRoute,
         Why::RouteDropped,
         Why::NoUpstream,
+        Why::ZonesOut,
         Why::AllRefused,
         Why::UpstreamEnded,
         Why::NotHeld,
@@ -96,6 +99,7 @@
             Why::NoRoute => "no-route",
             Why::RouteDropped => "route-dropped",
             Why::NoUpstream => "no-upstream",
+            Why::ZonesOut => "zones-out",
             Why::AllRefused => "all-refused",
             Why::UpstreamEnded => "upstream-ended",
             Why::NotHeld => "not-held",
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -5,7 +5,12 @@
 use std::net::SocketAddrV4;
 
 pub use self::candidates::Candidates;
-use super::{PoolId, agents::Agents};
+pub use super::zone::ZoneId;
+use super::{
+    PoolId,
+    agents::Agents,
+    zone::{ZoneNews, ZoneTable, ZonesOut},
+};
 
 /// Pause between two reports of an agent to a balancer, in milliseconds; longer in a fleet of many balancers.
 pub const REPORT_MS: u32 = 1_000;
@@ -24,16 +29,6 @@
 const GREET_EVERY_MS: u64 = 1_000;
 /// Time after its last sign of life for which an agent that the store doesn't list is remembered.
 const FORGET_MS: u64 = 120_000;
-/// An availability zone, by a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ZoneId(pub u64);
-
-impl ZoneId {
-    /// The zone of this name.
-    pub fn of(name: &str) -> ZoneId {
-        ZoneId(PoolId::of(name).0)
-    }
-}
 
 /// State of the upstream beside an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,13 +181,45 @@
     }
 }
 
-/// The agents.
+/// The agents, and the zones whose agents get no new flows.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: Agents,
+    zones: ZoneTable,
 }
 
 impl Fleet {
+    /// A fleet that does not know yet which zones are out of service.
+    pub fn with_unknown_zones(self) -> Fleet {
+        Fleet { zones: ZoneTable::unknown(), ..self }
+    }
+
+    /// The zones out of service, if that is known.
+    pub fn zones_out(&self) -> Option<&ZonesOut> {
+        self.zones.known()
+    }
+
+    /// Takes news on zones out of service.
+    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        self.zones.put(news)
+    }
+
+    /// Whether the agent's zone is out of service.
+    pub fn is_out(&self, agent: SocketAddrV4) -> bool {
+        self.agents.get(agent).is_some_and(|it| self.zones.is_out(it.zone))
+    }
+
+    /// Whether agents of the pool are in zones out of service.
+    pub fn has_out(&self, pool: PoolId) -> bool {
+        self.agents.of(pool).any(|(_, it)| self.zones.is_out(it.zone))
+    }
+
+    /// The agents of a pool that new flows may go to.
+    fn takers(&self, pool: PoolId, now_ms: u64) -> impl Iterator<Item = (SocketAddrV4, &Entry)> {
+        let live = self.agents.of(pool).filter(move |(_, it)| it.takes_flows(now_ms));
+        live.filter(|(_, it)| !self.zones.is_out(it.zone))
+    }
+
     /// Takes a list of the store. Agents that it no longer holds are forgotten once they are silent.
     pub fn list(&mut self, members: &[Listed], now_ms: u64) {
         for (_, entry) in self.agents.iter_mut() {
--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -40,7 +40,7 @@
         avoid: Option<SocketAddrV4>,
         now_ms: u64,
     ) -> Candidates {
-        let takers = self.agents.of(pool).filter(|(_, it)| it.takes_flows(now_ms));
+        let takers = self.takers(pool, now_ms);
         let mut ranked: Vec<_> = takers
             .map(|(agent, it)| {
                 let last = Some(agent) == avoid || !it.is_ready();
@@ -74,7 +74,7 @@
     }
 
     fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
-        let members = self.agents.of(pool).filter(|(_, it)| it.takes_flows(now_ms));
+        let members = self.takers(pool, now_ms);
         let (mut service, mut measured, mut slots, mut full) = (0, 0, 0, 0);
         for report in members.filter_map(|(_, it)| it.report) {
             slots += report.slots;
@@ -89,7 +89,7 @@
     }
 
     fn limit(&self, pool: PoolId, now_ms: u64) -> u16 {
-        let members = self.agents.of(pool).filter(|(_, it)| it.takes_flows(now_ms));
+        let members = self.takers(pool, now_ms);
         let (mut work, mut slots) = (0.0, 0.0);
         for report in members.filter_map(|(_, it)| it.report) {
             work += f64::from(report.load) * f64::from(report.slots);
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -12,3 +12,4 @@
 mod survival;
 mod walk;
 mod world;
+mod zones;
--- /dev/null
+++ b/crates/core/tests/opaque/zones.rs
@@ -0,0 +1,179 @@
+//! Zones out of service: an operator empties a zone amid changes, restarts and news that come late or twice.
+
+use std::collections::BTreeSet;
+
+use camphorwinch_core::opaque::{
+    Kind,
+    balancer::Balancer,
+    effect::{Answer, Ask, Decision, Drop, Effect, Why},
+    fleet::{Report, ZoneId},
+    zone::{ZoneNews, ZonesOut},
+};
+use quickcheck::quickcheck;
+
+use crate::support::{POOL, address, data, decisions, head, key, relays, report, resets, routes};
+
+const NAMES: [&str; 3] = ["north", "south", "east"];
+
+/// The zone of an agent: 1 to 4 are in the first zone, 5 to 8 in the second, and so on.
+fn zone_of(host: u8) -> &'static str {
+    NAMES[usize::from((host - 1) / 4)]
+}
+
+fn out(revision: u64, names: &[&str]) -> ZonesOut {
+    ZonesOut::new(revision, names.iter().map(|&it| it.to_owned()))
+}
+
+fn hear(balancer: &mut Balancer, now_ms: u64) {
+    for host in 1..=12 {
+        let zone = ZoneId::of(zone_of(host));
+        let report = Report { zone, ..report(1 + now_ms, 0) };
+        balancer.report(address(host), report, now_ms, &mut Vec::new());
+    }
+}
+
+/// A balancer of the first zone that heard of four agents in each of three zones.
+fn balancer() -> Balancer {
+    let mut it = Balancer::new(address(200), ZoneId::of(NAMES[0])).with_unknown_zones();
+    it.put_routes(routes(1));
+    it.list(&[], 0);
+    hear(&mut it, 0);
+    it
+}
+
+/// Zones of the candidates of some new flows.
+fn zones_of_new_flows(balancer: &mut Balancer, now_ms: u64) -> BTreeSet<&'static str> {
+    let mut zones = BTreeSet::new();
+    for port in 0..50 {
+        let mut effects = Vec::new();
+        balancer.packet(&head(port, Kind::Open), b"", now_ms, &mut effects);
+        for (_, ask) in relays(&effects) {
+            let Ask::Open(walk) = ask else { panic!("{ask:?}") };
+            zones.extend(walk.seats().iter().map(|it| zone_of(it.agent.ip().octets()[3])));
+        }
+    }
+    zones
+}
+
+#[test]
+fn new_flows_leave_a_zone_that_is_out_and_return_with_it() {
+    let mut it = balancer();
+    assert_eq!(it.put_zones(out(5, &["north"])), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
+    assert_eq!(it.put_zones(out(6, &["north", "east"])), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 20), BTreeSet::from(["south"]));
+    assert_eq!(it.put_zones(out(7, &[])), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 30), BTreeSet::from(NAMES));
+}
+
+/// All processes are killed while a zone is out: the first packet after the start comes before any news.
+#[test]
+fn no_flow_is_placed_before_the_zones_are_known() {
+    let mut it = balancer();
+    let mut effects = Vec::new();
+    it.packet(&head(1, Kind::Open), b"", 10, &mut effects);
+    assert_eq!(decisions(&effects), [Decision::Dropped(Drop::NoConfig)]);
+    assert_eq!(it.put_zones(out(5, &["north"])), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 20), BTreeSet::from(["south", "east"]));
+}
+
+#[test]
+fn flows_that_are_open_stay_where_they_are() {
+    let mut it = balancer();
+    it.put_zones(out(5, &[]));
+    let mut effects = Vec::new();
+    it.packet(&head(1, Kind::Open), b"", 10, &mut effects);
+    let (agent, _) = relays(&effects)[0];
+    it.answer(agent, key(1), Answer::Here, None, 11, &mut Vec::new());
+    it.put_zones(out(6, &[zone_of(agent.ip().octets()[3])]));
+    effects.clear();
+    it.packet(&data(1, 1, 1), b"", 20, &mut effects);
+    assert_eq!(relays(&effects), [(agent, Ask::Deliver)]);
+    // A copy of the packet that opened it does not go there again: its upstream could take it for a new flow.
+    effects.clear();
+    let copy = camphorwinch_core::opaque::Head { ack: 1, ..head(1, Kind::Open) };
+    it.packet(&copy, b"", 30, &mut effects);
+    assert!(relays(&effects).iter().all(|it| it.0 != agent), "{effects:?}");
+}
+
+/// With every zone out nobody may take a flow, and waiting would not change that: callers are told at once.
+#[test]
+fn with_all_zones_out_callers_are_refused_at_once() {
+    let mut it = balancer();
+    it.put_zones(out(5, &NAMES));
+    hear(&mut it, 1_000);
+    let mut effects = Vec::new();
+    it.packet(&head(1, Kind::Open), b"", 1_100, &mut effects);
+    assert_eq!(resets(&effects), 1);
+    assert_eq!(decisions(&effects), [Decision::Reset(Why::ZonesOut)]);
+}
+
+#[test]
+fn a_name_that_no_zone_has_changes_nothing() {
+    let mut it = balancer();
+    it.put_zones(out(5, &["nowhere", "north"]));
+    assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
+}
+
+#[test]
+fn late_news_do_not_bring_a_former_set_back() {
+    let mut it = balancer();
+    it.put_zones(out(7, &["north"]));
+    for late in [out(6, &[]), out(5, &["south"]), out(7, &["east"])] {
+        assert_eq!(it.put_zones(late), ZoneNews::Old);
+    }
+    assert_eq!(it.put_zones(out(8, &["north"])), ZoneNews::Same);
+    assert_eq!(it.put_zones(out(7, &[])), ZoneNews::Old);
+    assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
+}
+
+#[test]
+fn a_zone_that_goes_and_comes_back_between_two_looks_is_as_the_last_change_says() {
+    let first = out(5, &["south"]);
+    let changes = [("north", true), ("north", false), ("south", false), ("north", true)];
+    let changes = changes.map(|(name, out)| (name.to_owned(), out));
+    let after = first.with_changes(9, changes);
+    assert_eq!(after, out(9, &["north"]));
+    let mut it = balancer();
+    it.put_zones(first);
+    assert_eq!(it.put_zones(after), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
+}
+
+/// What is in force is what the highest revision said, in whatever order and however often the news come.
+fn agrees_with_newest(news: &[(u8, u8)]) -> bool {
+    // One set for each revision, as the store has it.
+    let set = |revision: u8| {
+        let names = NAMES.iter().enumerate().filter(|(at, _)| revision & (1 << at) != 0);
+        out(u64::from(revision), &names.map(|(_, &it)| it).collect::<Vec<_>>())
+    };
+    let mut it = balancer();
+    let mut newest = None;
+    for &(revision, _) in news {
+        it.put_zones(set(revision));
+        newest = newest.max(Some(revision));
+    }
+    it.fleet().zones_out().cloned() == newest.map(set)
+}
+
+quickcheck! {
+    fn the_newest_news_are_in_force(news: Vec<(u8, u8)>) -> bool {
+        agrees_with_newest(&news)
+    }
+}
+
+/// Half of a pool in a zone that goes out: what balancers know of the pool's load no longer counts that half.
+#[test]
+fn the_load_of_a_zone_that_is_out_does_not_count_for_the_others() {
+    let mut it = Balancer::new(address(200), ZoneId::of("north"));
+    for (host, load) in [(1, 4_000), (5, 100)] {
+        let report =
+            Report { zone: ZoneId::of(zone_of(host)), full: load > 900, ..report(1, load) };
+        it.report(address(host), report, 0, &mut Vec::<Effect>::new());
+    }
+    let limit = |it: &Balancer| it.fleet().candidates(POOL, 1, ZoneId::of("north"), None, 0);
+    assert_eq!(limit(&it).pool.full_percent, 50);
+    it.put_zones(out(5, &["north"]));
+    let found = limit(&it);
+    assert_eq!((found.pool.full_percent, found.limit), (0, 140));
+}
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -117,7 +117,7 @@
                 records.iter().map(|it| it.member.listed()).collect()
             }
             Found::PeerMembers(members) => members,
-            Found::Routes(_) | Found::News(_) => return,
+            Found::Routes(_) | Found::News(_) | Found::Zones(_) | Found::ZoneNews(_) => return,
         };
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -18,7 +18,7 @@
     effect::{Effect, Payload},
     fleet::{Listed, ZoneId},
 };
-use camphorwinch_wire::opaque::{Body, Greeting, Snapshot};
+use camphorwinch_wire::opaque::{Body, Greeting, Snapshot, ZonesEntry};
 use rand::seq::IteratorRandom;
 use tokio::{
     net::UdpSocket,
@@ -30,7 +30,7 @@
 use crate::{
     clock::now_ms,
     codec::Codec,
-    discovery::{self, Found},
+    discovery::{self, Found, Topic},
     event::Id,
     member::{Peers, send},
     metrics,
@@ -74,6 +74,8 @@
     pub caller_port: u16,
     /// Balancers to ask while the store is of no use; they may change.
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    /// Whether zones may be taken out of service here. Then no flow is placed before it is known which ones are.
+    pub zones_change: bool,
 }
 
 /// Whether the process should get packets.
@@ -122,12 +124,18 @@
     ));
     // Until the other balancers are known, each waits there.
     let (watches, watching) = watch::channel(true);
-    tokio::spawn(discovery::follow(store.clone(), watching, found.clone()));
+    let topic = Topic::Routes;
+    tokio::spawn(discovery::follow(store.clone(), topic, watching.clone(), found.clone()));
+    let mut state = Balancer::new(own.address, ZoneId::of(&own.zone));
+    if settings.zones_change {
+        state = state.with_unknown_zones();
+        tokio::spawn(discovery::follow(store.clone(), Topic::zones(), watching, found.clone()));
+    }
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
     let now = now_ms();
     let process = Process {
-        state: Balancer::new(own.address, ZoneId::of(&own.zone)),
+        state,
         own: own.address,
         zone: ZoneId::of(&own.zone),
         caller_port: settings.caller_port,
@@ -244,6 +252,7 @@
         members.extend(self.balancers.iter().map(balancer));
         members.push(balancer(&self.own));
         let snapshot = Snapshot::new(self.state.routes().routes(), &members);
+        let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
         self.newest.send_replace(Arc::new(snapshot));
     }
 
@@ -328,9 +337,18 @@
         }
     }
 
+    /// What is in force here.
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            revision: self.state.routes().revision(),
+            zones: self.state.fleet().zones_out().map(ZonesEntry::from),
+            ..Greeting::default()
+        }
+    }
+
     fn greet(&mut self, to: SocketAddrV4, leaving: bool) {
-        let revision = self.state.routes().revision();
-        self.peers.control(to, Body::Greeting(Greeting { revision, leaving, unlisted: false }));
+        let greeting = Greeting { leaving, ..self.greeting() };
+        self.peers.control(to, Body::Greeting(greeting));
     }
 
     /// Tells all balancers of the revision that is in force here, and whether this one leaves.
@@ -361,8 +379,7 @@
                 Effect::Greet { to } => self.greet(to, false),
                 Effect::List => self.list_again.notify_one(),
                 Effect::Unlisted { to } => {
-                    let revision = self.state.routes().revision();
-                    let greeting = Greeting { revision, unlisted: true, ..Greeting::default() };
+                    let greeting = Greeting { unlisted: true, ..self.greeting() };
                     self.peers.control(to, Body::Greeting(greeting));
                 }
                 Effect::Query { to, keys } => self.peers.query(to, &keys),
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -5,6 +5,7 @@
 use camphorwinch_core::opaque::{
     fleet::{Change, Listed},
     route::Routes,
+    zone::{ZoneNews, ZonesOut},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Report, decode};
 
@@ -109,6 +110,9 @@
         if !greeting.leaving && self.balancers.insert(from) {
             self.unpublished = true;
         }
+        if let Some(zones) = greeting.zones {
+            self.put_zones(zones.into());
+        }
         if !self.state.wants(greeting.revision, now_ms()) {
             return;
         }
@@ -127,6 +131,14 @@
                     self.greet_balancers(false);
                 }
             }
+            Found::Zones(zones) => {
+                self.put_zones(zones);
+            }
+            Found::ZoneNews(zones) => {
+                if self.put_zones(zones) == ZoneNews::Changed {
+                    self.greet_balancers(false);
+                }
+            }
             Found::Members(members) => {
                 let id = Id::MembersListed;
                 tracing::info!(id = id as u16, name = id.name(), members = members.len());
@@ -150,6 +162,22 @@
         self.publish();
     }
 
+    /// Takes news on zones out of service, from the store or a peer.
+    fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        let revision = news.revision();
+        let became = self.state.put_zones(news);
+        let Some(zones) = self.state.fleet().zones_out().filter(|_| became == ZoneNews::Changed)
+        else {
+            return became;
+        };
+        let names: Vec<&str> = zones.names().collect();
+        let id = Id::ZonesOutChanged;
+        tracing::info!(id = id as u16, name = id.name(), revision, zones = names.join(" "));
+        metrics::show_zones_out(&names);
+        self.unpublished = true;
+        became
+    }
+
     /// Puts routes in force; whether they are newer than those that were.
     fn put_routes(&mut self, routes: Routes) -> bool {
         let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use camphorwinch_core::opaque::{fleet::Listed, route::Routes};
+use camphorwinch_core::opaque::{fleet::Listed, route::Routes, zone::ZonesOut};
 use camphorwinch_wire::opaque::Snapshot;
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
@@ -56,6 +56,10 @@
     Routes(Routes),
     /// A configuration from the store.
     News(Routes),
+    /// Zones out of service, as a peer knows them.
+    Zones(ZonesOut),
+    /// Zones out of service, from the store.
+    ZoneNews(ZonesOut),
     /// The whole list of members.
     Members(Vec<Record>),
     /// Members that a peer knows of.
@@ -195,9 +199,68 @@
     count("list", store.members(patience).await)
 }
 
-/// Follows the configuration in the store. While `watches` says so, a call waits there for changes.
+/// What is followed in the store, with what is known of it.
+#[derive(Debug)]
+pub(crate) enum Topic {
+    /// The configuration.
+    Routes,
+    /// The zones out of service.
+    Zones(ZonesOut),
+}
+
+/// What a call about a topic brought: the store's revision and the news, if there are some.
+type Step = Watched<(u64, Option<Found>)>;
+
+impl Topic {
+    /// Zones of which nothing is known yet.
+    pub(crate) fn zones() -> Topic {
+        Topic::Zones(ZonesOut::default())
+    }
+
+    async fn read<S>(&mut self, store: &S, patience: Duration) -> Result<Step, StoreError>
+    where
+        S: Store,
+    {
+        match self {
+            Topic::Routes => {
+                let seen = count("read-config", store.routes(patience).await)?;
+                Ok(Watched::Seen((seen.at, seen.routes.map(Found::News))))
+            }
+            Topic::Zones(known) => {
+                *known = count("read-zones", store.zones_out(patience).await)?;
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+            }
+        }
+    }
+
+    async fn watch<S>(&mut self, store: &S, at: u64, patience: Duration) -> Result<Step, StoreError>
+    where
+        S: Store,
+    {
+        match self {
+            Topic::Routes => {
+                let watched = store.watch(at, WATCH_WAIT, patience).await;
+                Ok(match count("watch-config", watched)? {
+                    Watched::Seen(seen) => Watched::Seen((seen.at, seen.routes.map(Found::News))),
+                    Watched::Compacted => Watched::Compacted,
+                })
+            }
+            Topic::Zones(known) => {
+                let watched = store.watch_zones(known, WATCH_WAIT, patience).await;
+                let Watched::Seen(zones) = count("watch-zones", watched)? else {
+                    return Ok(Watched::Compacted);
+                };
+                *known = zones;
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+            }
+        }
+    }
+}
+
+/// Follows a topic in the store. While `watches` says so, a call waits there for changes.
 pub(crate) async fn follow<S>(
     store: S,
+    mut topic: Topic,
     mut watches: watch::Receiver<bool>,
     out: mpsc::Sender<Found>,
 ) where
@@ -215,23 +278,17 @@
             at = None;
         }
         let step = match at {
-            None => {
-                let read = count("read-config", store.routes(backoff.patience()).await);
-                read.map(Watched::Seen)
-            }
-            Some(at) => {
-                let watched = store.watch(at, WATCH_WAIT, backoff.patience()).await;
-                count("watch-config", watched)
-            }
+            None => topic.read(&store, backoff.patience()).await,
+            Some(at) => topic.watch(&store, at, backoff.patience()).await,
         };
         match step {
-            Ok(Watched::Seen(seen)) => {
+            Ok(Watched::Seen((seen_at, news))) => {
                 backoff.succeeded();
-                at = Some(seen.at);
-                let Some(routes) = seen.routes else {
+                at = Some(seen_at);
+                let Some(news) = news else {
                     continue;
                 };
-                if out.send(Found::News(routes)).await.is_err() {
+                if out.send(news).await.is_err() {
                     return;
                 }
             }
@@ -319,6 +376,8 @@
 
 fn found(snapshot: &Snapshot) -> Result<Vec<Found>, camphorwinch_wire::opaque::DecodeError> {
     let mut found = vec![Found::PeerMembers(snapshot.members()?)];
+    // Before the routes: whoever knows these places flows.
+    found.extend(snapshot.zones.clone().map(|it| Found::Zones(it.into())));
     found.extend(snapshot.routes()?.map(Found::Routes));
     Ok(found)
 }
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -5,7 +5,7 @@
 };
 
 use bytes::Bytes;
-use camphorwinch_core::opaque::route::Routes;
+use camphorwinch_core::opaque::{route::Routes, zone::ZonesOut};
 use camphorwinch_wire::{frame::frames, opaque::Snapshot};
 use futures::SinkExt;
 use prost::Message;
@@ -15,7 +15,7 @@
     time::sleep,
 };
 
-use super::{Found, follow, join, list_pause, withdraw};
+use super::{Found, Topic, follow, join, list_pause, withdraw};
 use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
@@ -65,7 +65,12 @@
         Ok(Seen { routes: Some(routes), at: STORE_AT })
     }
 
-    async fn watch(&self, at: u64, wait: Duration, _: Duration) -> Result<Watched, StoreError> {
+    async fn watch(
+        &self,
+        at: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched<Seen>, StoreError> {
         self.note(Some(at));
         if self.forgets || at < STORE_AT {
             return Ok(Watched::Compacted);
@@ -73,12 +78,32 @@
         sleep(wait).await;
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
+
+    async fn zones_out(&self, _: Duration) -> Result<ZonesOut, StoreError> {
+        self.note(None);
+        Ok(ZonesOut::new(STORE_AT, ["a".to_owned()]))
+    }
+
+    async fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        _: Duration,
+        _: Duration,
+    ) -> Result<Watched<ZonesOut>, StoreError> {
+        self.note(Some(known.revision()));
+        if self.forgets {
+            return Ok(Watched::Compacted);
+        }
+        sleep(Duration::from_millis(50)).await;
+        let change = ("a".to_owned(), known.names().count() == 0);
+        Ok(Watched::Seen(known.with_changes(known.revision() + 1, [change])))
+    }
 }
 
 async fn calls_in_a_second(store: &Fake) -> Vec<Option<u64>> {
     let (_watches, watching) = watch::channel(true);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
     let drain = tokio::spawn(async move { while found.recv().await.is_some() {} });
     sleep(Duration::from_secs(1)).await;
     task.abort();
@@ -97,7 +122,7 @@
     let store = Fake::default();
     let (watches, watching) = watch::channel(false);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None]);
@@ -111,6 +136,39 @@
     task.abort();
 }
 
+async fn next_zones(found: &mut mpsc::Receiver<Found>) -> Vec<String> {
+    let found = found.recv().await;
+    let Some(Found::ZoneNews(zones)) = found else { panic!("{found:?}") };
+    zones.names().map(str::to_owned).collect()
+}
+
+#[tokio::test]
+async fn changes_of_zones_follow_on_the_list() {
+    let store = Fake::default();
+    let (_watches, watching) = watch::channel(true);
+    let (out, mut found) = mpsc::channel::<Found>(1);
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
+    assert_eq!(next_zones(&mut found).await, ["a"]);
+    assert!(next_zones(&mut found).await.is_empty());
+    assert_eq!(next_zones(&mut found).await, ["a"]);
+    let calls = store.calls();
+    assert_eq!(calls[..3], [None, Some(STORE_AT), Some(STORE_AT + 1)]);
+    task.abort();
+}
+
+#[tokio::test]
+async fn zones_are_listed_again_if_the_store_drops_its_history() {
+    let store = Fake { forgets: true, ..Fake::default() };
+    let (_watches, watching) = watch::channel(true);
+    let (out, mut found) = mpsc::channel::<Found>(1);
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
+    for _ in 0..3 {
+        assert_eq!(next_zones(&mut found).await, ["a"]);
+    }
+    assert_eq!(store.calls()[..4], [None, Some(STORE_AT), None, Some(STORE_AT)]);
+    task.abort();
+}
+
 #[tokio::test]
 async fn a_removal_is_repeated_while_the_store_is_away() {
     let store = Fake::default();
@@ -192,9 +250,22 @@
         Ok(Seen { routes: None, at: STORE_AT })
     }
 
-    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched, StoreError> {
+    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched<Seen>, StoreError> {
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
+
+    async fn zones_out(&self, _: Duration) -> Result<ZonesOut, StoreError> {
+        Ok(ZonesOut::default())
+    }
+
+    async fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        _: Duration,
+        _: Duration,
+    ) -> Result<Watched<ZonesOut>, StoreError> {
+        Ok(Watched::Seen(known.clone()))
+    }
 }
 
 // Everything lost power while the store was busy: seeds that were not up yet held up each process that had asked them,
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -40,6 +40,7 @@
     617 MemberWithdrawn "opaque-member-withdrawn" "a member that was gone for long was taken off the list";
     618 Unlisted "opaque-unlisted" "a balancer had taken this process off the list of members: it lists itself again";
     619 EntryUnreadable "opaque-entry-unreadable" "an object of another writer could not be read and is left out";
+    620 ZonesOutChanged "opaque-zones-out-changed" "the zones out of service changed: new flows go to all others";
     621 AgentChanged "opaque-agent-changed" "what is believed of an agent changed";
     622 Connected "opaque-connected" "agents are heard of: the balancer is ready";
     623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -1,10 +1,14 @@
 //! Counters, gauges and latency histograms of a process, as text for Prometheus.
 
-use std::sync::LazyLock;
+use std::{
+    collections::BTreeSet,
+    sync::{LazyLock, Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    TextEncoder, default_registry,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, TextEncoder, default_registry,
 };
 
 /// Bounds of latency histograms, in seconds: from a local round trip to a caller's patience.
@@ -86,6 +90,15 @@
     register!(IntGauge::new("camphorwinch_opaque_config_revision", help))
 });
 
+/// Zones out of service, with the Unix time in seconds at which this process learnt of it.
+pub static ZONES_OUT: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    let help = "Zones out of service, with the Unix time at which this process learnt of it.";
+    let opts = Opts::new("camphorwinch_opaque_zone_out_since_seconds", help);
+    register!(IntGaugeVec::new(opts, &["zone"]))
+});
+
+static SHOWN_ZONES: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 /// Bytes of held packets.
 pub static HELD_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
     register!(IntGauge::new("camphorwinch_opaque_held_bytes", "Bytes of packets held back."))
@@ -111,6 +124,22 @@
     register!(HistogramVec::new(opts.buckets(LATENCY_BOUNDS.to_vec()), &["step"]))
 });
 
+/// Shows which zones are out of service; those that were keep their time.
+pub(crate) fn show_zones_out(names: &[&str]) {
+    let mut shown = SHOWN_ZONES.lock().unwrap_or_else(PoisonError::into_inner);
+    for gone in shown.iter().filter(|it| !names.contains(&it.as_str())) {
+        if let Err(e) = ZONES_OUT.remove_label_values(&[gone]) {
+            tracing::warn!(zone = gone, "take a zone off the metrics: {e}");
+        }
+    }
+    // A clock before 1970 shows as zero; nothing is decided by this time.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    for new in names.iter().filter(|it| !shown.contains(**it)) {
+        ZONES_OUT.with_label_values(&[*new]).set(now.as_secs() as i64);
+    }
+    *shown = names.iter().map(|&it| it.to_owned()).collect();
+}
+
 /// All metrics as text.
 pub fn render() -> prometheus::Result<Vec<u8>> {
     LOG_LOST.set(crate::log::dropped() as i64);
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -6,6 +6,7 @@
     PoolId,
     fleet::{Listed, ZoneId},
     route::Routes,
+    zone::ZonesOut,
 };
 use thiserror::Error;
 
@@ -52,12 +53,12 @@
     pub at: u64,
 }
 
-/// What a watch of the configuration brought.
+/// What a watch brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Watched {
+pub enum Watched<T> {
     /// What happened up to a revision.
-    Seen(Seen),
-    /// The store no longer has the history: read the configuration anew.
+    Seen(T),
+    /// The store no longer has the history: read anew.
     Compacted,
 }
 
@@ -152,5 +153,19 @@
         revision: u64,
         wait: Duration,
         patience: Duration,
-    ) -> impl Future<Output = Result<Watched, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Watched<Seen>, StoreError>> + Send;
+
+    /// The zones out of service, not older than the call.
+    fn zones_out(
+        &self,
+        patience: Duration,
+    ) -> impl Future<Output = Result<ZonesOut, StoreError>> + Send;
+
+    /// Waits for a change of the zones out of service; the set after it, or the one that was known with a newer revision.
+    fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        wait: Duration,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Watched<ZonesOut>, StoreError>> + Send;
 }
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -345,7 +345,7 @@
 }
 
 /// A balancer makes itself known, to agents that it does not hear of and to other balancers.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct Greeting {
     /// Revision of the configuration in force at the sender; 0 if none is.
     #[prost(uint64, tag = "1")]
@@ -356,6 +356,20 @@
     /// The receiver's object was taken off the store's list.
     #[prost(bool, tag = "3")]
     pub unlisted: bool,
+    /// Zones out of service; none if the sender does not know.
+    #[prost(message, optional, tag = "4")]
+    pub zones: Option<ZonesEntry>,
+}
+
+/// The zones out of service. They are few, so a greeting holds them all and nobody has to ask for them.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ZonesEntry {
+    /// Revision of the store at which this was so.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Names.
+    #[prost(string, repeated, tag = "2")]
+    pub names: Vec<String>,
 }
 
 /// An agent's state; `core::opaque::fleet::Report` says what the fields mean.
@@ -471,6 +485,9 @@
     /// The members.
     #[prost(message, repeated, tag = "5")]
     pub members: Vec<MemberEntry>,
+    /// Zones out of service; none if the sender does not know.
+    #[prost(message, optional, tag = "6")]
+    pub zones: Option<ZonesEntry>,
 }
 
 /// A route of a snapshot.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -6,11 +6,29 @@
     PoolId,
     fleet::{Listed, ZoneId},
     route::{Objective, Route, Routes, Share},
+    zone::ZonesOut,
 };
 
-use crate::opaque::{DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot};
+use crate::opaque::{DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot, ZonesEntry};
+
+impl From<&ZonesOut> for ZonesEntry {
+    fn from(it: &ZonesOut) -> ZonesEntry {
+        ZonesEntry { revision: it.revision(), names: it.names().map(str::to_owned).collect() }
+    }
+}
+
+impl From<ZonesEntry> for ZonesOut {
+    fn from(it: ZonesEntry) -> ZonesOut {
+        ZonesOut::new(it.revision, it.names)
+    }
+}
 
 impl Snapshot {
+    /// The snapshot with the zones out of service, if they are known.
+    pub fn with_zones(self, zones: Option<&ZonesOut>) -> Snapshot {
+        Snapshot { zones: zones.map(ZonesEntry::from), ..self }
+    }
+
     /// A snapshot of the routes in force, if any are, and the members.
     pub fn new(routes: Option<&Routes>, members: &[Listed]) -> Snapshot {
         let members = members.iter().map(member_entry).collect();
@@ -22,6 +40,7 @@
             version: routes.version,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
+            zones: None,
         }
     }
 
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -10,8 +10,8 @@
     walk::{PoolLoad, Walk},
 };
 use camphorwinch_wire::opaque::{
-    Body, Control, Datagram, DecodeError, Greeting, Report, Snapshot, decode, encode_answer,
-    encode_control, encode_packet, encode_query, encode_spread, encode_verdicts,
+    Body, Control, Datagram, DecodeError, Greeting, Report, Snapshot, ZonesEntry, decode,
+    encode_answer, encode_control, encode_packet, encode_query, encode_spread, encode_verdicts,
 };
 use quickcheck::quickcheck;
 
@@ -107,7 +107,12 @@
 
 #[test]
 fn messages_come_back_as_they_were() {
-    let greeting = Body::Greeting(Greeting { revision: 5, leaving: true, unlisted: true });
+    let greeting = Body::Greeting(Greeting {
+        revision: 5,
+        leaving: true,
+        unlisted: true,
+        zones: Some(ZonesEntry { revision: 7, names: vec!["a".to_owned()] }),
+    });
     for body in [Body::Report(report().into()), greeting] {
         let mut bytes = Vec::new();
         encode_control(&Control { body: Some(body.clone()) }, &mut bytes);
