Zones are watched by four balancers, read stale by the others; no call before a balancer knows its duty

A stale start is safe: whoever watches goes on from its revision and gets what is newer at once, and a process that has just started has not been in touch for long enough to be late. Waits are of different lengths now, so that calls which one change woke together don't end together.

--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -21,8 +21,12 @@
 /// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
 /// 59, and nobody else's connection waits there.
 const WATCHERS: usize = 8;
-/// Number that gives the balancers an order for that.
+/// The same for the zones out of service. The others read them each few seconds besides, at a tenth of the price, so half as
+/// many do: all four are turned away in one case of eighty, and then one of the others sees a change within a second.
+const ZONE_WATCHERS: usize = 4;
+/// Numbers that give the balancers an order for that.
 const WATCH_ORDER: u64 = 0x77a7;
+const ZONE_WATCH_ORDER: u64 = 0x20e5;
 /// Time after which a peer is asked again for a configuration that did not come: a call that fails takes 600 ms.
 const ASK_AGAIN_MS: u64 = 700;
 /// Time after which more balancers try: the pause between two lists of members, and some.
@@ -59,6 +63,14 @@
         self.is_among_first(WATCHERS, WATCH_ORDER, others)
     }
 
+    /// The same for the zones out of service.
+    pub fn is_zone_watcher<'a, I>(&self, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        self.is_among_first(ZONE_WATCHERS, ZONE_WATCH_ORDER, others)
+    }
+
     /// Whether this balancer is one of the first `count` in an order that `seed` gives, by rendezvous hashing.
     fn is_among_first<'a, I>(&self, count: usize, seed: u64, others: I) -> bool
     where
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -30,7 +30,7 @@
 use crate::{
     clock::now_ms,
     codec::Codec,
-    discovery::{self, Found, Topic},
+    discovery::{self, Duty, Found, Topic},
     event::Id,
     member::{Peers, send},
     metrics,
@@ -122,14 +122,15 @@
         list_again.clone(),
         found.clone(),
     ));
-    // Until the other balancers are known, each waits there.
-    let (watches, watching) = watch::channel(true);
+    let (watches, watching) = watch::channel(Duty::Undecided);
+    let (zone_watches, zone_watching) = watch::channel(Duty::Undecided);
     let topic = Topic::Routes;
-    tokio::spawn(discovery::follow(store.clone(), topic, watching.clone(), found.clone()));
+    tokio::spawn(discovery::follow(store.clone(), topic, watching, found.clone()));
     let mut state = Balancer::new(own.address, ZoneId::of(&own.zone));
     if settings.zones_change {
         state = state.with_unknown_zones();
-        tokio::spawn(discovery::follow(store.clone(), Topic::zones(), watching, found.clone()));
+        let topic = Topic::zones();
+        tokio::spawn(discovery::follow(store.clone(), topic, zone_watching, found.clone()));
     }
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
@@ -160,6 +161,7 @@
         packet_ms: now,
         looked_ms: now,
         watches,
+        zone_watches,
     };
     process.serve(input, stop).await
 }
@@ -194,7 +196,9 @@
     packet_ms: u64,
     looked_ms: u64,
     /// Whether this balancer waits at the store for changes of the configuration.
-    watches: watch::Sender<bool>,
+    watches: watch::Sender<Duty>,
+    /// The same for the zones out of service.
+    zone_watches: watch::Sender<Duty>,
 }
 
 impl<C> Process<C>
@@ -322,8 +326,13 @@
     }
 
     fn choose_watchers(&self) {
-        let watches = self.state.is_watcher(&self.balancers);
-        self.watches.send_if_modified(|it| std::mem::replace(it, watches) != watches);
+        if self.records.is_empty() && self.balancers.is_empty() {
+            return;
+        }
+        let routes = duty(self.state.is_watcher(&self.balancers));
+        self.watches.send_if_modified(|it| std::mem::replace(it, routes) != routes);
+        let zones = duty(self.state.is_zone_watcher(&self.balancers));
+        self.zone_watches.send_if_modified(|it| std::mem::replace(it, zones) != zones);
     }
 
     fn gossip(&mut self, now: u64) {
@@ -406,6 +415,10 @@
     }
 }
 
+fn duty(watches: bool) -> Duty {
+    if watches { Duty::Watch } else { Duty::Read }
+}
+
 /// Where a packet goes that is meant for a caller.
 pub(crate) fn caller_address(head: &Head, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(*head.key.caller.ip(), port)
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -18,7 +18,7 @@
 use crate::{
     event::Id,
     metrics, snapshot,
-    store::{Member, Record, Store, StoreError, Watched},
+    store::{Freshness, Member, Record, Store, StoreError, Watched},
 };
 
 /// First pause after a failed call to the store.
@@ -32,12 +32,18 @@
 const LONGEST_PATIENCE: Duration = Duration::from_millis(2_800);
 /// Calls without an answer before the time for one doubles.
 const TIMEOUTS_EACH: u32 = 6;
-/// Time for which one call waits for a change. A connection that went silent is noticed after this time, and peers'
-/// greetings tell of a newer configuration meanwhile.
+/// Longest time for which one call waits for a change; each draws its own, so that calls that a change woke together don't end
+/// together. A connection that went silent is noticed after this time, and peers' greetings tell of news meanwhile.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pause between two reads of the configuration by a balancer that does not wait for its changes. With 51 of them one reads
 /// it each half second, so that a change is found even while all those that wait for it are cut off from the store.
 const READ_EVERY: Duration = Duration::from_secs(25);
+/// The same for the zones out of service. These reads may be stale, at a tenth of a call's price; with 11 such balancers one
+/// reads them each 0.3 s.
+const READ_ZONES_EVERY: Duration = Duration::from_secs(4);
+/// Longest time for which a process waits until it knows whether it is to wait at the store: as long as a list of the members
+/// takes on a slow VM. In a fleet of 15 balancers that saves each start of one that is not a call.
+const UNDECIDED: Duration = Duration::from_millis(500);
 /// Calls for one removal, with half a second or more between them: an outage of the store lasts seconds.
 const WITHDRAW_TRIES: u32 = 30;
 /// Pause between two lists of members, which find what was missed at the start.
@@ -217,7 +223,20 @@
         Topic::Zones(ZonesOut::default())
     }
 
-    async fn read<S>(&mut self, store: &S, patience: Duration) -> Result<Step, StoreError>
+    /// Pause between two reads while nobody waits here for changes.
+    fn read_every(&self) -> Duration {
+        match self {
+            Topic::Routes => READ_EVERY,
+            Topic::Zones(_) => READ_ZONES_EVERY,
+        }
+    }
+
+    async fn read<S>(
+        &mut self,
+        store: &S,
+        freshness: Freshness,
+        patience: Duration,
+    ) -> Result<Step, StoreError>
     where
         S: Store,
     {
@@ -227,7 +246,8 @@
                 Ok(Watched::Seen((seen.at, seen.routes.map(Found::News))))
             }
             Topic::Zones(known) => {
-                *known = count("read-zones", store.zones_out(patience).await)?;
+                let zones = store.zones_out(freshness, patience).await;
+                *known = count("read-zones", zones)?;
                 Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
             }
         }
@@ -237,16 +257,17 @@
     where
         S: Store,
     {
+        let wait = WATCH_WAIT.mul_f64(spread());
         match self {
             Topic::Routes => {
-                let watched = store.watch(at, WATCH_WAIT, patience).await;
+                let watched = store.watch(at, wait, patience).await;
                 Ok(match count("watch-config", watched)? {
                     Watched::Seen(seen) => Watched::Seen((seen.at, seen.routes.map(Found::News))),
                     Watched::Compacted => Watched::Compacted,
                 })
             }
             Topic::Zones(known) => {
-                let watched = store.watch_zones(known, WATCH_WAIT, patience).await;
+                let watched = store.watch_zones(known, wait, patience).await;
                 let Watched::Seen(zones) = count("watch-zones", watched)? else {
                     return Ok(Watched::Compacted);
                 };
@@ -257,30 +278,61 @@
     }
 }
 
-/// Follows a topic in the store. While `watches` says so, a call waits there for changes.
+/// Whether a process waits at the store for changes of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// Not known yet, as the other processes are not.
+    Undecided,
+    /// It does.
+    Watch,
+    /// It reads from time to time; others tell of changes.
+    Read,
+}
+
+/// The duty once it is decided on; none if the process ends.
+async fn decided(duty: &mut watch::Receiver<Duty>) -> Option<Duty> {
+    match timeout(UNDECIDED, duty.wait_for(|&it| it != Duty::Undecided)).await {
+        Ok(Ok(it)) => Some(*it),
+        Ok(Err(_)) => None,
+        Err(_) => Some(Duty::Watch),
+    }
+}
+
+/// Follows a topic in the store, as `duty` says.
 pub(crate) async fn follow<S>(
     store: S,
     mut topic: Topic,
-    mut watches: watch::Receiver<bool>,
+    mut duty: watch::Receiver<Duty>,
     out: mpsc::Sender<Found>,
 ) where
     S: Store,
 {
     let mut backoff = Backoff::new();
     let mut at = None;
+    // A start may be served stale: whoever starts to wait gets what is newer at once, the others hear of it from those.
+    let mut freshness = Freshness::Stale;
     loop {
-        if at.is_some() && !*watches.borrow_and_update() {
-            // Others tell of changes meanwhile. A closed channel means that the process ends.
-            let pause = READ_EVERY.mul_f64(spread());
-            if let Ok(Err(_)) = timeout(pause, watches.changed()).await {
+        if at.is_some() {
+            let Some(now) = decided(&mut duty).await else {
                 return;
+            };
+            if now == Duty::Read {
+                // Others tell of changes meanwhile. A closed channel means that the process ends.
+                let pause = topic.read_every().mul_f64(spread());
+                if let Ok(Err(_)) = timeout(pause, duty.changed()).await {
+                    return;
+                }
+                at = None;
             }
-            at = None;
         }
         let step = match at {
-            None => topic.read(&store, backoff.patience()).await,
+            None => topic.read(&store, freshness, backoff.patience()).await,
             Some(at) => topic.watch(&store, at, backoff.patience()).await,
         };
+        freshness = match (&step, at) {
+            (Ok(Watched::Seen(_)), _) => Freshness::Stale,
+            _ => Freshness::Current,
+        };
         match step {
             Ok(Watched::Seen((seen_at, news))) => {
                 backoff.succeeded();
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -15,8 +15,8 @@
     time::sleep,
 };
 
-use super::{Found, Topic, follow, join, list_pause, withdraw};
-use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
+use super::{Duty, Found, Topic, follow, join, list_pause, withdraw};
+use crate::store::{Freshness, Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
 const STORE_AT: u64 = 900;
@@ -28,6 +28,7 @@
 struct Fake {
     forgets: bool,
     calls: Arc<Mutex<Vec<Option<u64>>>>,
+    reads: Arc<Mutex<Vec<Freshness>>>,
 }
 
 impl Fake {
@@ -79,8 +80,9 @@
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
 
-    async fn zones_out(&self, _: Duration) -> Result<ZonesOut, StoreError> {
+    async fn zones_out(&self, it: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
         self.note(None);
+        self.reads.lock().expect("not poisoned").push(it);
         Ok(ZonesOut::new(STORE_AT, ["a".to_owned()]))
     }
 
@@ -101,7 +103,7 @@
 }
 
 async fn calls_in_a_second(store: &Fake) -> Vec<Option<u64>> {
-    let (_watches, watching) = watch::channel(true);
+    let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(16);
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
     let drain = tokio::spawn(async move { while found.recv().await.is_some() {} });
@@ -120,14 +122,14 @@
 #[tokio::test]
 async fn a_balancer_that_is_no_watcher_reads_and_does_not_wait() {
     let store = Fake::default();
-    let (watches, watching) = watch::channel(false);
+    let (watches, watching) = watch::channel(Duty::Read);
     let (out, mut found) = mpsc::channel::<Found>(16);
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None]);
     // It becomes one: it reads what it may have missed, then waits.
-    watches.send_replace(true);
+    watches.send_replace(Duty::Watch);
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None, None, Some(STORE_AT)]);
@@ -145,7 +147,7 @@
 #[tokio::test]
 async fn changes_of_zones_follow_on_the_list() {
     let store = Fake::default();
-    let (_watches, watching) = watch::channel(true);
+    let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(1);
     let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
     assert_eq!(next_zones(&mut found).await, ["a"]);
@@ -156,16 +158,46 @@
     task.abort();
 }
 
+// Each start of a balancer that does not wait for changes cost a call that waited for nothing.
+#[tokio::test]
+async fn a_process_that_does_not_know_its_duty_yet_does_not_wait_at_the_store() {
+    let store = Fake::default();
+    let (duty, deciding) = watch::channel(Duty::Undecided);
+    let (out, mut found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, out));
+    assert!(matches!(found.recv().await, Some(Found::News(_))));
+    sleep(Duration::from_millis(200)).await;
+    duty.send_replace(Duty::Read);
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(store.calls(), [None]);
+    task.abort();
+}
+
+// The members can't be read, so it never learns whether others wait.
+#[tokio::test]
+async fn a_process_that_stays_undecided_waits_at_the_store() {
+    let store = Fake::default();
+    let (_duty, deciding) = watch::channel(Duty::Undecided);
+    let (out, _found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, out));
+    sleep(Duration::from_millis(800)).await;
+    assert_eq!(store.calls(), [None, Some(STORE_AT)]);
+    task.abort();
+}
+
 #[tokio::test]
 async fn zones_are_listed_again_if_the_store_drops_its_history() {
     let store = Fake { forgets: true, ..Fake::default() };
-    let (_watches, watching) = watch::channel(true);
+    let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(1);
     let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
     for _ in 0..3 {
         assert_eq!(next_zones(&mut found).await, ["a"]);
     }
     assert_eq!(store.calls()[..4], [None, Some(STORE_AT), None, Some(STORE_AT)]);
+    // A stale list could lack the history again that the store has dropped.
+    let reads = store.reads.lock().expect("not poisoned").clone();
+    assert_eq!(reads[..2], [Freshness::Stale, Freshness::Current]);
     task.abort();
 }
 
@@ -254,7 +286,7 @@
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
 
-    async fn zones_out(&self, _: Duration) -> Result<ZonesOut, StoreError> {
+    async fn zones_out(&self, _: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
         Ok(ZonesOut::default())
     }
 
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -53,6 +53,15 @@
     pub at: u64,
 }
 
+/// How new an answer has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Not older than the call.
+    Current,
+    /// Perhaps some seconds old, for a tenth of the price.
+    Stale,
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched<T> {
@@ -155,9 +164,10 @@
         patience: Duration,
     ) -> impl Future<Output = Result<Watched<Seen>, StoreError>> + Send;
 
-    /// The zones out of service, not older than the call.
+    /// The zones out of service.
     fn zones_out(
         &self,
+        freshness: Freshness,
         patience: Duration,
     ) -> impl Future<Output = Result<ZonesOut, StoreError>> + Send;
 
