Zones: fewer watchers, longer waits, no calls of their own in an outage

Tried against that: at most half of the balancers watch the zones, for 12 s instead of 6; in an outage the follower of the zones waits until a call about the configuration succeeds.

--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -21,8 +21,8 @@
 /// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
 /// 59, and nobody else's connection waits there.
 const WATCHERS: usize = 8;
-/// The same for the zones out of service. The others read them each few seconds besides, at a tenth of the price, so half as
-/// many do: all four are turned away in one case of eighty, and then one of the others sees a change within a second.
+/// The same for the zones out of service, and at most half of all balancers. The others read them each few seconds, at a tenth of
+/// the price: if the store turns all four away (one case of eighty), one of the others sees a change within a second.
 const ZONE_WATCHERS: usize = 4;
 /// Numbers that give the balancers an order for that.
 const WATCH_ORDER: u64 = 0x77a7;
@@ -66,9 +66,11 @@
     /// The same for the zones out of service.
     pub fn is_zone_watcher<'a, I>(&self, others: I) -> bool
     where
-        I: IntoIterator<Item = &'a SocketAddrV4>,
+        I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
     {
-        self.is_among_first(ZONE_WATCHERS, ZONE_WATCH_ORDER, others)
+        let others = others.into_iter();
+        let half = others.clone().count().div_ceil(2).max(1);
+        self.is_among_first(half.min(ZONE_WATCHERS), ZONE_WATCH_ORDER, others)
     }
 
     /// Whether this balancer is one of the first `count` in an order that `seed` gives, by rendezvous hashing.
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -125,12 +125,15 @@
     let (watches, watching) = watch::channel(Duty::Undecided);
     let (zone_watches, zone_watching) = watch::channel(Duty::Undecided);
     let topic = Topic::Routes;
-    tokio::spawn(discovery::follow(store.clone(), topic, watching, found.clone()));
+    let served = Arc::new(Notify::new());
+    let (follower, out) = (store.clone(), found.clone());
+    tokio::spawn(discovery::follow(follower, topic, watching, served.clone(), out));
     let mut state = Balancer::new(own.address, ZoneId::of(&own.zone));
     if settings.zones_change {
         state = state.with_unknown_zones();
         let topic = Topic::zones();
-        tokio::spawn(discovery::follow(store.clone(), topic, zone_watching, found.clone()));
+        let (follower, out) = (store.clone(), found.clone());
+        tokio::spawn(discovery::follow(follower, topic, zone_watching, served, out));
     }
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{net::SocketAddrV4, ops::Range, sync::Arc, time::Duration};
 
 use camphorwinch_core::opaque::{fleet::Listed, route::Routes, zone::ZonesOut};
 use camphorwinch_wire::opaque::Snapshot;
@@ -32,9 +32,17 @@
 const LONGEST_PATIENCE: Duration = Duration::from_millis(2_800);
 /// Calls without an answer before the time for one doubles.
 const TIMEOUTS_EACH: u32 = 6;
-/// Longest time for which one call waits for a change; each draws its own, so that calls that a change woke together don't end
-/// together. A connection that went silent is noticed after this time, and peers' greetings tell of news meanwhile.
+/// Mean time for which one call waits for a change of the configuration; each draws its own, so that calls that a change woke
+/// together don't end together. A connection that went silent is noticed after this time, and peers' greetings tell of news
+/// meanwhile.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
+/// The same for the zones out of service, which the other balancers read each few seconds besides.
+const WATCH_ZONES_WAIT: Duration = Duration::from_secs(12);
+/// Shortest and longest wait, in means.
+const WAIT_SHARES: Range<f64> = 0.75..1.25;
+/// Time after which a process whose call about zones failed tries again, if its calls about the configuration go on failing.
+/// Before that it waits for one of those to succeed: in an outage each process calls for one topic instead of two.
+const RETRY_ZONES: Duration = Duration::from_secs(3);
 /// Pause between two reads of the configuration by a balancer that does not wait for its changes. With 51 of them one reads
 /// it each half second, so that a change is found even while all those that wait for it are cut off from the store.
 const READ_EVERY: Duration = Duration::from_secs(25);
@@ -89,7 +97,7 @@
         (FIRST_PATIENCE * 2u32.pow((self.timeouts / TIMEOUTS_EACH).min(2))).min(LONGEST_PATIENCE)
     }
 
-    async fn failed(&mut self, error: &StoreError) {
+    fn note_lost(&mut self, error: &StoreError) {
         if let StoreError::Timeout { .. } = error {
             self.timeouts += 1;
         }
@@ -98,6 +106,10 @@
             tracing::warn!(id = id as u16, name = id.name(), error = %error);
         }
         self.lost = true;
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        self.note_lost(error);
         sleep(self.pause.mul_f64(spread())).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
@@ -231,6 +243,30 @@
         }
     }
 
+    /// Time for which the next call waits for changes.
+    fn watch_wait(&self) -> Duration {
+        let mean = match self {
+            Topic::Routes => WATCH_WAIT,
+            Topic::Zones(_) => WATCH_ZONES_WAIT,
+        };
+        mean.mul_f64(rand::rng().random_range(WAIT_SHARES))
+    }
+
+    /// Waits after a failed call.
+    async fn failed(&self, error: &StoreError, backoff: &mut Backoff, served: &Notify) {
+        // The first time it may be this call alone that was cut.
+        if let Topic::Zones(_) = self
+            && backoff.lost
+            && error.is_passing()
+        {
+            backoff.note_lost(error);
+            // Either is a reason to try again.
+            let _ = timeout(RETRY_ZONES, served.notified()).await;
+            return;
+        }
+        backoff.failed(error).await;
+    }
+
     async fn read<S>(
         &mut self,
         store: &S,
@@ -257,7 +293,7 @@
     where
         S: Store,
     {
-        let wait = WATCH_WAIT.mul_f64(spread());
+        let wait = self.watch_wait();
         match self {
             Topic::Routes => {
                 let watched = store.watch(at, wait, patience).await;
@@ -298,11 +334,12 @@
     }
 }
 
-/// Follows a topic in the store, as `duty` says.
+/// Follows a topic in the store, as `duty` says. `served` tells the zones' follower that the store answered the other one.
 pub(crate) async fn follow<S>(
     store: S,
     mut topic: Topic,
     mut duty: watch::Receiver<Duty>,
+    served: Arc<Notify>,
     out: mpsc::Sender<Found>,
 ) where
     S: Store,
@@ -336,6 +373,9 @@
         match step {
             Ok(Watched::Seen((seen_at, news))) => {
                 backoff.succeeded();
+                if let Topic::Routes = topic {
+                    served.notify_waiters();
+                }
                 at = Some(seen_at);
                 let Some(news) = news else {
                     continue;
@@ -350,7 +390,7 @@
                 sleep(FIRST_PAUSE.mul_f64(spread())).await;
             }
             Err(e) => {
-                backoff.failed(&e).await;
+                topic.failed(&e, &mut backoff, &served).await;
                 // What came while the watch was broken may be in no history any more.
                 at = None;
             }
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Default)]
 struct Fake {
     forgets: bool,
+    /// Turns calls about zones away.
+    busy: bool,
     calls: Arc<Mutex<Vec<Option<u64>>>>,
     reads: Arc<Mutex<Vec<Freshness>>>,
 }
@@ -83,6 +85,9 @@
     async fn zones_out(&self, it: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
         self.note(None);
         self.reads.lock().expect("not poisoned").push(it);
+        if self.busy {
+            return Err(StoreError::Busy { step: "list zones", status: 503 });
+        }
         Ok(ZonesOut::new(STORE_AT, ["a".to_owned()]))
     }
 
@@ -105,7 +110,7 @@
 async fn calls_in_a_second(store: &Fake) -> Vec<Option<u64>> {
     let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
     let drain = tokio::spawn(async move { while found.recv().await.is_some() {} });
     sleep(Duration::from_secs(1)).await;
     task.abort();
@@ -124,7 +129,7 @@
     let store = Fake::default();
     let (watches, watching) = watch::channel(Duty::Read);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None]);
@@ -149,7 +154,7 @@
     let store = Fake::default();
     let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(1);
-    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, Arc::default(), out));
     assert_eq!(next_zones(&mut found).await, ["a"]);
     assert!(next_zones(&mut found).await.is_empty());
     assert_eq!(next_zones(&mut found).await, ["a"]);
@@ -164,7 +169,7 @@
     let store = Fake::default();
     let (duty, deciding) = watch::channel(Duty::Undecided);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, Arc::default(), out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(200)).await;
     duty.send_replace(Duty::Read);
@@ -179,18 +184,34 @@
     let store = Fake::default();
     let (_duty, deciding) = watch::channel(Duty::Undecided);
     let (out, _found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, Arc::default(), out));
     sleep(Duration::from_millis(800)).await;
     assert_eq!(store.calls(), [None, Some(STORE_AT)]);
     task.abort();
 }
 
+// Each outage of the store would cost twice the calls if both topics were tried on their own.
+#[tokio::test]
+async fn in_an_outage_zones_wait_for_the_store_to_answer_about_the_configuration() {
+    let store = Fake { busy: true, ..Fake::default() };
+    let (_duty, watching) = watch::channel(Duty::Watch);
+    let (out, _found) = mpsc::channel::<Found>(1);
+    let served = Arc::new(Notify::new());
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, served.clone(), out));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.calls(), [None, None]);
+    served.notify_waiters();
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(store.calls(), [None, None, None]);
+    task.abort();
+}
+
 #[tokio::test]
 async fn zones_are_listed_again_if_the_store_drops_its_history() {
     let store = Fake { forgets: true, ..Fake::default() };
     let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(1);
-    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, Arc::default(), out));
     for _ in 0..3 {
         assert_eq!(next_zones(&mut found).await, ["a"]);
     }
