The rate of new flows to a cold upstream is bounded

The configuration may say how many requests a second a cold upstream of a service bears. Only its agent sees the sum over all balancers, so it counts flows over a sliding second and sends on what is over along the walk; what no upstream bears is refused at once. The bound comes with each opening packet, four bytes behind the walk, as objectives do: no message, no call. Ruled out: a share of the bound for each balancer (their number and callers change within the second, and unused shares are lost). An upstream of which nothing was heard lately counts as cold.

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -20,6 +20,7 @@
 pub mod presence;
 pub mod route;
 pub mod walk;
+mod warmup;
 pub mod zone;
 
 pub use flow::{FlowKey, Head, Kind};
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -21,6 +21,7 @@
     load::{Habits, Load},
     presence::{Presence, Sender},
     walk::Last,
+    warmup::Warmup,
 };
 
 /// Time after its start for which an agent may not know all flows of its upstream, unless it has seen the upstream
@@ -78,6 +79,7 @@
     habits: Habits,
     admission: Admission,
     breaker: Breaker,
+    warmup: Warmup,
     /// Whether the upstream has become full or no longer is since that was last told, and when that was.
     full_untold: bool,
     full_told_ms: Option<u64>,
@@ -104,6 +106,7 @@
             habits: Habits::default(),
             admission: Admission::default(),
             breaker: Breaker::default(),
+            warmup: Warmup::default(),
             full_untold: false,
             full_told_ms: None,
             hold: Hold::default(),
--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -37,10 +37,15 @@
             _ => {}
         }
         self.admission.hear_pool(walk.pool, now_ms);
+        self.warmup.set_rate(walk.cold_rate);
         let idempotent = walk.objective.is_some_and(|it| it.idempotent);
         let state = match self.upstream(now_ms) {
             _ if self.plan != Plan::Stay => Upstream::Draining,
             // Whom nobody else takes is better off here than refused.
+            // Also as the last resort: more than it bears would serve nobody.
+            Upstream::Ready | Upstream::Unknown if self.is_cold_and_full(now_ms) => {
+                Upstream::Draining
+            }
             Upstream::Ready if !self.breaker.lets_through(idempotent, now_ms) => Upstream::Unknown,
             known => known,
         };
@@ -89,6 +94,7 @@
             self.admission.set_objective(head.key.service, objective);
         }
         self.breaker.accepted(now_ms);
+        self.warmup.accepted(now_ms);
         note(head.key, Decision::Accepted { load, last, walk }, out);
         out.push(Effect::Deliver);
     }
@@ -148,6 +154,13 @@
         out.push(Effect::Relay { to, relay, payload: Payload::Current });
     }
 
+    /// Whether the upstream is cold, or may be as nothing was heard of it, and got as many flows as it bears.
+    fn is_cold_and_full(&self, now_ms: u64) -> bool {
+        let known = self.presence.state(now_ms) == Some(Upstream::Ready);
+        let cold = !known || self.presence.capacity(now_ms).1;
+        cold && !self.warmup.has_room(now_ms)
+    }
+
     fn usable_slots(&self, now_ms: u64) -> f64 {
         let (slots, cold) = self.presence.capacity(now_ms);
         usable(slots, cold, self.admission.mean_ms(), self.admission.pool_ms())
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -286,7 +286,8 @@
         self.flows.insert(key, flow);
         note(key, Decision::Placed { first, copies }, out);
         let walk = Walk::new(found.agents, found.limit).with_objective(objective);
-        let walk = walk.with_pool(found.pool);
+        let cold_rate = self.routes.cold_rate(pool);
+        let walk = walk.with_pool(found.pool).with_cold_rate(cold_rate);
         self.relay(first, Ask::Open(walk), pool, Payload::Current, out);
     }
 
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -103,6 +103,8 @@
     pub version: u64,
     /// Route of each address.
     pub by_address: FxHashMap<SocketAddrV4, Route>,
+    /// New flows a second that a cold upstream bears, for pools where that is bounded.
+    pub cold_rates: FxHashMap<PoolId, u32>,
 }
 
 /// What the table says of an address.
@@ -154,6 +156,11 @@
         true
     }
 
+    /// New flows a second that a cold upstream of the pool bears, if that is bounded.
+    pub fn cold_rate(&self, pool: PoolId) -> Option<u32> {
+        self.routes.as_ref()?.cold_rates.get(&pool).copied()
+    }
+
     /// What is known of an address.
     pub fn lookup(&self, address: SocketAddrV4) -> Lookup<'_> {
         let Some(routes) = &self.routes else {
--- a/crates/core/src/opaque/walk.rs
+++ b/crates/core/src/opaque/walk.rs
@@ -63,6 +63,8 @@
     pub objective: Option<Objective>,
     /// What the balancer knows of the pool.
     pub pool: PoolLoad,
+    /// New flows a second that a cold upstream of the pool bears, if that is bounded.
+    pub cold_rate: Option<u32>,
 }
 
 impl Walk {
@@ -78,6 +80,7 @@
             limit,
             objective: None,
             pool: PoolLoad::default(),
+            cold_rate: None,
         };
         for agent in agents.into_iter().take(MAX_SEATS) {
             walk.seats[usize::from(walk.len)] = Seat { agent, load: NOT_ASKED };
@@ -94,7 +97,7 @@
         let len = seats.len() as u8;
         let seat = [EMPTY; MAX_SEATS];
         let pool = PoolLoad::default();
-        let mut walk = Walk { seats: seat, len, at, limit, objective: None, pool };
+        let mut walk = Walk { seats: seat, len, at, limit, objective: None, pool, cold_rate: None };
         walk.seats[..seats.len()].copy_from_slice(seats);
         Some(walk)
     }
@@ -109,6 +112,11 @@
         Walk { pool, ..self }
     }
 
+    /// The walk with the rate that a cold upstream of the pool bears.
+    pub fn with_cold_rate(self, cold_rate: Option<u32>) -> Walk {
+        Walk { cold_rate, ..self }
+    }
+
     /// The candidates.
     pub fn seats(&self) -> &[Seat] {
         &self.seats[..usize::from(self.len)]
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -11,5 +11,6 @@
 mod support;
 mod survival;
 mod walk;
+mod warmup;
 mod world;
 mod zones;
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! 1 packet | ask | pool 8 | balancer 6 | walk, for Open and Settle | packet
 //!   walk: limit 2, latency objective 4, timeout 4, priority 1, idempotent 1, service time 4, full 1, at 1,
-//!   count 1, then 8 for each candidate
+//!   count 1, then 8 for each candidate, rate of a cold upstream 4
 //! 2 answer | what | pool 8, if it is another | caller 6 | service 6 | the packet, if it is sent back
 //! 3 message | Control
 //! 4 query | 12 for each flow: caller 6, service 6
@@ -271,6 +271,8 @@
         put_address(seat.agent, out);
         out.put_u16(seat.load);
     }
+    // A cold upstream that bears nothing would never be of use, so zero stands for no bound.
+    out.put_u32(walk.cold_rate.unwrap_or(0));
 }
 
 fn take_walk(bytes: &mut &[u8]) -> Result<Walk, DecodeError> {
@@ -295,7 +297,8 @@
         seats.push(Seat { agent, load });
     }
     let walk = Walk::from_parts(&seats, at, limit).ok_or(DecodeError::Walk { count, at })?;
-    let walk = walk.with_pool(pool);
+    let cold_rate = Some(take_u32(bytes)?).filter(|&it| it > 0);
+    let walk = walk.with_pool(pool).with_cold_rate(cold_rate);
     Ok(walk.with_objective(Some(objective).filter(|it| it.timeout_ms > 0)))
 }
 
@@ -488,6 +491,20 @@
     /// Zones out of service; none if the sender does not know.
     #[prost(message, optional, tag = "6")]
     pub zones: Option<ZonesEntry>,
+    /// What cold upstreams bear, for pools where that is bounded.
+    #[prost(message, repeated, tag = "7")]
+    pub cold_rates: Vec<ColdRateEntry>,
+}
+
+/// What a cold upstream of a pool bears.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ColdRateEntry {
+    /// The pool.
+    #[prost(fixed64, tag = "1")]
+    pub pool: u64,
+    /// New flows a second.
+    #[prost(uint32, tag = "2")]
+    pub rate: u32,
 }
 
 /// A route of a snapshot.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -9,7 +9,9 @@
     zone::ZonesOut,
 };
 
-use crate::opaque::{DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot, ZonesEntry};
+use crate::opaque::{
+    ColdRateEntry, DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot, ZonesEntry,
+};
 
 impl From<&ZonesOut> for ZonesEntry {
     fn from(it: &ZonesOut) -> ZonesEntry {
@@ -35,12 +37,15 @@
         let Some(routes) = routes else {
             return Snapshot { members, ..Snapshot::default() };
         };
+        let cold_rates = routes.cold_rates.iter();
+        let cold_rates = cold_rates.map(|(pool, &rate)| ColdRateEntry { pool: pool.0, rate });
         Snapshot {
             revision: routes.revision,
             version: routes.version,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
             zones: None,
+            cold_rates: cold_rates.collect(),
         }
     }
 
@@ -51,6 +56,8 @@
         }
         let mut routes =
             Routes { revision: self.revision, version: self.version, ..Routes::default() };
+        let cold_rates = self.cold_rates.iter();
+        routes.cold_rates = cold_rates.map(|it| (PoolId(it.pool), it.rate)).collect();
         for entry in &self.routes {
             let shares = entry.shares.iter();
             let shares =
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -8,6 +8,7 @@
     fleet::{self, Listed, Plan, Upstream, ZoneId},
     route::{Objective, Route, Routes, Share},
     walk::{PoolLoad, Walk},
+    zone::ZonesOut,
 };
 use camphorwinch_wire::opaque::{
     Body, Control, Datagram, DecodeError, Greeting, Report, Snapshot, ZonesEntry, decode,
@@ -34,7 +35,7 @@
     let mut walk = Walk::new((1..=8).map(address), 1_234);
     walk.pass(77);
     let pool = PoolLoad { service_ms: Some(70_000), full_percent: 99 };
-    let known = walk.with_objective(Some(OBJECTIVE)).with_pool(pool);
+    let known = walk.with_objective(Some(OBJECTIVE)).with_pool(pool).with_cold_rate(Some(9));
     [Ask::Open(walk), Ask::Settle(known), Ask::Deliver, Ask::Locate]
 }
 
@@ -174,6 +175,7 @@
     let route = Route::new(shares);
     routes.by_address.insert(address(2), route.clone().with_objective(OBJECTIVE));
     routes.by_address.insert(address(1), route);
+    routes.cold_rates.insert(PoolId(2), 10);
     let members = [
         Listed { address: address(2), pool: Some(PoolId(1)), zone: ZoneId(4) },
         Listed { address: address(3), pool: None, zone: ZoneId(5) },
@@ -181,6 +183,10 @@
     let snapshot = Snapshot::new(Some(&routes), &members);
     assert_eq!(snapshot.routes(), Ok(Some(routes)));
     assert_eq!(snapshot.members(), Ok(members.to_vec()));
+    assert_eq!(snapshot.zones, None);
+    let out = ZonesOut::new(6, ["a".to_owned(), "b".to_owned()]);
+    let told = snapshot.clone().with_zones(Some(&out)).zones.map(ZonesOut::from);
+    assert_eq!(told, Some(out));
     assert_eq!(Snapshot::new(None, &[]).routes(), Ok(None));
     let mut bad = snapshot.clone();
     bad.routes[0].port = 70_000;
