Routes may be bound to regions

A route's allowed regions say where its requests may be served. Candidates outside are left out; a search sends packets within these regions only and asks the others without one, so that a flow older than the route's regions is not taken for dead. A route whose regions have no zone is refused at once. The region of each zone comes from the settings. Ruled out: leaving agents abroad out of searches altogether (an open flow from before would be reset as held by nobody).

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -24,7 +24,7 @@
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
-    zone::{ZoneNews, ZonesOut},
+    zone::{Regions, ZoneNews, ZonesOut},
 };
 
 /// Time for which packets are held for an agent that restarts: a start takes about a second.
@@ -111,6 +111,11 @@
         Balancer { fleet: self.fleet.with_unknown_zones(), ..self }
     }
 
+    /// A balancer that knows the region of each zone.
+    pub fn with_regions(self, regions: Regions) -> Balancer {
+        Balancer { fleet: self.fleet.with_regions(regions), ..self }
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
@@ -257,27 +262,33 @@
     fn open(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
         let key = head.key;
         let copies = head.ack;
-        let (pool, objective) = match self.routes.lookup(key.service) {
+        let route = match self.routes.lookup(key.service) {
             Lookup::NoConfig => return drop(key, Drop::NoConfig, out),
             Lookup::Dropped | Lookup::None => return reset(key, 0, Why::NoRoute, out),
-            Lookup::Route(route) => (route.pick(key.hash()), route.objective()),
+            Lookup::Route(route) => route,
         };
-        let Some(pool) = pool else {
+        let (objective, allowed) = (route.objective(), route.regions());
+        let Some(pool) = route.pick(key.hash()) else {
             return reset(key, 0, Why::NoUpstream, out);
         };
+        if !self.fleet.has_region(allowed) {
+            return reset(key, 0, Why::NoRegion, out);
+        }
         if self.fleet.zones_out().is_none() {
             return drop(key, Drop::NoConfig, out);
         }
         let known = self.flows.get(&key).filter(|_| copies > 0);
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The flow's upstream has answered, so the answer was lost: its agent sends another one.
-            if let Some(agent) = flow.agent.filter(|&it| !self.fleet.is_out(it)) {
+            let may_get =
+                |it: &SocketAddrV4| !self.fleet.is_out(*it) && self.fleet.may_get(*it, allowed);
+            if let Some(agent) = flow.agent.filter(may_get) {
                 let pool = flow.pool.unwrap_or(pool);
                 return self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
             }
         }
         let avoid = known.and_then(|it| it.agent);
-        let found = self.fleet.candidates(pool, key.hash(), self.zone, avoid, now_ms);
+        let found = self.fleet.candidates(pool, key.hash(), self.zone, avoid, allowed, now_ms);
         let Some(&first) = found.agents.first() else {
             return self.open_nowhere(key, pool, now_ms, out);
         };
--- a/crates/core/src/opaque/balancer/search.rs
+++ b/crates/core/src/opaque/balancer/search.rs
@@ -90,7 +90,13 @@
         let allows = |it| route.allows(it);
         let mut first = self.fleet.holders(allows, key.hash(), self.zone, now_ms);
         first.retain(|&it| Some(it) != except);
-        let rest = first.split_off(first.len().min(FIRST_ASKED));
+        // The packet goes to allowed regions only. The others are asked for the flow, as it may be older than the route's
+        // present regions.
+        let allowed = route.regions();
+        let (mut first, abroad): (Vec<_>, Vec<_>) =
+            first.into_iter().partition(|&it| self.fleet.may_get(it, allowed));
+        let mut rest = first.split_off(first.len().min(FIRST_ASKED));
+        rest.extend(abroad);
         let asked = first.len();
         note(key, Decision::Searched { asked }, out);
         self.ask(&first, bytes, out);
@@ -178,7 +184,10 @@
         let Some(search) = search.filter(|it| !it.unsure.is_empty()) else {
             return;
         };
-        let unsure = std::mem::take(&mut search.unsure);
+        let mut unsure = std::mem::take(&mut search.unsure);
+        if let Lookup::Route(route) = self.routes.lookup(key.service) {
+            unsure.retain(|&it| self.fleet.may_get(it, route.regions()));
+        }
         let Some(packet) = self.hold.first(&key).map(<[u8]>::to_vec) else {
             return;
         };
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -73,6 +73,8 @@
     NoUpstream,
     /// All upstreams that may take new flows are in zones out of service.
     ZonesOut,
+    /// No zone is in a region in which the route's requests may be served.
+    NoRegion,
     /// Every upstream that was asked refused the flow.
     AllRefused,
     /// The upstream that held the flow has ended.
@@ -83,11 +85,12 @@
 
 impl Why {
     /// All reasons.
-    pub const ALL: [Why; 7] = [
+    pub const ALL: [Why; 8] = [
         Why::NoRoute,
         Why::RouteDropped,
         Why::NoUpstream,
         Why::ZonesOut,
+        Why::NoRegion,
         Why::AllRefused,
         Why::UpstreamEnded,
         Why::NotHeld,
@@ -100,6 +103,7 @@
             Why::RouteDropped => "route-dropped",
             Why::NoUpstream => "no-upstream",
             Why::ZonesOut => "zones-out",
+            Why::NoRegion => "no-region",
             Why::AllRefused => "all-refused",
             Why::UpstreamEnded => "upstream-ended",
             Why::NotHeld => "not-held",
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -9,7 +9,7 @@
 use super::{
     PoolId,
     agents::Agents,
-    zone::{ZoneNews, ZoneTable, ZonesOut},
+    zone::{RegionId, Regions, ZoneNews, ZoneTable, ZonesOut},
 };
 
 /// Pause between two reports of an agent to a balancer, in milliseconds; longer in a fleet of many balancers.
@@ -181,11 +181,12 @@
     }
 }
 
-/// The agents, and the zones whose agents get no new flows.
+/// The agents, the zones whose agents get no new flows, and the regions.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: Agents,
     zones: ZoneTable,
+    regions: Regions,
 }
 
 impl Fleet {
@@ -194,6 +195,27 @@
         Fleet { zones: ZoneTable::unknown(), ..self }
     }
 
+    /// The fleet with the region of each zone.
+    pub fn with_regions(self, regions: Regions) -> Fleet {
+        Fleet { regions, ..self }
+    }
+
+    /// Whether a zone is in one of the regions that a route allows; none named allow all. One of a zone whose region is not
+    /// known is not.
+    fn is_within(&self, zone: ZoneId, allowed: &[RegionId]) -> bool {
+        allowed.is_empty() || self.regions.get(&zone).is_some_and(|it| allowed.contains(it))
+    }
+
+    /// Whether requests of a route that allows these regions may be sent to the agent.
+    pub fn may_get(&self, agent: SocketAddrV4, allowed: &[RegionId]) -> bool {
+        self.agents.get(agent).is_some_and(|it| self.is_within(it.zone, allowed))
+    }
+
+    /// Whether any zone is in one of the regions that a route allows.
+    pub fn has_region(&self, allowed: &[RegionId]) -> bool {
+        allowed.is_empty() || self.regions.values().any(|it| allowed.contains(it))
+    }
+
     /// The zones out of service, if that is known.
     pub fn zones_out(&self) -> Option<&ZonesOut> {
         self.zones.known()
--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -7,6 +7,7 @@
         PoolId,
         flow::rank,
         walk::{MAX_SEATS, PoolLoad},
+        zone::RegionId,
     },
     Fleet, ZoneId,
 };
@@ -31,16 +32,19 @@
 }
 
 impl Fleet {
-    /// Candidates for a new flow: the zone's own first, in an order that the flow's hash gives.
+    /// Candidates for a new flow: the zone's own first, in an order that the flow's hash gives. Only agents in one of the
+    /// `allowed` regions; none named allow all.
     pub fn candidates(
         &self,
         pool: PoolId,
         hash: u64,
         zone: ZoneId,
         avoid: Option<SocketAddrV4>,
+        allowed: &[RegionId],
         now_ms: u64,
     ) -> Candidates {
         let takers = self.takers(pool, now_ms);
+        let takers = takers.filter(|(_, it)| self.is_within(it.zone, allowed));
         let mut ranked: Vec<_> = takers
             .map(|(agent, it)| {
                 let last = Some(agent) == avoid || !it.is_ready();
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -5,6 +5,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use siphasher::sip::SipHasher13;
 
+use super::zone::RegionId;
 use crate::invariant::{self, Invariant};
 
 /// A pool, by a hash of its name that is the same in every process.
@@ -47,12 +48,13 @@
 pub struct Route {
     shares: Vec<Share>,
     objective: Option<Objective>,
+    regions: Vec<RegionId>,
 }
 
 impl Route {
     /// A route over these pools.
     pub fn new(shares: Vec<Share>) -> Route {
-        Route { shares, objective: None }
+        Route { shares, objective: None, regions: Vec::new() }
     }
 
     /// The route with an objective for its requests.
@@ -60,6 +62,16 @@
         Route { objective: Some(objective), ..self }
     }
 
+    /// The route for requests that may be served in these regions only; none named allow all.
+    pub fn with_regions(self, regions: Vec<RegionId>) -> Route {
+        Route { regions, ..self }
+    }
+
+    /// The regions in which its requests may be served; none named allow all.
+    pub fn regions(&self) -> &[RegionId] {
+        &self.regions
+    }
+
     /// The pool that a new flow goes to.
     pub fn pick(&self, hash: u64) -> Option<PoolId> {
         let total: u64 = self.shares.iter().map(|it| u64::from(it.weight)).sum();
--- a/crates/core/src/opaque/zone.rs
+++ b/crates/core/src/opaque/zone.rs
@@ -18,6 +18,20 @@
     }
 }
 
+/// A region, by a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RegionId(pub u64);
+
+impl RegionId {
+    /// The region of this name.
+    pub fn of(name: &str) -> RegionId {
+        RegionId(PoolId::of(name).0)
+    }
+}
+
+/// The region of each zone.
+pub type Regions = BTreeMap<ZoneId, RegionId>;
+
 /// The zones that are out of service at a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ZonesOut {
--- a/crates/core/tests/opaque/fleet.rs
+++ b/crates/core/tests/opaque/fleet.rs
@@ -14,7 +14,7 @@
 }
 
 fn picked(fleet: &Fleet, hash: u64, now_ms: u64) -> Vec<u8> {
-    let agents = fleet.candidates(POOL, hash, ZONE, None, now_ms).agents;
+    let agents = fleet.candidates(POOL, hash, ZONE, None, &[], now_ms).agents;
     agents.iter().map(|it| it.ip().octets()[3]).collect()
 }
 
@@ -63,8 +63,8 @@
 #[test]
 fn the_candidate_that_did_not_answer_comes_last() {
     let fleet = fleet(4, 0);
-    let first = fleet.candidates(POOL, 3, ZONE, None, 0).agents[0];
-    let again = fleet.candidates(POOL, 3, ZONE, Some(first), 0).agents;
+    let first = fleet.candidates(POOL, 3, ZONE, None, &[], 0).agents[0];
+    let again = fleet.candidates(POOL, 3, ZONE, Some(first), &[], 0).agents;
     assert_eq!(again.last(), Some(&first));
 }
 
@@ -88,7 +88,7 @@
     let mut fleet = fleet(2, 0);
     fleet.report(address(0), report(2, 1_000), 1);
     fleet.report(address(1), report(2, 2_000), 1);
-    let limit = fleet.candidates(POOL, 0, ZONE, None, 1).limit;
+    let limit = fleet.candidates(POOL, 0, ZONE, None, &[], 1).limit;
     assert!((1_500..1_600).contains(&limit), "{limit}");
 }
 
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -7,6 +7,7 @@
 mod lives;
 mod load;
 mod placing;
+mod regions;
 mod route;
 mod support;
 mod survival;
--- /dev/null
+++ b/crates/core/tests/opaque/regions.rs
@@ -0,0 +1,108 @@
+//! Routes that may be served in some regions only, as a customer's law may ask for.
+
+use camphorwinch_core::opaque::{
+    Kind,
+    balancer::Balancer,
+    effect::{Answer, Ask, Decision, Effect, Verdict, Why},
+    fleet::{Report, ZoneId},
+    route::{Route, Routes, Share},
+    zone::{RegionId, Regions},
+};
+
+use crate::support::{POOL, address, data, decisions, head, key, relays, report, resets, service};
+
+/// Two regions of one zone each; the balancer and agents 1 to 4 are in the first one, agents 5 to 8 in the second.
+const HOME: &str = "home";
+const ABROAD: &str = "abroad";
+
+fn routes(revision: u64, allowed: &[&str]) -> Routes {
+    let mut routes = Routes { revision, version: revision, ..Routes::default() };
+    let route = Route::new(vec![Share { pool: POOL, weight: 1 }]);
+    let allowed = allowed.iter().map(|it| RegionId::of(it)).collect();
+    routes.by_address.insert(service(), route.with_regions(allowed));
+    routes
+}
+
+fn balancer(allowed: &[&str]) -> Balancer {
+    let regions: Regions =
+        [HOME, ABROAD].iter().map(|it| (ZoneId::of(it), RegionId::of(it))).collect();
+    let mut it = Balancer::new(address(200), ZoneId::of(HOME)).with_regions(regions);
+    it.put_routes(routes(1, allowed));
+    it.list(&[], 0);
+    for host in 1..=8 {
+        let zone = ZoneId::of(if host <= 4 { HOME } else { ABROAD });
+        it.report(address(host), Report { zone, ..report(1, 0) }, 0, &mut Vec::new());
+    }
+    it
+}
+
+fn packet(it: &mut Balancer, head: &camphorwinch_core::opaque::Head, now_ms: u64) -> Vec<Effect> {
+    let mut out = Vec::new();
+    it.packet(head, b"body", now_ms, &mut out);
+    out
+}
+
+fn hosts_of_new_flows(it: &mut Balancer) -> Vec<u8> {
+    let mut hosts = Vec::new();
+    for port in 0..30 {
+        for (_, ask) in relays(&packet(it, &head(port, Kind::Open), 10)) {
+            let Ask::Open(walk) = ask else { panic!("{ask:?}") };
+            hosts.extend(walk.seats().iter().map(|it| it.agent.ip().octets()[3]));
+        }
+    }
+    hosts.sort_unstable();
+    hosts.dedup();
+    hosts
+}
+
+#[test]
+fn flows_go_to_allowed_regions_only() {
+    assert_eq!(hosts_of_new_flows(&mut balancer(&[])), [1, 2, 3, 4, 5, 6, 7, 8]);
+    assert_eq!(hosts_of_new_flows(&mut balancer(&[HOME])), [1, 2, 3, 4]);
+    assert_eq!(hosts_of_new_flows(&mut balancer(&[ABROAD])), [5, 6, 7, 8]);
+    assert_eq!(hosts_of_new_flows(&mut balancer(&["elsewhere", HOME])), [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_route_whose_regions_have_no_zone_is_refused_at_once() {
+    let mut it = balancer(&["elsewhere"]);
+    let effects = packet(&mut it, &head(1, Kind::Open), 10);
+    assert_eq!(resets(&effects), 1);
+    assert_eq!(decisions(&effects), [Decision::Reset(Why::NoRegion)]);
+}
+
+/// A body must not leave the allowed regions, while a flow from before the route's present regions must not be taken for dead.
+#[test]
+fn a_search_asks_other_regions_without_the_packet() {
+    let mut it = balancer(&[HOME]);
+    let mut effects = packet(&mut it, &data(1, 1, 1), 10);
+    for host in 1..=4 {
+        it.answer(address(host), key(1), Answer::Absent, None, 20, &mut effects);
+    }
+    it.tick(1_000, &mut effects);
+    let located = relays(&effects).into_iter().map(|it| it.0.ip().octets()[3]);
+    assert!(located.into_iter().all(|it| it <= 4), "{effects:?}");
+    assert_eq!(resets(&effects), 0);
+    let asked = |it: &Effect| matches!(it, Effect::Query { to, .. } if to.ip().octets()[3] > 4);
+    assert_eq!(effects.iter().filter(|&it| asked(it)).count(), 4);
+    effects.clear();
+    it.verdict(address(6), key(1), Verdict::Here, 30, &mut effects);
+    assert!(relays(&effects).contains(&(address(6), Ask::Deliver)), "{effects:?}");
+}
+
+#[test]
+fn an_unsure_agent_of_another_region_does_not_get_the_packet() {
+    let mut it = balancer(&[HOME]);
+    let mut effects = packet(&mut it, &data(1, 1, 1), 10);
+    for host in 1..=4 {
+        it.answer(address(host), key(1), Answer::Absent, None, 20, &mut effects);
+    }
+    effects.clear();
+    for host in 5..=8 {
+        it.verdict(address(host), key(1), Verdict::Unsure, 30, &mut effects);
+    }
+    it.tick(1_000, &mut effects);
+    assert!(relays(&effects).is_empty(), "{effects:?}");
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Spread { .. })), "{effects:?}");
+    assert_eq!(resets(&effects), 0);
+}
--- a/crates/core/tests/opaque/zones.rs
+++ b/crates/core/tests/opaque/zones.rs
@@ -171,7 +171,7 @@
             Report { zone: ZoneId::of(zone_of(host)), full: load > 900, ..report(1, load) };
         it.report(address(host), report, 0, &mut Vec::<Effect>::new());
     }
-    let limit = |it: &Balancer| it.fleet().candidates(POOL, 1, ZoneId::of("north"), None, 0);
+    let limit = |it: &Balancer| it.fleet().candidates(POOL, 1, ZoneId::of("north"), None, &[], 0);
     assert_eq!(limit(&it).pool.full_percent, 50);
     it.put_zones(out(5, &["north"]));
     let found = limit(&it);
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -17,6 +17,7 @@
     balancer::Balancer,
     effect::{Effect, Payload},
     fleet::{Listed, ZoneId},
+    zone::Regions,
 };
 use camphorwinch_wire::opaque::{Body, Greeting, Snapshot, ZonesEntry};
 use rand::seq::IteratorRandom;
@@ -76,6 +77,8 @@
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
     /// Whether zones may be taken out of service here. Then no flow is placed before it is known which ones are.
     pub zones_change: bool,
+    /// Region of each zone.
+    pub regions: Regions,
 }
 
 /// Whether the process should get packets.
@@ -128,7 +131,8 @@
     let served = Arc::new(Notify::new());
     let (follower, out) = (store.clone(), found.clone());
     tokio::spawn(discovery::follow(follower, topic, watching, served.clone(), out));
-    let mut state = Balancer::new(own.address, ZoneId::of(&own.zone));
+    let mut state =
+        Balancer::new(own.address, ZoneId::of(&own.zone)).with_regions(settings.regions);
     if settings.zones_change {
         state = state.with_unknown_zones();
         let topic = Topic::zones();
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -531,6 +531,9 @@
     /// Whether a caller may send a request again after any failure.
     #[prost(bool, tag = "7")]
     pub idempotent: bool,
+    /// Regions in which its requests may be served; none named allow all.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub regions: Vec<u64>,
 }
 
 /// A pool of a route.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -6,7 +6,7 @@
     PoolId,
     fleet::{Listed, ZoneId},
     route::{Objective, Route, Routes, Share},
-    zone::ZonesOut,
+    zone::{RegionId, ZonesOut},
 };
 
 use crate::opaque::{
@@ -62,7 +62,8 @@
             let shares = entry.shares.iter();
             let shares =
                 shares.map(|it| Share { pool: PoolId(it.pool), weight: it.weight }).collect();
-            let route = Route::new(shares);
+            let regions = entry.regions.iter().copied().map(RegionId).collect();
+            let route = Route::new(shares).with_regions(regions);
             let route = match objective(entry)? {
                 Some(it) => route.with_objective(it),
                 None => route,
@@ -105,6 +106,7 @@
         timeout_ms: objective.map_or(0, |it| it.timeout_ms),
         priority: objective.map_or(0, |it| u32::from(it.priority)),
         idempotent: objective.is_some_and(|it| it.idempotent),
+        regions: route.regions().iter().map(|it| it.0).collect(),
     }
 }
 
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -8,7 +8,7 @@
     fleet::{self, Listed, Plan, Upstream, ZoneId},
     route::{Objective, Route, Routes, Share},
     walk::{PoolLoad, Walk},
-    zone::ZonesOut,
+    zone::{RegionId, ZonesOut},
 };
 use camphorwinch_wire::opaque::{
     Body, Control, Datagram, DecodeError, Greeting, Report, Snapshot, ZonesEntry, decode,
@@ -172,7 +172,7 @@
 fn snapshots_come_back_as_they_were() {
     let mut routes = Routes { revision: 3, version: 2, ..Routes::default() };
     let shares = vec![Share { pool: PoolId(1), weight: 9 }, Share { pool: PoolId(2), weight: 1 }];
-    let route = Route::new(shares);
+    let route = Route::new(shares).with_regions(vec![RegionId(7), RegionId(8)]);
     routes.by_address.insert(address(2), route.clone().with_objective(OBJECTIVE));
     routes.by_address.insert(address(1), route);
     routes.cold_rates.insert(PoolId(2), 10);
