--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -29,6 +29,12 @@
 const ZONE_WATCH_ORDER: u64 = 0x20e5;
 /// Time after which a peer is asked again for a configuration that did not come: a call that fails takes 600 ms.
 const ASK_AGAIN_MS: u64 = 700;
+/// Agents that keep a copy of the configuration for balancers that start while nobody else can tell it. All balancers and all of
+/// these have to end before it is lost. More would cost a transfer of the whole configuration each at every change: 160 kB at
+/// the size designed for.
+const KEEPERS: usize = 8;
+/// Number that gives the agents an order for that.
+const KEEP_ORDER: u64 = 0xc09f;
 /// Time after which more balancers try: the pause between two lists of members, and some.
 const REMOVAL_MS: u64 = 50_000;
 /// Withdrawn agents that are remembered.
@@ -96,6 +102,15 @@
         !asked
     }
 
+    /// The agents that are to keep a copy of what balancers know: the first of those that live, by rendezvous hashing, so that
+    /// balancers which know the same agents name the same ones.
+    pub fn keepers(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let mut agents = self.fleet.steady(now_ms);
+        agents.sort_unstable_by_key(|&it| rank(it, KEEP_ORDER));
+        agents.truncate(KEEPERS);
+        agents
+    }
+
     /// The object of an agent is removed. If the agent is heard of again, it is told so.
     pub fn withdraw(&mut self, agent: SocketAddrV4) {
         self.left.remove(&agent);
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -357,6 +357,12 @@
         self.agents.iter().filter(|(_, it)| !it.is_silent(now_ms)).count()
     }
 
+    /// Agents that were heard of lately and are about to go on.
+    pub fn steady(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let steady = |it: &Entry| it.plan() == Plan::Stay && !it.is_silent(now_ms);
+        self.agents.iter().filter(|(_, it)| steady(it)).map(|(agent, _)| agent).collect()
+    }
+
     /// Agents that have been gone for at least `for_ms`, though the store lists them.
     pub fn long_gone(&self, for_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
         let gone = self.agents.iter().filter(|(_, it)| {
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -1,5 +1,6 @@
 //! The process beside an upstream: gives it callers' packets and sends its answers to the callers.
 
+mod copy;
 mod input;
 
 use std::{collections::BTreeSet, io::ErrorKind, net::SocketAddrV4, sync::Arc, time::Duration};
@@ -11,7 +12,7 @@
     effect::{Effect, Payload},
     fleet::{Listed, Plan, REPORT_MS, Upstream, ZoneId},
 };
-use camphorwinch_wire::opaque::Body;
+use camphorwinch_wire::opaque::{Body, Report};
 use tokio::{
     net::{TcpStream, UdpSocket},
     sync::{Notify, mpsc, oneshot, watch},
@@ -19,6 +20,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use self::copy::Copy;
 use crate::{
     clock::now_ms,
     codec::Codec,
@@ -108,6 +110,7 @@
     let outbound = socket::udp(settings.outbound, "the upstream's packets")?;
     let upstream = connect(&settings).await?;
     let peers = Peers::new(socket::udp(own.address, "other processes")?);
+    let copy = Copy::serve(own.address)?;
     let (found, input) = mpsc::channel(WAITING);
     let seeds = settings.seeds.clone();
     let list_again = Arc::new(Notify::new());
@@ -132,6 +135,7 @@
         outbound,
         upstream,
         peers,
+        copy,
         balancers: BTreeSet::new(),
         list_again,
         serves,
@@ -176,6 +180,7 @@
     outbound: UdpSocket,
     upstream: UdpSocket,
     peers: Peers,
+    copy: Copy,
     balancers: BTreeSet<SocketAddrV4>,
     list_again: Arc<Notify>,
     /// Whether the process belongs on the list of members. An agent that never had an upstream does not: it holds nothing,
@@ -297,8 +302,8 @@
     }
 
     fn report_to(&mut self, to: SocketAddrV4, now: u64) {
-        let report = self.state.next_report(now);
-        self.peers.control(to, Body::Report(report.into()));
+        let report = Report { kept: self.copy.revision(), ..self.state.next_report(now).into() };
+        self.peers.control(to, Body::Report(report));
     }
 
     fn apply(&mut self, current: &[u8], now: u64) {
--- /dev/null
+++ b/crates/opaque/src/agent/copy.rs
@@ -0,0 +1,102 @@
+//! A copy of what balancers know, kept by a few agents.
+//!
+//! Balancers keep nothing. If all of them end while the store is away, those that start would place nothing until it is back.
+//! The agents live on and report to each balancer that they knew, so a balancer that starts hears of a copy with their first
+//! reports and fetches it: it serves a second after its start, store or no store. A copy never replaces what is newer.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use camphorwinch_wire::opaque::{Greeting, Snapshot};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
+
+use crate::{event::Id, snapshot};
+
+/// Age from which a copy of the newest revision is fetched again, as members come and go: with 160 kB and 8 copies at the size
+/// designed for some 40 kB a second in all, from 520 balancers.
+const RENEW: Duration = Duration::from_secs(30);
+/// Pause between two attempts: an attempt takes 600 ms at the most.
+const ATTEMPT: Duration = Duration::from_millis(700);
+
+/// The copy, as it is served to balancers.
+pub(super) struct Copy {
+    newest: watch::Sender<Arc<Snapshot>>,
+    fetched: Option<Instant>,
+}
+
+impl Copy {
+    /// Serves the copy at the agent's address from now on.
+    pub(super) fn serve(address: SocketAddrV4) -> anyhow::Result<Copy> {
+        let (newest, snapshots) = watch::channel(Arc::default());
+        snapshot::serve(address, snapshots)?;
+        Ok(Copy { newest, fetched: None })
+    }
+
+    /// Revision of the configuration in the copy; 0 if there is none.
+    pub(super) fn revision(&self) -> u64 {
+        self.newest.borrow().revision
+    }
+
+    /// A balancer tells what is in force there, and whether this agent is to keep a copy.
+    pub(super) fn take_greeting(&mut self, from: SocketAddrV4, greeting: &Greeting) {
+        self.take_zones(greeting);
+        if !greeting.keep || greeting.revision < self.revision() {
+            return;
+        }
+        let pause = if greeting.revision == self.revision() { RENEW } else { ATTEMPT };
+        if self.fetched.is_some_and(|it| it.elapsed() < pause) {
+            return;
+        }
+        self.fetched = Some(Instant::now());
+        tokio::spawn(fetch(from, self.newest.clone()));
+    }
+
+    /// Zones go out of service and come back without a new configuration, so a greeting's word is taken over.
+    fn take_zones(&self, greeting: &Greeting) {
+        let Some(zones) = &greeting.zones else {
+            return;
+        };
+        self.newest.send_if_modified(|copy| {
+            let known = copy.zones.as_ref().map(|it| it.revision);
+            let newer = copy.revision > 0 && known.is_none_or(|it| it < zones.revision);
+            if newer {
+                Arc::make_mut(copy).zones = Some(zones.clone());
+            }
+            newer
+        });
+    }
+}
+
+async fn fetch(from: SocketAddrV4, newest: watch::Sender<Arc<Snapshot>>) {
+    let id = Id::CopyKept;
+    let snapshot = match timeout(ATTEMPT, snapshot::ask(from)).await {
+        Ok(Ok(it)) => it,
+        Ok(Err(e)) => {
+            let error = format!("{e:#}");
+            tracing::warn!(id = id as u16, name = id.name(), peer = %from, error);
+            return;
+        }
+        Err(_) => {
+            tracing::warn!(id = id as u16, name = id.name(), peer = %from, error = "no answer");
+            return;
+        }
+    };
+    let (revision, members) = (snapshot.revision, snapshot.members.len());
+    let kept = newest.send_if_modified(|copy| replace(copy, snapshot));
+    tracing::info!(id = id as u16, name = id.name(), peer = %from, revision, members, kept);
+}
+
+/// Takes a fetched snapshot over unless it is older than the copy; whether it did. The newer set of zones stays.
+fn replace(copy: &mut Arc<Snapshot>, mut fetched: Snapshot) -> bool {
+    if fetched.revision < copy.revision || fetched.revision == 0 {
+        return false;
+    }
+    let newest = |it: &Snapshot| it.zones.as_ref().map(|it| it.revision);
+    if newest(copy) > newest(&fetched) {
+        fetched.zones = copy.zones.clone();
+    }
+    *copy = Arc::new(fetched);
+    true
+}
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -101,6 +101,7 @@
             tracing::info!(id = id as u16, name = id.name(), peer = %from);
             self.list_again.notify_one();
         }
+        self.copy.take_greeting(from, &greeting);
         if greeting.leaving {
             self.balancers.remove(&from);
         } else {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -351,6 +351,28 @@
         if let Some(to) = to {
             self.greet(to, false);
         }
+        self.greet_keeper(now);
+    }
+
+    /// Those that have the configuration from the store see to it that agents keep copies: with each greeting of another
+    /// balancer one of an agent.
+    fn greet_keeper(&mut self, now: u64) {
+        if *self.watches.borrow() != Duty::Watch || self.state.routes().revision() == 0 {
+            return;
+        }
+        let to = self.state.keepers(now).into_iter().choose(&mut rand::rng());
+        if let Some(to) = to {
+            let greeting = Greeting { keep: true, ..self.greeting() };
+            self.peers.control(to, Body::Greeting(greeting));
+        }
+    }
+
+    /// Tells all agents that keep copies what is in force here.
+    fn greet_keepers(&mut self, now: u64) {
+        for to in self.state.keepers(now) {
+            let greeting = Greeting { keep: true, ..self.greeting() };
+            self.peers.control(to, Body::Greeting(greeting));
+        }
     }
 
     /// What is in force here.
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -84,6 +84,7 @@
     }
 
     fn take_report(&mut self, from: SocketAddrV4, report: Report, now: u64) {
+        self.take_kept(from, report.kept, now);
         let Ok(report) = report.try_into() else {
             count_faulty();
             return;
@@ -106,6 +107,19 @@
         self.apply(&[], now);
     }
 
+    /// An agent keeps a copy of this revision. It is of use to a balancer that has started and knows none yet; later only other
+    /// balancers and the store are asked.
+    fn take_kept(&mut self, from: SocketAddrV4, revision: u64, now: u64) {
+        if self.state.routes().revision() == 0 && self.state.wants(revision, now) {
+            self.ask(from);
+        }
+    }
+
+    fn ask(&self, peer: SocketAddrV4) {
+        let (own, found) = (self.own, self.found.clone());
+        tokio::spawn(async move { discovery::ask_any(&[peer], own, &found).await });
+    }
+
     fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting) {
         if !greeting.leaving && self.balancers.insert(from) {
             self.unpublished = true;
@@ -113,11 +127,9 @@
         if let Some(zones) = greeting.zones {
             self.put_zones(zones.into());
         }
-        if !self.state.wants(greeting.revision, now_ms()) {
-            return;
+        if self.state.wants(greeting.revision, now_ms()) {
+            self.ask(from);
         }
-        let (own, found) = (self.own, self.found.clone());
-        tokio::spawn(async move { discovery::ask_any(&[from], own, &found).await });
     }
 
     pub(super) fn take_found(&mut self, found: Found) {
@@ -129,6 +141,7 @@
             Found::News(routes) => {
                 if self.put_routes(routes) {
                     self.greet_balancers(false);
+                    self.greet_keepers(now);
                 }
             }
             Found::Zones(zones) => {
@@ -137,6 +150,7 @@
             Found::ZoneNews(zones) => {
                 if self.put_zones(zones) == ZoneNews::Changed {
                     self.greet_balancers(false);
+                    self.greet_keepers(now);
                 }
             }
             Found::Members(members) => {
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -362,6 +362,9 @@
     /// Zones out of service; none if the sender does not know.
     #[prost(message, optional, tag = "4")]
     pub zones: Option<ZonesEntry>,
+    /// The receiver is to keep a copy of what the sender knows.
+    #[prost(bool, tag = "5")]
+    pub keep: bool,
 }
 
 /// The zones out of service. They are few, so a greeting holds them all and nobody has to ask for them.
@@ -411,6 +414,9 @@
     /// Whether the upstream has as much as it can begin, or more.
     #[prost(bool, tag = "12")]
     pub full: bool,
+    /// Revision of the configuration of which the agent keeps a copy; 0 if it keeps none.
+    #[prost(uint64, tag = "13")]
+    pub kept: u64,
 }
 
 impl From<fleet::Report> for Report {
@@ -437,6 +443,7 @@
             every_ms: it.every_ms,
             service_ms: it.service_ms.unwrap_or(0),
             full: it.full,
+            kept: 0,
         }
     }
 }
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -113,6 +113,7 @@
         leaving: true,
         unlisted: true,
         zones: Some(ZonesEntry { revision: 7, names: vec!["a".to_owned()] }),
+        keep: true,
     });
     for body in [Body::Report(report().into()), greeting] {
         let mut bytes = Vec::new();
