Agents keep copies of what balancers know: tests

Eight agents, named by rendezvous by those balancers that watch the store, keep a copy; reports say which revision, and a balancer that has started without the store asks the first one that says so. Ruled out by sums: a copy at each agent (at 5,900 of them and 160 kB a change moves 1 GB); agents that are asked by turns (a balancer that has just started knows none).

--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -624,3 +624,34 @@
     balancer.put_routes(routes(8));
     assert!(!balancer.wants(8, 9_000));
 }
+
+// Agents keep copies for balancers that start while nobody else can tell the configuration: too many cost transfers, and balancers
+// that name different ones make every agent keep one.
+#[test]
+fn balancers_that_know_the_same_agents_name_the_same_keepers() {
+    let it = balancer(40);
+    let mut other = Balancer::new(address(201), ZONE);
+    for host in (1..=40).rev() {
+        other.report(address(host), report(1, u16::from(host)), 0, &mut Vec::new());
+    }
+    let keepers = it.keepers(0);
+    assert_eq!(keepers.len(), 8);
+    assert_eq!(keepers, other.keepers(0));
+}
+
+#[test]
+fn an_agent_that_leaves_or_is_silent_keeps_no_copy_and_another_one_does() {
+    let mut it = balancer(12);
+    let first = it.keepers(0)[0];
+    let leaving = Report { plan: Plan::Pause, ..report(2, 0) };
+    it.report(first, leaving, 10, &mut Vec::new());
+    let keepers = it.keepers(10);
+    assert!(keepers.len() == 8 && !keepers.contains(&first), "{keepers:?}");
+    let silent = keepers[0];
+    pass(&mut it, 10, 3_000);
+    for host in (1..=12).filter(|&host| address(host) != silent && address(host) != first) {
+        it.report(address(host), report(2, 0), 3_000, &mut Vec::new());
+    }
+    let keepers = it.keepers(3_000);
+    assert!(keepers.len() == 8 && !keepers.contains(&silent), "{keepers:?}");
+}
--- a/crates/opaque/src/agent/copy.rs
+++ b/crates/opaque/src/agent/copy.rs
@@ -4,6 +4,9 @@
 //! The agents live on and report to each balancer that they knew, so a balancer that starts hears of a copy with their first
 //! reports and fetches it: it serves a second after its start, store or no store. A copy never replaces what is newer.
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use camphorwinch_wire::opaque::{Greeting, Snapshot};
