--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -24,6 +24,7 @@
     hold::Hold,
     route::{Lookup, RouteTable, Routes},
     walk::Walk,
+    zone::{Regions, ZoneNews, ZonesOut},
 };
 
 /// Time for which packets are held for an agent that restarts: a start takes about a second.
@@ -105,6 +106,16 @@
         }
     }
 
+    /// A balancer that places no flow before it knows which zones are out of service.
+    pub fn with_unknown_zones(self) -> Balancer {
+        Balancer { fleet: self.fleet.with_unknown_zones(), ..self }
+    }
+
+    /// A balancer that knows the region of each zone.
+    pub fn with_regions(self, regions: Regions) -> Balancer {
+        Balancer { fleet: self.fleet.with_regions(regions), ..self }
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
@@ -130,6 +141,11 @@
         self.routes.put(routes)
     }
 
+    /// Takes news on zones out of service.
+    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        self.fleet.put_zones(news)
+    }
+
     /// Takes the store's list of members.
     pub fn list(&mut self, members: &[Listed], now_ms: u64) {
         self.listed_ms.get_or_insert(now_ms);
@@ -246,24 +262,33 @@
     fn open(&mut self, head: &Head, now_ms: u64, out: &mut Vec<Effect>) {
         let key = head.key;
         let copies = head.ack;
-        let (pool, objective) = match self.routes.lookup(key.service) {
+        let route = match self.routes.lookup(key.service) {
             Lookup::NoConfig => return drop(key, Drop::NoConfig, out),
             Lookup::Dropped | Lookup::None => return reset(key, 0, Why::NoRoute, out),
-            Lookup::Route(route) => (route.pick(key.hash()), route.objective()),
+            Lookup::Route(route) => route,
         };
-        let Some(pool) = pool else {
+        let (objective, allowed) = (route.objective(), route.regions());
+        let Some(pool) = route.pick(key.hash()) else {
             return reset(key, 0, Why::NoUpstream, out);
         };
+        if !self.fleet.has_region(allowed) {
+            return reset(key, 0, Why::NoRegion, out);
+        }
+        if self.fleet.zones_out().is_none() {
+            return drop(key, Drop::NoConfig, out);
+        }
         let known = self.flows.get(&key).filter(|_| copies > 0);
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The flow's upstream has answered, so the answer was lost: its agent sends another one.
-            if let Some(agent) = flow.agent {
+            let may_get =
+                |it: &SocketAddrV4| !self.fleet.is_out(*it) && self.fleet.may_get(*it, allowed);
+            if let Some(agent) = flow.agent.filter(may_get) {
                 let pool = flow.pool.unwrap_or(pool);
                 return self.relay(agent, Ask::Deliver, pool, Payload::Current, out);
             }
         }
         let avoid = known.and_then(|it| it.agent);
-        let found = self.fleet.candidates(pool, key.hash(), self.zone, avoid, now_ms);
+        let found = self.fleet.candidates(pool, key.hash(), self.zone, avoid, allowed, now_ms);
         let Some(&first) = found.agents.first() else {
             return self.open_nowhere(key, pool, now_ms, out);
         };
@@ -272,14 +297,16 @@
         self.flows.insert(key, flow);
         note(key, Decision::Placed { first, copies }, out);
         let walk = Walk::new(found.agents, found.limit).with_objective(objective);
-        let walk = walk.with_pool(found.pool);
+        let cold_rate = self.routes.cold_rate(pool);
+        let walk = walk.with_pool(found.pool).with_cold_rate(cold_rate);
         self.relay(first, Ask::Open(walk), pool, Payload::Current, out);
     }
 
     fn open_nowhere(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
         let complete = self.is_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms);
         if complete {
-            reset(key, 0, Why::NoUpstream, out)
+            let why = if self.fleet.has_out(pool) { Why::ZonesOut } else { Why::NoUpstream };
+            reset(key, 0, why, out)
         } else {
             drop(key, Drop::NoUpstream, out)
         }
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -21,10 +21,20 @@
 /// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
 /// 59, and nobody else's connection waits there.
 const WATCHERS: usize = 8;
-/// Number that gives the balancers an order for that.
+/// The same for the zones out of service, and at most half of all balancers. The others read them each few seconds, at a tenth of
+/// the price: if the store turns all four away (one case of eighty), one of the others sees a change within a second.
+const ZONE_WATCHERS: usize = 4;
+/// Numbers that give the balancers an order for that.
 const WATCH_ORDER: u64 = 0x77a7;
+const ZONE_WATCH_ORDER: u64 = 0x20e5;
 /// Time after which a peer is asked again for a configuration that did not come: a call that fails takes 600 ms.
 const ASK_AGAIN_MS: u64 = 700;
+/// Agents that keep a copy of the configuration for balancers that start while nobody else can tell it. All balancers and all of
+/// these have to end before it is lost. More would cost a transfer of the whole configuration each at every change: 160 kB at
+/// the size designed for.
+const KEEPERS: usize = 8;
+/// Number that gives the agents an order for that.
+const KEEP_ORDER: u64 = 0xc09f;
 /// Time after which more balancers try: the pause between two lists of members, and some.
 const REMOVAL_MS: u64 = 50_000;
 /// Withdrawn agents that are remembered.
@@ -59,6 +69,16 @@
         self.is_among_first(WATCHERS, WATCH_ORDER, others)
     }
 
+    /// The same for the zones out of service.
+    pub fn is_zone_watcher<'a, I>(&self, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
+    {
+        let others = others.into_iter();
+        let half = others.clone().count().div_ceil(2).max(1);
+        self.is_among_first(half.min(ZONE_WATCHERS), ZONE_WATCH_ORDER, others)
+    }
+
     /// Whether this balancer is one of the first `count` in an order that `seed` gives, by rendezvous hashing.
     fn is_among_first<'a, I>(&self, count: usize, seed: u64, others: I) -> bool
     where
@@ -82,6 +102,15 @@
         !asked
     }
 
+    /// The agents that are to keep a copy of what balancers know: the first of those that live, by rendezvous hashing, so that
+    /// balancers which know the same agents name the same ones.
+    pub fn keepers(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let mut agents = self.fleet.steady(now_ms);
+        agents.sort_unstable_by_key(|&it| rank(it, KEEP_ORDER));
+        agents.truncate(KEEPERS);
+        agents
+    }
+
     /// The object of an agent is removed. If the agent is heard of again, it is told so.
     pub fn withdraw(&mut self, agent: SocketAddrV4) {
         self.left.remove(&agent);
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -5,7 +5,12 @@
 use std::net::SocketAddrV4;
 
 pub use self::candidates::Candidates;
-use super::{PoolId, agents::Agents};
+pub use super::zone::ZoneId;
+use super::{
+    PoolId,
+    agents::Agents,
+    zone::{RegionId, Regions, ZoneNews, ZoneTable, ZonesOut},
+};
 
 /// Pause between two reports of an agent to a balancer, in milliseconds; longer in a fleet of many balancers.
 pub const REPORT_MS: u32 = 1_000;
@@ -24,16 +29,6 @@
 const GREET_EVERY_MS: u64 = 1_000;
 /// Time after its last sign of life for which an agent that the store doesn't list is remembered.
 const FORGET_MS: u64 = 120_000;
-/// An availability zone, by a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ZoneId(pub u64);
-
-impl ZoneId {
-    /// The zone of this name.
-    pub fn of(name: &str) -> ZoneId {
-        ZoneId(PoolId::of(name).0)
-    }
-}
 
 /// State of the upstream beside an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,13 +181,67 @@
     }
 }
 
-/// The agents.
+/// The agents, the zones whose agents get no new flows, and the regions.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: Agents,
+    zones: ZoneTable,
+    regions: Regions,
 }
 
 impl Fleet {
+    /// A fleet that does not know yet which zones are out of service.
+    pub fn with_unknown_zones(self) -> Fleet {
+        Fleet { zones: ZoneTable::unknown(), ..self }
+    }
+
+    /// The fleet with the region of each zone.
+    pub fn with_regions(self, regions: Regions) -> Fleet {
+        Fleet { regions, ..self }
+    }
+
+    /// Whether a zone is in one of the regions that a route allows; none named allow all. One of a zone whose region is not
+    /// known is not.
+    fn is_within(&self, zone: ZoneId, allowed: &[RegionId]) -> bool {
+        allowed.is_empty() || self.regions.get(&zone).is_some_and(|it| allowed.contains(it))
+    }
+
+    /// Whether requests of a route that allows these regions may be sent to the agent.
+    pub fn may_get(&self, agent: SocketAddrV4, allowed: &[RegionId]) -> bool {
+        self.agents.get(agent).is_some_and(|it| self.is_within(it.zone, allowed))
+    }
+
+    /// Whether any zone is in one of the regions that a route allows.
+    pub fn has_region(&self, allowed: &[RegionId]) -> bool {
+        allowed.is_empty() || self.regions.values().any(|it| allowed.contains(it))
+    }
+
+    /// The zones out of service, if that is known.
+    pub fn zones_out(&self) -> Option<&ZonesOut> {
+        self.zones.known()
+    }
+
+    /// Takes news on zones out of service.
+    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        self.zones.put(news)
+    }
+
+    /// Whether the agent's zone is out of service.
+    pub fn is_out(&self, agent: SocketAddrV4) -> bool {
+        self.agents.get(agent).is_some_and(|it| self.zones.is_out(it.zone))
+    }
+
+    /// Whether agents of the pool are in zones out of service.
+    pub fn has_out(&self, pool: PoolId) -> bool {
+        self.agents.of(pool).any(|(_, it)| self.zones.is_out(it.zone))
+    }
+
+    /// The agents of a pool that new flows may go to.
+    fn takers(&self, pool: PoolId, now_ms: u64) -> impl Iterator<Item = (SocketAddrV4, &Entry)> {
+        let live = self.agents.of(pool).filter(move |(_, it)| it.takes_flows(now_ms));
+        live.filter(|(_, it)| !self.zones.is_out(it.zone))
+    }
+
     /// Takes a list of the store. Agents that it no longer holds are forgotten once they are silent.
     pub fn list(&mut self, members: &[Listed], now_ms: u64) {
         for (_, entry) in self.agents.iter_mut() {
@@ -308,6 +357,12 @@
         self.agents.iter().filter(|(_, it)| !it.is_silent(now_ms)).count()
     }
 
+    /// Agents that were heard of lately and are about to go on.
+    pub fn steady(&self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let steady = |it: &Entry| it.plan() == Plan::Stay && !it.is_silent(now_ms);
+        self.agents.iter().filter(|(_, it)| steady(it)).map(|(agent, _)| agent).collect()
+    }
+
     /// Agents that have been gone for at least `for_ms`, though the store lists them.
     pub fn long_gone(&self, for_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
         let gone = self.agents.iter().filter(|(_, it)| {
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -101,6 +101,7 @@
             tracing::info!(id = id as u16, name = id.name(), peer = %from);
             self.list_again.notify_one();
         }
+        self.copy.take_greeting(from, &greeting);
         if greeting.leaving {
             self.balancers.remove(&from);
         } else {
@@ -117,7 +118,7 @@
                 records.iter().map(|it| it.member.listed()).collect()
             }
             Found::PeerMembers(members) => members,
-            Found::Routes(_) | Found::News(_) => return,
+            Found::Routes(_) | Found::News(_) | Found::Zones(_) | Found::ZoneNews(_) => return,
         };
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -17,8 +17,9 @@
     balancer::Balancer,
     effect::{Effect, Payload},
     fleet::{Listed, ZoneId},
+    zone::Regions,
 };
-use camphorwinch_wire::opaque::{Body, Greeting, Snapshot};
+use camphorwinch_wire::opaque::{Body, Greeting, Snapshot, ZonesEntry};
 use rand::seq::IteratorRandom;
 use tokio::{
     net::UdpSocket,
@@ -30,7 +31,7 @@
 use crate::{
     clock::now_ms,
     codec::Codec,
-    discovery::{self, Found},
+    discovery::{self, Duty, Found, Topic},
     event::Id,
     member::{Peers, send},
     metrics,
@@ -74,6 +75,10 @@
     pub caller_port: u16,
     /// Balancers to ask while the store is of no use; they may change.
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    /// Whether zones may be taken out of service here. Then no flow is placed before it is known which ones are.
+    pub zones_change: bool,
+    /// Region of each zone.
+    pub regions: Regions,
 }
 
 /// Whether the process should get packets.
@@ -120,14 +125,25 @@
         list_again.clone(),
         found.clone(),
     ));
-    // Until the other balancers are known, each waits there.
-    let (watches, watching) = watch::channel(true);
-    tokio::spawn(discovery::follow(store.clone(), watching, found.clone()));
+    let (watches, watching) = watch::channel(Duty::Undecided);
+    let (zone_watches, zone_watching) = watch::channel(Duty::Undecided);
+    let topic = Topic::Routes;
+    let served = Arc::new(Notify::new());
+    let (follower, out) = (store.clone(), found.clone());
+    tokio::spawn(discovery::follow(follower, topic, watching, served.clone(), out));
+    let mut state =
+        Balancer::new(own.address, ZoneId::of(&own.zone)).with_regions(settings.regions);
+    if settings.zones_change {
+        state = state.with_unknown_zones();
+        let topic = Topic::zones();
+        let (follower, out) = (store.clone(), found.clone());
+        tokio::spawn(discovery::follow(follower, topic, zone_watching, served, out));
+    }
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
     let now = now_ms();
     let process = Process {
-        state: Balancer::new(own.address, ZoneId::of(&own.zone)),
+        state,
         own: own.address,
         zone: ZoneId::of(&own.zone),
         caller_port: settings.caller_port,
@@ -152,6 +168,7 @@
         packet_ms: now,
         looked_ms: now,
         watches,
+        zone_watches,
     };
     process.serve(input, stop).await
 }
@@ -186,7 +203,9 @@
     packet_ms: u64,
     looked_ms: u64,
     /// Whether this balancer waits at the store for changes of the configuration.
-    watches: watch::Sender<bool>,
+    watches: watch::Sender<Duty>,
+    /// The same for the zones out of service.
+    zone_watches: watch::Sender<Duty>,
 }
 
 impl<C> Process<C>
@@ -244,6 +263,7 @@
         members.extend(self.balancers.iter().map(balancer));
         members.push(balancer(&self.own));
         let snapshot = Snapshot::new(self.state.routes().routes(), &members);
+        let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
         self.newest.send_replace(Arc::new(snapshot));
     }
 
@@ -313,8 +333,13 @@
     }
 
     fn choose_watchers(&self) {
-        let watches = self.state.is_watcher(&self.balancers);
-        self.watches.send_if_modified(|it| std::mem::replace(it, watches) != watches);
+        if self.records.is_empty() && self.balancers.is_empty() {
+            return;
+        }
+        let routes = duty(self.state.is_watcher(&self.balancers));
+        self.watches.send_if_modified(|it| std::mem::replace(it, routes) != routes);
+        let zones = duty(self.state.is_zone_watcher(&self.balancers));
+        self.zone_watches.send_if_modified(|it| std::mem::replace(it, zones) != zones);
     }
 
     fn gossip(&mut self, now: u64) {
@@ -326,11 +351,42 @@
         if let Some(to) = to {
             self.greet(to, false);
         }
+        self.greet_keeper(now);
+    }
+
+    /// Those that have the configuration from the store see to it that agents keep copies: with each greeting of another
+    /// balancer one of an agent.
+    fn greet_keeper(&mut self, now: u64) {
+        if *self.watches.borrow() != Duty::Watch || self.state.routes().revision() == 0 {
+            return;
+        }
+        let to = self.state.keepers(now).into_iter().choose(&mut rand::rng());
+        if let Some(to) = to {
+            let greeting = Greeting { keep: true, ..self.greeting() };
+            self.peers.control(to, Body::Greeting(greeting));
+        }
+    }
+
+    /// Tells all agents that keep copies what is in force here.
+    fn greet_keepers(&mut self, now: u64) {
+        for to in self.state.keepers(now) {
+            let greeting = Greeting { keep: true, ..self.greeting() };
+            self.peers.control(to, Body::Greeting(greeting));
+        }
+    }
+
+    /// What is in force here.
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            revision: self.state.routes().revision(),
+            zones: self.state.fleet().zones_out().map(ZonesEntry::from),
+            ..Greeting::default()
+        }
     }
 
     fn greet(&mut self, to: SocketAddrV4, leaving: bool) {
-        let revision = self.state.routes().revision();
-        self.peers.control(to, Body::Greeting(Greeting { revision, leaving, unlisted: false }));
+        let greeting = Greeting { leaving, ..self.greeting() };
+        self.peers.control(to, Body::Greeting(greeting));
     }
 
     /// Tells all balancers of the revision that is in force here, and whether this one leaves.
@@ -361,8 +417,7 @@
                 Effect::Greet { to } => self.greet(to, false),
                 Effect::List => self.list_again.notify_one(),
                 Effect::Unlisted { to } => {
-                    let revision = self.state.routes().revision();
-                    let greeting = Greeting { revision, unlisted: true, ..Greeting::default() };
+                    let greeting = Greeting { unlisted: true, ..self.greeting() };
                     self.peers.control(to, Body::Greeting(greeting));
                 }
                 Effect::Query { to, keys } => self.peers.query(to, &keys),
@@ -389,6 +444,10 @@
     }
 }
 
+fn duty(watches: bool) -> Duty {
+    if watches { Duty::Watch } else { Duty::Read }
+}
+
 /// Where a packet goes that is meant for a caller.
 pub(crate) fn caller_address(head: &Head, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(*head.key.caller.ip(), port)
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -5,6 +5,7 @@
 use camphorwinch_core::opaque::{
     fleet::{Change, Listed},
     route::Routes,
+    zone::{ZoneNews, ZonesOut},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Report, decode};
 
@@ -83,6 +84,7 @@
     }
 
     fn take_report(&mut self, from: SocketAddrV4, report: Report, now: u64) {
+        self.take_kept(from, report.kept, now);
         let Ok(report) = report.try_into() else {
             count_faulty();
             return;
@@ -105,15 +107,29 @@
         self.apply(&[], now);
     }
 
+    /// An agent keeps a copy of this revision. It is of use to a balancer that has started and knows none yet; later only other
+    /// balancers and the store are asked.
+    fn take_kept(&mut self, from: SocketAddrV4, revision: u64, now: u64) {
+        if self.state.routes().revision() == 0 && self.state.wants(revision, now) {
+            self.ask(from);
+        }
+    }
+
+    fn ask(&self, peer: SocketAddrV4) {
+        let (own, found) = (self.own, self.found.clone());
+        tokio::spawn(async move { discovery::ask_any(&[peer], own, &found).await });
+    }
+
     fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting) {
         if !greeting.leaving && self.balancers.insert(from) {
             self.unpublished = true;
         }
-        if !self.state.wants(greeting.revision, now_ms()) {
-            return;
+        if let Some(zones) = greeting.zones {
+            self.put_zones(zones.into());
+        }
+        if self.state.wants(greeting.revision, now_ms()) {
+            self.ask(from);
         }
-        let (own, found) = (self.own, self.found.clone());
-        tokio::spawn(async move { discovery::ask_any(&[from], own, &found).await });
     }
 
     pub(super) fn take_found(&mut self, found: Found) {
@@ -125,6 +141,16 @@
             Found::News(routes) => {
                 if self.put_routes(routes) {
                     self.greet_balancers(false);
+                    self.greet_keepers(now);
+                }
+            }
+            Found::Zones(zones) => {
+                self.put_zones(zones);
+            }
+            Found::ZoneNews(zones) => {
+                if self.put_zones(zones) == ZoneNews::Changed {
+                    self.greet_balancers(false);
+                    self.greet_keepers(now);
                 }
             }
             Found::Members(members) => {
@@ -150,6 +176,22 @@
         self.publish();
     }
 
+    /// Takes news on zones out of service, from the store or a peer.
+    fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
+        let revision = news.revision();
+        let became = self.state.put_zones(news);
+        let Some(zones) = self.state.fleet().zones_out().filter(|_| became == ZoneNews::Changed)
+        else {
+            return became;
+        };
+        let names: Vec<&str> = zones.names().collect();
+        let id = Id::ZonesOutChanged;
+        tracing::info!(id = id as u16, name = id.name(), revision, zones = names.join(" "));
+        metrics::show_zones_out(&names);
+        self.unpublished = true;
+        became
+    }
+
     /// Puts routes in force; whether they are newer than those that were.
     fn put_routes(&mut self, routes: Routes) -> bool {
         let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -5,7 +5,7 @@
 };
 
 use bytes::Bytes;
-use camphorwinch_core::opaque::route::Routes;
+use camphorwinch_core::opaque::{route::Routes, zone::ZonesOut};
 use camphorwinch_wire::{frame::frames, opaque::Snapshot};
 use futures::SinkExt;
 use prost::Message;
@@ -15,8 +15,8 @@
     time::sleep,
 };
 
-use super::{Found, follow, join, list_pause, withdraw};
-use crate::store::{Member, Record, Seen, Store, StoreError, Watched};
+use super::{Duty, Found, Topic, follow, join, list_pause, withdraw};
+use crate::store::{Freshness, Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
 const STORE_AT: u64 = 900;
@@ -27,7 +27,10 @@
 #[derive(Clone, Default)]
 struct Fake {
     forgets: bool,
+    /// Turns calls about zones away.
+    busy: bool,
     calls: Arc<Mutex<Vec<Option<u64>>>>,
+    reads: Arc<Mutex<Vec<Freshness>>>,
 }
 
 impl Fake {
@@ -59,13 +62,19 @@
         }
     }
 
-    async fn routes(&self, _: Duration) -> Result<Seen, StoreError> {
+    async fn routes(&self, it: Freshness, _: Duration) -> Result<Seen, StoreError> {
         self.note(None);
+        self.reads.lock().expect("not poisoned").push(it);
         let routes = Routes { revision: CONFIG_AT, version: 1, ..Routes::default() };
         Ok(Seen { routes: Some(routes), at: STORE_AT })
     }
 
-    async fn watch(&self, at: u64, wait: Duration, _: Duration) -> Result<Watched, StoreError> {
+    async fn watch(
+        &self,
+        at: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched<Seen>, StoreError> {
         self.note(Some(at));
         if self.forgets || at < STORE_AT {
             return Ok(Watched::Compacted);
@@ -73,12 +82,36 @@
         sleep(wait).await;
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
+
+    async fn zones_out(&self, it: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
+        self.note(None);
+        self.reads.lock().expect("not poisoned").push(it);
+        if self.busy {
+            return Err(StoreError::Busy { step: "list zones", status: 503 });
+        }
+        Ok(ZonesOut::new(STORE_AT, ["a".to_owned()]))
+    }
+
+    async fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        _: Duration,
+        _: Duration,
+    ) -> Result<Watched<ZonesOut>, StoreError> {
+        self.note(Some(known.revision()));
+        if self.forgets {
+            return Ok(Watched::Compacted);
+        }
+        sleep(Duration::from_millis(50)).await;
+        let change = ("a".to_owned(), known.names().count() == 0);
+        Ok(Watched::Seen(known.with_changes(known.revision() + 1, [change])))
+    }
 }
 
 async fn calls_in_a_second(store: &Fake) -> Vec<Option<u64>> {
-    let (_watches, watching) = watch::channel(true);
+    let (_watches, watching) = watch::channel(Duty::Watch);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
     let drain = tokio::spawn(async move { while found.recv().await.is_some() {} });
     sleep(Duration::from_secs(1)).await;
     task.abort();
@@ -95,22 +128,104 @@
 #[tokio::test]
 async fn a_balancer_that_is_no_watcher_reads_and_does_not_wait() {
     let store = Fake::default();
-    let (watches, watching) = watch::channel(false);
+    let (watches, watching) = watch::channel(Duty::Read);
     let (out, mut found) = mpsc::channel::<Found>(16);
-    let task = tokio::spawn(follow(store.clone(), watching, out));
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None]);
     // It becomes one: it reads what it may have missed, then waits.
-    watches.send_replace(true);
+    watches.send_replace(Duty::Watch);
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None, None, Some(STORE_AT)]);
+    // At the start a route that is missing would have flows refused; later the watch goes on from what was read.
+    let reads = store.reads.lock().expect("not poisoned").clone();
+    assert_eq!(reads, [Freshness::Current, Freshness::Stale]);
     // The process ends.
     drop((watches, found));
     task.abort();
 }
 
+async fn next_zones(found: &mut mpsc::Receiver<Found>) -> Vec<String> {
+    let found = found.recv().await;
+    let Some(Found::ZoneNews(zones)) = found else { panic!("{found:?}") };
+    zones.names().map(str::to_owned).collect()
+}
+
+#[tokio::test]
+async fn changes_of_zones_follow_on_the_list() {
+    let store = Fake::default();
+    let (_watches, watching) = watch::channel(Duty::Watch);
+    let (out, mut found) = mpsc::channel::<Found>(1);
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, Arc::default(), out));
+    assert_eq!(next_zones(&mut found).await, ["a"]);
+    assert!(next_zones(&mut found).await.is_empty());
+    assert_eq!(next_zones(&mut found).await, ["a"]);
+    let calls = store.calls();
+    assert_eq!(calls[..3], [None, Some(STORE_AT), Some(STORE_AT + 1)]);
+    task.abort();
+}
+
+// Each start of a balancer that does not wait for changes cost a call that waited for nothing.
+#[tokio::test]
+async fn a_process_that_does_not_know_its_duty_yet_does_not_wait_at_the_store() {
+    let store = Fake::default();
+    let (duty, deciding) = watch::channel(Duty::Undecided);
+    let (out, mut found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, Arc::default(), out));
+    assert!(matches!(found.recv().await, Some(Found::News(_))));
+    sleep(Duration::from_millis(200)).await;
+    duty.send_replace(Duty::Read);
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(store.calls(), [None]);
+    task.abort();
+}
+
+// The members can't be read, so it never learns whether others wait.
+#[tokio::test]
+async fn a_process_that_stays_undecided_waits_at_the_store() {
+    let store = Fake::default();
+    let (_duty, deciding) = watch::channel(Duty::Undecided);
+    let (out, _found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, Arc::default(), out));
+    sleep(Duration::from_millis(800)).await;
+    assert_eq!(store.calls(), [None, Some(STORE_AT)]);
+    task.abort();
+}
+
+// Each outage of the store would cost twice the calls if both topics were tried on their own.
+#[tokio::test]
+async fn in_an_outage_zones_wait_for_the_store_to_answer_about_the_configuration() {
+    let store = Fake { busy: true, ..Fake::default() };
+    let (_duty, watching) = watch::channel(Duty::Watch);
+    let (out, _found) = mpsc::channel::<Found>(1);
+    let served = Arc::new(Notify::new());
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, served.clone(), out));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.calls(), [None, None]);
+    served.notify_waiters();
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(store.calls(), [None, None, None]);
+    task.abort();
+}
+
+#[tokio::test]
+async fn zones_are_listed_again_if_the_store_drops_its_history() {
+    let store = Fake { forgets: true, ..Fake::default() };
+    let (_watches, watching) = watch::channel(Duty::Watch);
+    let (out, mut found) = mpsc::channel::<Found>(1);
+    let task = tokio::spawn(follow(store.clone(), Topic::zones(), watching, Arc::default(), out));
+    for _ in 0..3 {
+        assert_eq!(next_zones(&mut found).await, ["a"]);
+    }
+    assert_eq!(store.calls()[..4], [None, Some(STORE_AT), None, Some(STORE_AT)]);
+    // A stale list could lack the history again that the store has dropped.
+    let reads = store.reads.lock().expect("not poisoned").clone();
+    assert_eq!(reads[..2], [Freshness::Stale, Freshness::Current]);
+    task.abort();
+}
+
 #[tokio::test]
 async fn a_removal_is_repeated_while_the_store_is_away() {
     let store = Fake::default();
@@ -188,13 +303,26 @@
         Ok(())
     }
 
-    async fn routes(&self, _: Duration) -> Result<Seen, StoreError> {
+    async fn routes(&self, _: Freshness, _: Duration) -> Result<Seen, StoreError> {
         Ok(Seen { routes: None, at: STORE_AT })
     }
 
-    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched, StoreError> {
+    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched<Seen>, StoreError> {
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
+
+    async fn zones_out(&self, _: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
+        Ok(ZonesOut::default())
+    }
+
+    async fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        _: Duration,
+        _: Duration,
+    ) -> Result<Watched<ZonesOut>, StoreError> {
+        Ok(Watched::Seen(known.clone()))
+    }
 }
 
 // Everything lost power while the store was busy: seeds that were not up yet held up each process that had asked them,
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -6,6 +6,7 @@
     PoolId,
     fleet::{Listed, ZoneId},
     route::Routes,
+    zone::ZonesOut,
 };
 use thiserror::Error;
 
@@ -52,12 +53,21 @@
     pub at: u64,
 }
 
-/// What a watch of the configuration brought.
+/// How new an answer has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Not older than the call.
+    Current,
+    /// Perhaps some seconds old, for a tenth of the price.
+    Stale,
+}
+
+/// What a watch brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Watched {
+pub enum Watched<T> {
     /// What happened up to a revision.
-    Seen(Seen),
-    /// The store no longer has the history: read the configuration anew.
+    Seen(T),
+    /// The store no longer has the history: read anew.
     Compacted,
 }
 
@@ -143,8 +153,12 @@
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// The configuration, not older than the call.
-    fn routes(&self, patience: Duration) -> impl Future<Output = Result<Seen, StoreError>> + Send;
+    /// The configuration.
+    fn routes(
+        &self,
+        freshness: Freshness,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Seen, StoreError>> + Send;
 
     /// Waits for a configuration newer than `revision` of the store.
     fn watch(
@@ -152,5 +166,20 @@
         revision: u64,
         wait: Duration,
         patience: Duration,
-    ) -> impl Future<Output = Result<Watched, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Watched<Seen>, StoreError>> + Send;
+
+    /// The zones out of service.
+    fn zones_out(
+        &self,
+        freshness: Freshness,
+        patience: Duration,
+    ) -> impl Future<Output = Result<ZonesOut, StoreError>> + Send;
+
+    /// Waits for a change of the zones out of service; the set after it, or the one that was known with a newer revision.
+    fn watch_zones(
+        &self,
+        known: &ZonesOut,
+        wait: Duration,
+        patience: Duration,
+    ) -> impl Future<Output = Result<Watched<ZonesOut>, StoreError>> + Send;
 }
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! 1 packet | ask | pool 8 | balancer 6 | walk, for Open and Settle | packet
 //!   walk: limit 2, latency objective 4, timeout 4, priority 1, idempotent 1, service time 4, full 1, at 1,
-//!   count 1, then 8 for each candidate
+//!   count 1, then 8 for each candidate, rate of a cold upstream 4
 //! 2 answer | what | pool 8, if it is another | caller 6 | service 6 | the packet, if it is sent back
 //! 3 message | Control
 //! 4 query | 12 for each flow: caller 6, service 6
@@ -271,6 +271,8 @@
         put_address(seat.agent, out);
         out.put_u16(seat.load);
     }
+    // A cold upstream that bears nothing would never be of use, so zero stands for no bound.
+    out.put_u32(walk.cold_rate.unwrap_or(0));
 }
 
 fn take_walk(bytes: &mut &[u8]) -> Result<Walk, DecodeError> {
@@ -295,7 +297,8 @@
         seats.push(Seat { agent, load });
     }
     let walk = Walk::from_parts(&seats, at, limit).ok_or(DecodeError::Walk { count, at })?;
-    let walk = walk.with_pool(pool);
+    let cold_rate = Some(take_u32(bytes)?).filter(|&it| it > 0);
+    let walk = walk.with_pool(pool).with_cold_rate(cold_rate);
     Ok(walk.with_objective(Some(objective).filter(|it| it.timeout_ms > 0)))
 }
 
@@ -345,7 +348,7 @@
 }
 
 /// A balancer makes itself known, to agents that it does not hear of and to other balancers.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct Greeting {
     /// Revision of the configuration in force at the sender; 0 if none is.
     #[prost(uint64, tag = "1")]
@@ -356,6 +359,23 @@
     /// The receiver's object was taken off the store's list.
     #[prost(bool, tag = "3")]
     pub unlisted: bool,
+    /// Zones out of service; none if the sender does not know.
+    #[prost(message, optional, tag = "4")]
+    pub zones: Option<ZonesEntry>,
+    /// The receiver is to keep a copy of what the sender knows.
+    #[prost(bool, tag = "5")]
+    pub keep: bool,
+}
+
+/// The zones out of service. They are few, so a greeting holds them all and nobody has to ask for them.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ZonesEntry {
+    /// Revision of the store at which this was so.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Names.
+    #[prost(string, repeated, tag = "2")]
+    pub names: Vec<String>,
 }
 
 /// An agent's state; `core::opaque::fleet::Report` says what the fields mean.
@@ -394,6 +414,9 @@
     /// Whether the upstream has as much as it can begin, or more.
     #[prost(bool, tag = "12")]
     pub full: bool,
+    /// Revision of the configuration of which the agent keeps a copy; 0 if it keeps none.
+    #[prost(uint64, tag = "13")]
+    pub kept: u64,
 }
 
 impl From<fleet::Report> for Report {
@@ -420,6 +443,7 @@
             every_ms: it.every_ms,
             service_ms: it.service_ms.unwrap_or(0),
             full: it.full,
+            kept: 0,
         }
     }
 }
@@ -471,6 +495,23 @@
     /// The members.
     #[prost(message, repeated, tag = "5")]
     pub members: Vec<MemberEntry>,
+    /// Zones out of service; none if the sender does not know.
+    #[prost(message, optional, tag = "6")]
+    pub zones: Option<ZonesEntry>,
+    /// What cold upstreams bear, for pools where that is bounded.
+    #[prost(message, repeated, tag = "7")]
+    pub cold_rates: Vec<ColdRateEntry>,
+}
+
+/// What a cold upstream of a pool bears.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ColdRateEntry {
+    /// The pool.
+    #[prost(fixed64, tag = "1")]
+    pub pool: u64,
+    /// New flows a second.
+    #[prost(uint32, tag = "2")]
+    pub rate: u32,
 }
 
 /// A route of a snapshot.
@@ -497,6 +538,9 @@
     /// Whether a caller may send a request again after any failure.
     #[prost(bool, tag = "7")]
     pub idempotent: bool,
+    /// Regions in which its requests may be served; none named allow all.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub regions: Vec<u64>,
 }
 
 /// A pool of a route.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -6,22 +6,46 @@
     PoolId,
     fleet::{Listed, ZoneId},
     route::{Objective, Route, Routes, Share},
+    zone::{RegionId, ZonesOut},
 };
 
-use crate::opaque::{DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot};
+use crate::opaque::{
+    ColdRateEntry, DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot, ZonesEntry,
+};
+
+impl From<&ZonesOut> for ZonesEntry {
+    fn from(it: &ZonesOut) -> ZonesEntry {
+        ZonesEntry { revision: it.revision(), names: it.names().map(str::to_owned).collect() }
+    }
+}
+
+impl From<ZonesEntry> for ZonesOut {
+    fn from(it: ZonesEntry) -> ZonesOut {
+        ZonesOut::new(it.revision, it.names)
+    }
+}
 
 impl Snapshot {
+    /// The snapshot with the zones out of service, if they are known.
+    pub fn with_zones(self, zones: Option<&ZonesOut>) -> Snapshot {
+        Snapshot { zones: zones.map(ZonesEntry::from), ..self }
+    }
+
     /// A snapshot of the routes in force, if any are, and the members.
     pub fn new(routes: Option<&Routes>, members: &[Listed]) -> Snapshot {
         let members = members.iter().map(member_entry).collect();
         let Some(routes) = routes else {
             return Snapshot { members, ..Snapshot::default() };
         };
+        let cold_rates = routes.cold_rates.iter();
+        let cold_rates = cold_rates.map(|(pool, &rate)| ColdRateEntry { pool: pool.0, rate });
         Snapshot {
             revision: routes.revision,
             version: routes.version,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
+            zones: None,
+            cold_rates: cold_rates.collect(),
         }
     }
 
@@ -32,11 +56,14 @@
         }
         let mut routes =
             Routes { revision: self.revision, version: self.version, ..Routes::default() };
+        let cold_rates = self.cold_rates.iter();
+        routes.cold_rates = cold_rates.map(|it| (PoolId(it.pool), it.rate)).collect();
         for entry in &self.routes {
             let shares = entry.shares.iter();
             let shares =
                 shares.map(|it| Share { pool: PoolId(it.pool), weight: it.weight }).collect();
-            let route = Route::new(shares);
+            let regions = entry.regions.iter().copied().map(RegionId).collect();
+            let route = Route::new(shares).with_regions(regions);
             let route = match objective(entry)? {
                 Some(it) => route.with_objective(it),
                 None => route,
@@ -79,6 +106,7 @@
         timeout_ms: objective.map_or(0, |it| it.timeout_ms),
         priority: objective.map_or(0, |it| u32::from(it.priority)),
         idempotent: objective.is_some_and(|it| it.idempotent),
+        regions: route.regions().iter().map(|it| it.0).collect(),
     }
 }
 
