Changes in quick succession don't put off telling all balancers

With a change each 60 ms the time at which all are told moved on with each, so whom the tree does not reach would have waited for the end of the storm.

--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -168,7 +168,8 @@
     fn take_news(&mut self, routes: Routes, now: u64) -> bool {
         let newer = self.put_routes(routes);
         if newer {
-            self.retell_ms = Some(now + RETELL_MS);
+            // Changes in quick succession must not put it off for ever.
+            self.retell_ms.get_or_insert(now + RETELL_MS);
             self.greet_keepers(now);
         }
         newer
