--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -342,7 +342,8 @@
     }
 
     fn choose_watchers(&self) {
-        if self.records.is_empty() && self.balancers.is_empty() {
+        // Greetings come before the list: among the few that sent one so far nearly everyone would count as a watcher.
+        if self.records.is_empty() {
             return;
         }
         let routes = duty(self.state.is_watcher(&self.balancers));
