--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -65,6 +65,12 @@
         self.is_among_first(removers, number(agent), others)
     }
 
+    /// Whether the store's list of members has come, so that a duty can be decided on. Greetings come before it: among the few
+    /// that sent one so far nearly everyone would count as a watcher, and each start would cost a call that waits for nothing.
+    pub fn knows_members(&self) -> bool {
+        self.listed_ms.is_some()
+    }
+
     /// Whether it is up to this balancer, among the others, to wait at the store for changes of the configuration.
     pub fn is_watcher<'a, I>(&self, others: I) -> bool
     where
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -682,3 +682,14 @@
         assert_eq!(watchers, usize::from(count).min(8));
     }
 }
+
+#[test]
+fn what_peers_tell_does_not_decide_who_watches() {
+    let mut it = Balancer::new(address(200), ZONE);
+    it.put_routes(routes(1));
+    it.learn(&[Listed { address: address(201), pool: None, zone: ZONE }], 10);
+    it.report(address(1), report(1, 0), 20, &mut Vec::new());
+    assert!(!it.knows_members());
+    it.list(&[], 30);
+    assert!(it.knows_members());
+}
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -342,8 +342,7 @@
     }
 
     fn choose_watchers(&self) {
-        // Greetings come before the list: among the few that sent one so far nearly everyone would count as a watcher.
-        if self.records.is_empty() {
+        if !self.state.knows_members() {
             return;
         }
         let routes = duty(self.state.is_watcher(&self.balancers));
