--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -42,7 +42,7 @@
         let state = match self.upstream(now_ms) {
             _ if self.plan != Plan::Stay => Upstream::Draining,
             // Whom nobody else takes is better off here than refused.
-            // Also as the last resort: more than it bears would serve nobody.
+            // Closed also as the last resort: with more than it bears it would serve nobody in time.
             Upstream::Ready | Upstream::Unknown if self.is_cold_and_full(now_ms) => {
                 Upstream::Draining
             }
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -21,13 +21,13 @@
 /// away by the store, all of these are in one case of seven thousand. In a fleet of 59 a change costs 8 calls in place of
 /// 59, and nobody else's connection waits there.
 const WATCHERS: usize = 8;
+/// Balancers that wait there for changes of the zones out of service, at most half of all balancers. The others read them each few seconds, at a tenth of
+/// the price: if the store turns all four away (one case of eighty), one of the others sees a change within a second.
+const ZONE_WATCHERS: usize = 4;
 /// Balancers that each one tells of a configuration as soon as it has it, in a tree below the watchers: each of them fetches it
 /// from whoever told it. Without the tree the first watcher that had a change served it to nearly all others: 69 connections at
 /// once among 75 balancers. At 520 the tree has three levels, 0.1 s each.
 const TOLD: usize = 8;
-/// The same for the zones out of service, and at most half of all balancers. The others read them each few seconds, at a tenth of
-/// the price: if the store turns all four away (one case of eighty), one of the others sees a change within a second.
-const ZONE_WATCHERS: usize = 4;
 /// Numbers that give the balancers an order for that.
 const WATCH_ORDER: u64 = 0x77a7;
 const ZONE_WATCH_ORDER: u64 = 0x20e5;
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -1,6 +1,7 @@
 //! What a balancer knows of the agents: from the store's list, and from what they report.
 
 mod candidates;
+mod zones;
 
 use std::net::SocketAddrV4;
 
@@ -9,7 +10,7 @@
 use super::{
     PoolId,
     agents::Agents,
-    zone::{RegionId, Regions, ZoneNews, ZoneTable, ZonesOut},
+    zone::{Regions, ZoneTable},
 };
 
 /// Pause between two reports of an agent to a balancer, in milliseconds; longer in a fleet of many balancers.
@@ -190,58 +191,6 @@
 }
 
 impl Fleet {
-    /// A fleet that does not know yet which zones are out of service.
-    pub fn with_unknown_zones(self) -> Fleet {
-        Fleet { zones: ZoneTable::unknown(), ..self }
-    }
-
-    /// The fleet with the region of each zone.
-    pub fn with_regions(self, regions: Regions) -> Fleet {
-        Fleet { regions, ..self }
-    }
-
-    /// Whether a zone is in one of the regions that a route allows; none named allow all. One of a zone whose region is not
-    /// known is not.
-    fn is_within(&self, zone: ZoneId, allowed: &[RegionId]) -> bool {
-        allowed.is_empty() || self.regions.get(&zone).is_some_and(|it| allowed.contains(it))
-    }
-
-    /// Whether requests of a route that allows these regions may be sent to the agent.
-    pub fn may_get(&self, agent: SocketAddrV4, allowed: &[RegionId]) -> bool {
-        self.agents.get(agent).is_some_and(|it| self.is_within(it.zone, allowed))
-    }
-
-    /// Whether any zone is in one of the regions that a route allows.
-    pub fn has_region(&self, allowed: &[RegionId]) -> bool {
-        allowed.is_empty() || self.regions.values().any(|it| allowed.contains(it))
-    }
-
-    /// The zones out of service, if that is known.
-    pub fn zones_out(&self) -> Option<&ZonesOut> {
-        self.zones.known()
-    }
-
-    /// Takes news on zones out of service.
-    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
-        self.zones.put(news)
-    }
-
-    /// Whether the agent's zone is out of service.
-    pub fn is_out(&self, agent: SocketAddrV4) -> bool {
-        self.agents.get(agent).is_some_and(|it| self.zones.is_out(it.zone))
-    }
-
-    /// Whether agents of the pool are in zones out of service.
-    pub fn has_out(&self, pool: PoolId) -> bool {
-        self.agents.of(pool).any(|(_, it)| self.zones.is_out(it.zone))
-    }
-
-    /// The agents of a pool that new flows may go to.
-    fn takers(&self, pool: PoolId, now_ms: u64) -> impl Iterator<Item = (SocketAddrV4, &Entry)> {
-        let live = self.agents.of(pool).filter(move |(_, it)| it.takes_flows(now_ms));
-        live.filter(|(_, it)| !self.zones.is_out(it.zone))
-    }
-
     /// Takes a list of the store. Agents that it no longer holds are forgotten once they are silent.
     pub fn list(&mut self, members: &[Listed], now_ms: u64) {
         for (_, entry) in self.agents.iter_mut() {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -1,5 +1,6 @@
 //! The process on an entry VM: takes callers' packets and sends them to agents.
 
+mod duties;
 mod input;
 
 use std::{
@@ -19,8 +20,7 @@
     fleet::{Listed, ZoneId},
     zone::Regions,
 };
-use camphorwinch_wire::opaque::{Body, Greeting, Snapshot, ZonesEntry};
-use rand::seq::IteratorRandom;
+use camphorwinch_wire::opaque::{Body, Greeting, Snapshot};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc, watch},
@@ -46,12 +46,6 @@
 const LOOK_MS: u64 = 100;
 /// Packets taken from one socket before the others get their turn.
 const TURN: usize = 64;
-/// Pause between two greetings of another balancer, which tell it of a newer configuration: news reaches all of
-/// 520 balancers within 2 s even if the store serves only one of them.
-const GOSSIP_MS: u64 = 400;
-/// Time after which a balancer that had a configuration from the store tells all others, as the one that should have told some of
-/// them may have died: three levels of the tree, some 0.1 s each on slow VMs, and as much again.
-const RETELL_MS: u64 = 600;
 /// Time from the loss of readiness until a stop: two probes of the fabric and some.
 const LEAVE_MS: u64 = 1_600;
 /// Longest time of a stop, within the platform's patience of 6 s.
@@ -62,8 +56,6 @@
 const START_MS: u64 = 3_000;
 /// Share of the agents that must be heard of.
 const HEARD_SHARE: f64 = 0.34;
-/// Pause between two looks for such agents.
-const WEED_MS: u64 = 1_500;
 /// What may wait between discovery and the loop.
 const WAITING: usize = 64;
 
@@ -279,9 +271,7 @@
         self.apply(&[], now);
         self.notes.tick(now);
         self.gossip(now);
-        if self.retell_ms.take_if(|it| now >= *it).is_some() {
-            self.greet_balancers(false);
-        }
+        self.tell_again(now);
         self.weed(now);
         if self.ready.get() && now.saturating_sub(self.looked_ms) < LOOK_MS {
             return;
@@ -317,101 +307,6 @@
         heard as f64 >= known as f64 * HEARD_SHARE
     }
 
-    /// Has agents that left or are gone for long taken off the list, as far as that is up to this balancer.
-    fn weed(&mut self, now: u64) {
-        if now.saturating_sub(self.weed_ms) < WEED_MS || !self.ready.get() {
-            return;
-        }
-        self.weed_ms = now;
-        let gone = self.state.to_withdraw(now);
-        self.due.retain(|it, _| gone.contains(it));
-        let due = self.records.iter().filter(|it| gone.contains(&it.member.address));
-        for record in due.cloned().collect::<Vec<_>>() {
-            let agent = record.member.address;
-            let since_ms = now.saturating_sub(*self.due.entry(agent).or_insert(now));
-            if !self.state.is_remover(agent, &self.balancers, since_ms) {
-                continue;
-            }
-            // A full queue means that calls are slow: the next look finds the agent again.
-            if self.gone.try_send(record).is_err() {
-                return;
-            }
-            self.state.withdraw(agent);
-            self.records.retain(|it| it.member.address != agent);
-        }
-    }
-
-    fn choose_watchers(&self) {
-        if !self.state.knows_members() {
-            return;
-        }
-        let routes = duty(self.state.is_watcher(&self.balancers));
-        self.watches.send_if_modified(|it| std::mem::replace(it, routes) != routes);
-        let zones = duty(self.state.is_zone_watcher(&self.balancers));
-        self.zone_watches.send_if_modified(|it| std::mem::replace(it, zones) != zones);
-    }
-
-    fn gossip(&mut self, now: u64) {
-        if now.saturating_sub(self.gossip_ms) < GOSSIP_MS {
-            return;
-        }
-        self.gossip_ms = now;
-        let to = self.balancers.iter().copied().choose(&mut rand::rng());
-        if let Some(to) = to {
-            self.greet(to, false);
-        }
-        self.greet_keeper(now);
-    }
-
-    /// Those that have the configuration from the store see to it that agents keep copies: with each greeting of another
-    /// balancer one of an agent.
-    fn greet_keeper(&mut self, now: u64) {
-        if *self.watches.borrow() != Duty::Watch || self.state.routes().revision() == 0 {
-            return;
-        }
-        let to = self.state.keepers(now).into_iter().choose(&mut rand::rng());
-        if let Some(to) = to {
-            let greeting = Greeting { keep: true, ..self.greeting() };
-            self.peers.control(to, Body::Greeting(greeting));
-        }
-    }
-
-    /// Tells all agents that keep copies what is in force here.
-    fn greet_keepers(&mut self, now: u64) {
-        for to in self.state.keepers(now) {
-            let greeting = Greeting { keep: true, ..self.greeting() };
-            self.peers.control(to, Body::Greeting(greeting));
-        }
-    }
-
-    /// What is in force here.
-    fn greeting(&self) -> Greeting {
-        Greeting {
-            revision: self.state.routes().revision(),
-            zones: self.state.fleet().zones_out().map(ZonesEntry::from),
-            ..Greeting::default()
-        }
-    }
-
-    fn greet(&mut self, to: SocketAddrV4, leaving: bool) {
-        let greeting = Greeting { leaving, ..self.greeting() };
-        self.peers.control(to, Body::Greeting(greeting));
-    }
-
-    /// Tells all balancers of the revision that is in force here, and whether this one leaves.
-    fn greet_balancers(&mut self, leaving: bool) {
-        for to in self.balancers.clone() {
-            self.greet(to, leaving);
-        }
-    }
-
-    fn greet_all(&mut self, leaving: bool) {
-        for agent in self.state.fleet().members() {
-            self.greet(agent.address, leaving);
-        }
-        self.greet_balancers(leaving);
-    }
-
     fn apply(&mut self, current: &[u8], now: u64) {
         let mut effects = std::mem::take(&mut self.effects);
         for effect in effects.drain(..) {
@@ -453,10 +348,6 @@
     }
 }
 
-fn duty(watches: bool) -> Duty {
-    if watches { Duty::Watch } else { Duty::Read }
-}
-
 /// Where a packet goes that is meant for a caller.
 pub(crate) fn caller_address(head: &Head, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(*head.key.caller.ip(), port)
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -9,7 +9,7 @@
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Report, decode};
 
-use super::{Process, RETELL_MS, TURN};
+use super::{Process, TURN, duties::RETELL_MS};
 use crate::{
     clock::now_ms,
     codec::{Codec, MAX_PACKET},
--- /dev/null
+++ b/crates/opaque/src/discovery/topic.rs
@@ -0,0 +1,223 @@
+//! What a process follows in the store: the configuration, and the zones out of service.
+
+use std::{ops::Range, sync::Arc, time::Duration};
+
+use camphorwinch_core::opaque::zone::ZonesOut;
+use rand::Rng;
+use tokio::{
+    sync::{Notify, mpsc, watch},
+    time::{sleep, timeout},
+};
+
+use super::{Backoff, FIRST_PAUSE, Found, count, spread};
+use crate::store::{Freshness, Store, StoreError, Watched};
+
+/// Mean time for which one call waits for a change of the configuration; each draws its own, so that calls that a change woke
+/// together don't end together. A connection that went silent is noticed after this time, and peers' greetings tell of news
+/// meanwhile.
+const WATCH_WAIT: Duration = Duration::from_secs(6);
+/// The same for the zones out of service, which the other balancers read each few seconds besides.
+const WATCH_ZONES_WAIT: Duration = Duration::from_secs(12);
+/// Shortest and longest wait, in means.
+const WAIT_SHARES: Range<f64> = 0.75..1.25;
+/// Time after which a process whose call about zones failed tries again, if its calls about the configuration go on failing.
+/// Before that it waits for one of those to succeed: in an outage each process calls for one topic instead of two.
+const RETRY_ZONES: Duration = Duration::from_secs(3);
+/// Pause between two reads of the configuration by a balancer that does not wait for its changes. With 51 of them one reads
+/// it each 0.2 s, so that a change is found even while all those that wait for it are cut off from the store. These reads may
+/// be stale, at a tenth of a call's price.
+const READ_EVERY: Duration = Duration::from_secs(10);
+/// The same for the zones out of service; with 11 such balancers one reads them each 0.3 s.
+const READ_ZONES_EVERY: Duration = Duration::from_secs(4);
+/// Longest time for which a process waits until it knows whether it is to wait at the store: as long as a list of the members
+/// takes on a slow VM. In a fleet of 15 balancers that saves each start of one that is not a call.
+const UNDECIDED: Duration = Duration::from_millis(500);
+
+/// What is followed in the store, with what is known of it.
+#[derive(Debug)]
+pub(crate) enum Topic {
+    /// The configuration.
+    Routes,
+    /// The zones out of service.
+    Zones(ZonesOut),
+}
+
+/// What a call about a topic brought: the store's revision and the news, if there are some.
+type Step = Watched<(u64, Option<Found>)>;
+
+impl Topic {
+    /// Zones of which nothing is known yet.
+    pub(crate) fn zones() -> Topic {
+        Topic::Zones(ZonesOut::default())
+    }
+
+    /// How new the answer to a process's first read has to be. Zones may be served stale: whoever starts to wait gets what is
+    /// newer at once, and the others hear of it from those. A route that is missing would have flows refused meanwhile.
+    fn at_start(&self) -> Freshness {
+        match self {
+            Topic::Routes => Freshness::Current,
+            Topic::Zones(_) => Freshness::Stale,
+        }
+    }
+
+    /// Pause between two reads while nobody waits here for changes.
+    fn read_every(&self) -> Duration {
+        match self {
+            Topic::Routes => READ_EVERY,
+            Topic::Zones(_) => READ_ZONES_EVERY,
+        }
+    }
+
+    /// Time for which the next call waits for changes.
+    fn watch_wait(&self) -> Duration {
+        let mean = match self {
+            Topic::Routes => WATCH_WAIT,
+            Topic::Zones(_) => WATCH_ZONES_WAIT,
+        };
+        mean.mul_f64(rand::rng().random_range(WAIT_SHARES))
+    }
+
+    /// Waits after a failed call.
+    async fn failed(&self, error: &StoreError, backoff: &mut Backoff, served: &Notify) {
+        // The first time it may be this call alone that was cut.
+        if let Topic::Zones(_) = self
+            && backoff.lost
+            && error.is_passing()
+        {
+            backoff.note_lost(error);
+            // Either is a reason to try again.
+            let _ = timeout(RETRY_ZONES, served.notified()).await;
+            return;
+        }
+        backoff.failed(error).await;
+    }
+
+    async fn read<S>(
+        &mut self,
+        store: &S,
+        freshness: Freshness,
+        patience: Duration,
+    ) -> Result<Step, StoreError>
+    where
+        S: Store,
+    {
+        match self {
+            Topic::Routes => {
+                let seen = count("read-config", store.routes(freshness, patience).await)?;
+                Ok(Watched::Seen((seen.at, seen.routes.map(Found::News))))
+            }
+            Topic::Zones(known) => {
+                let zones = store.zones_out(freshness, patience).await;
+                *known = count("read-zones", zones)?;
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+            }
+        }
+    }
+
+    async fn watch<S>(&mut self, store: &S, at: u64, patience: Duration) -> Result<Step, StoreError>
+    where
+        S: Store,
+    {
+        let wait = self.watch_wait();
+        match self {
+            Topic::Routes => {
+                let watched = store.watch(at, wait, patience).await;
+                Ok(match count("watch-config", watched)? {
+                    Watched::Seen(seen) => Watched::Seen((seen.at, seen.routes.map(Found::News))),
+                    Watched::Compacted => Watched::Compacted,
+                })
+            }
+            Topic::Zones(known) => {
+                let watched = store.watch_zones(known, wait, patience).await;
+                let Watched::Seen(zones) = count("watch-zones", watched)? else {
+                    return Ok(Watched::Compacted);
+                };
+                *known = zones;
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+            }
+        }
+    }
+}
+
+/// Whether a process waits at the store for changes of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// Not known yet, as the other processes are not.
+    Undecided,
+    /// It does.
+    Watch,
+    /// It reads from time to time; others tell of changes.
+    Read,
+}
+
+/// The duty once it is decided on; none if the process ends.
+async fn decided(duty: &mut watch::Receiver<Duty>) -> Option<Duty> {
+    match timeout(UNDECIDED, duty.wait_for(|&it| it != Duty::Undecided)).await {
+        Ok(Ok(it)) => Some(*it),
+        Ok(Err(_)) => None,
+        Err(_) => Some(Duty::Watch),
+    }
+}
+
+/// Follows a topic in the store, as `duty` says. `served` tells the zones' follower that the store answered the other one.
+pub(crate) async fn follow<S>(
+    store: S,
+    mut topic: Topic,
+    mut duty: watch::Receiver<Duty>,
+    served: Arc<Notify>,
+    out: mpsc::Sender<Found>,
+) where
+    S: Store,
+{
+    let mut backoff = Backoff::new();
+    let mut at = None;
+    let mut freshness = topic.at_start();
+    loop {
+        if at.is_some() {
+            let Some(now) = decided(&mut duty).await else {
+                return;
+            };
+            if now == Duty::Read {
+                // Others tell of changes meanwhile. A closed channel means that the process ends.
+                let pause = topic.read_every().mul_f64(spread());
+                if let Ok(Err(_)) = timeout(pause, duty.changed()).await {
+                    return;
+                }
+                at = None;
+            }
+        }
+        let step = match at {
+            None => topic.read(&store, freshness, backoff.patience()).await,
+            Some(at) => topic.watch(&store, at, backoff.patience()).await,
+        };
+        freshness = match (&step, at) {
+            (Ok(Watched::Seen(_)), _) => Freshness::Stale,
+            _ => Freshness::Current,
+        };
+        match step {
+            Ok(Watched::Seen((seen_at, news))) => {
+                backoff.succeeded();
+                if let Topic::Routes = topic {
+                    served.notify_waiters();
+                }
+                at = Some(seen_at);
+                let Some(news) = news else {
+                    continue;
+                };
+                if out.send(news).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Watched::Compacted) => {
+                at = None;
+                // The store may go on dropping its history.
+                sleep(FIRST_PAUSE.mul_f64(spread())).await;
+            }
+            Err(e) => {
+                topic.failed(&e, &mut backoff, &served).await;
+                // What came while the watch was broken may be in no history any more.
+                at = None;
+            }
+        }
+    }
+}
