--- a/crates/opaque/src/agent/copy.rs
+++ b/crates/opaque/src/agent/copy.rs
@@ -18,7 +18,7 @@
 use crate::{event::Id, snapshot};
 
 /// Age from which a copy of the newest revision is fetched again, as members come and go: with 160 kB and 8 copies at the size
-/// designed for some 40 kB a second in all, from 520 balancers.
+/// designed for 43 kB a second in all, 5 from each of the eight balancers that watch the store.
 const RENEW: Duration = Duration::from_secs(30);
 /// Pause between two attempts: an attempt takes 600 ms at the most.
 const ATTEMPT: Duration = Duration::from_millis(700);
