Logs tell that the store was reset, and where a configuration came from

Of a configuration that was put aside as old the logs did not say whether the store had come back from an older copy, whether the store or a peer had sent it, and which version was in force. No decision changes.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -118,6 +118,7 @@
     // Without a listener there is no upstream that could hold flows from before this process.
     let learning = is_listening(settings.upstream).await;
     let (serves, serving) = watch::channel(learning);
+    tokio::spawn(discovery::observe_resets(store.era()));
     tokio::spawn(discovery::join(store.clone(), own.clone(), serving, seeds, again, found));
     let id = Id::UpstreamLookedFor;
     tracing::info!(id = id as u16, name = id.name(), peer = %settings.upstream, found = learning);
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -110,6 +110,7 @@
     let (newest, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     snapshot::serve(own.address, snapshots)?;
     let (found, input) = mpsc::channel(WAITING);
+    tokio::spawn(discovery::observe_resets(store.era()));
     let list_again = Arc::new(Notify::new());
     let (_, serves) = watch::channel(true);
     tokio::spawn(discovery::join(
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -136,7 +136,7 @@
     pub(super) fn take_found(&mut self, found: Found) {
         let now = now_ms();
         let newer = match found {
-            Found::Routes(routes) => self.put_routes(routes),
+            Found::Routes(routes) => self.put_routes(routes, "peer"),
             Found::News(routes) => self.take_news(routes, now),
             Found::Zones(zones) => {
                 self.put_zones(zones);
@@ -166,7 +166,7 @@
 
     /// Takes a configuration from the store; whether it is newer than the one in force.
     fn take_news(&mut self, routes: Routes, now: u64) -> bool {
-        let newer = self.put_routes(routes);
+        let newer = self.put_routes(routes, "store");
         if newer {
             // Changes in quick succession must not put it off for ever.
             self.retell_ms.get_or_insert(now + RETELL_MS);
@@ -217,15 +217,25 @@
     }
 
     /// Puts routes in force; whether they are newer than those that were.
-    fn put_routes(&mut self, routes: Routes) -> bool {
+    fn put_routes(&mut self, routes: Routes, source: &str) -> bool {
         let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
         let before = self.state.routes().revision();
+        let known_version = self.state.routes().routes().map_or(0, |it| it.version);
         let newer = self.state.put_routes(routes);
-        if !newer && revision == before {
+        if !newer && (revision, version) == (before, known_version) {
             return false;
         }
         let id = if newer { Id::ConfigInForce } else { Id::ConfigOld };
-        tracing::info!(id = id as u16, name = id.name(), revision, version, before, routes = count);
+        tracing::info!(
+            id = id as u16,
+            name = id.name(),
+            revision,
+            version,
+            source,
+            before,
+            known_version,
+            routes = count,
+        );
         metrics::REVISION.set(self.state.routes().revision() as i64);
         newer
     }
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -110,6 +110,18 @@
     rand::rng().random_range(0.6..1.0)
 }
 
+/// Reports each reset of the store.
+pub(crate) async fn observe_resets(mut era: watch::Receiver<Option<u64>>) {
+    let mut known = None;
+    while let Ok(now) = era.wait_for(|&it| it != known).await.map(|it| *it) {
+        if let (Some(before), Some(era)) = (known, now) {
+            let id = Id::StoreReset;
+            tracing::warn!(id = id as u16, name = id.name(), era, before);
+        }
+        known = now;
+    }
+}
+
 /// Lists the members for this process, and this process among them once `serves` says so; then again from time to time
 /// and when `again` says so.
 pub(crate) async fn join<S>(
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -31,6 +31,7 @@
     busy: bool,
     calls: Arc<Mutex<Vec<Option<u64>>>>,
     reads: Arc<Mutex<Vec<Freshness>>>,
+    era: watch::Sender<Option<u64>>,
 }
 
 impl Fake {
@@ -44,6 +45,10 @@
 }
 
 impl Store for Fake {
+    fn era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
+    }
+
     async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
         Ok(Vec::new())
     }
@@ -275,6 +280,7 @@
 struct Announced {
     busy: Arc<Mutex<u32>>,
     names: Arc<Mutex<Vec<String>>>,
+    era: watch::Sender<Option<u64>>,
 }
 
 impl Announced {
@@ -284,6 +290,10 @@
 }
 
 impl Store for Announced {
+    fn era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
+    }
+
     async fn members(&self, _: Duration) -> Result<Vec<Record>, StoreError> {
         let mut busy = self.busy.lock().expect("not poisoned");
         if *busy > 0 {
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -9,6 +9,7 @@
     zone::ZonesOut,
 };
 use thiserror::Error;
+use tokio::sync::watch;
 
 /// A process as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,6 +133,10 @@
 
 /// The store. `patience` is how long a call may take.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// The store's era by the highest one that an answer told: it rises each time the store comes back from an older copy.
+    /// None before the first answer.
+    fn era(&self) -> watch::Receiver<Option<u64>>;
+
     /// All members, not older than the call.
     fn members(
         &self,
