--- a/crates/core/tests/opaque/route.rs
+++ b/crates/core/tests/opaque/route.rs
@@ -18,6 +18,18 @@
     assert_eq!(table.revision(), 5);
 }
 
+// Callers were served on a dropped route for seconds after the store had confirmed a configuration without it. The store had
+// come back from an older copy, and gave later versions revisions below the one that was known.
+#[test]
+fn a_later_version_is_in_force_though_its_revision_is_lower() {
+    let mut table = RouteTable::default();
+    assert!(table.put(Routes { version: 22, ..routes(25) }));
+    assert!(table.put(Routes { revision: 23, version: 26, ..Routes::default() }));
+    assert_eq!(table.lookup(service()), Lookup::Dropped);
+    // The next one stands at the revision that was known.
+    assert!(table.put(Routes { version: 28, ..routes(25) }));
+}
+
 #[test]
 fn a_dropped_route_is_told_from_one_that_never_was() {
     let mut table = RouteTable::default();
