Configurations are ordered by the operator's version, not by the store's revision

Callers were served on dropped routes, and refused on added ones, for seconds after the change was confirmed: after the store came back from an older copy it gave out lower revisions, and all balancers put what stood at them aside as old, until the numbers had passed those of before.

The operator's version outlives a reset of the store, so it decides; of two writes of one version the store's revision, its era first. The store's word alone would not do: until the operator has written again what was lost, it holds a former version, and accepted configuration must not revert.

Ruled out: era and revision as the order (a former version comes back with the store; test a_former_version_never_comes_back_with_the_store).

--- a/crates/core/benches/opaque.rs
+++ b/crates/core/benches/opaque.rs
@@ -12,6 +12,7 @@
     balancer::Balancer,
     effect::Answer,
     fleet::{Plan, Report, Upstream, ZoneId},
+    revision::Revision,
     route::{Route, Routes, Share},
 };
 use criterion::{BenchmarkId, Criterion};
@@ -39,7 +40,7 @@
 
 fn balancer(agents: u32, pool_size: u32) -> Balancer {
     let mut balancer = Balancer::new(address(0), ZoneId(0));
-    let mut routes = Routes { revision: 1, version: 1, ..Routes::default() };
+    let mut routes = Routes { revision: Revision::new(0, 1), version: 1, ..Routes::default() };
     routes.by_address.insert(service(), Route::new(vec![Share { pool: PoolId(0), weight: 1 }]));
     balancer.put_routes(routes);
     balancer.list(&[], 0);
--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -18,6 +18,7 @@
 pub mod hold;
 pub mod load;
 pub mod presence;
+pub mod revision;
 pub mod route;
 pub mod walk;
 mod warmup;
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -22,7 +22,7 @@
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Relay, Why, drop, note, reset},
     fleet::{Change, Fleet, Listed, Plan, Report, ZoneId},
     hold::Hold,
-    route::{Lookup, RouteTable, Routes},
+    route::{Lookup, RouteTable, Routes, Stamp},
     walk::Walk,
     zone::{Regions, ZoneNews, ZonesOut},
 };
@@ -75,8 +75,8 @@
     withdrawn: BTreeSet<SocketAddrV4>,
     /// Agents that said that they leave, and when. While the store is away they can't remove their objects themselves.
     left: BTreeMap<SocketAddrV4, u64>,
-    /// Revision of the configuration that a peer was asked for last, and when.
-    asked: Option<(u64, u64)>,
+    /// The configuration that a peer was asked for last, and when.
+    asked: Option<(Stamp, u64)>,
     listed_ms: Option<u64>,
     listed_again: bool,
     event_ms: u64,
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddrV4;
 
 use super::{
-    super::flow::{number, rank},
+    super::{
+        flow::{number, rank},
+        route::Stamp,
+    },
     Balancer,
 };
 
@@ -110,16 +113,16 @@
         others.into_iter().filter(|&&it| rank(it, seed) < own).count() < count
     }
 
-    /// Whether to ask a peer for the configuration of this revision, which it has in force.
-    pub fn wants(&mut self, revision: u64, now_ms: u64) -> bool {
-        if revision <= self.routes.revision() {
+    /// Whether to ask a peer for this configuration, which it has in force.
+    pub fn wants(&mut self, stamp: Stamp, now_ms: u64) -> bool {
+        if Some(stamp) <= self.routes.stamp() {
             return false;
         }
         let asked = self.asked.is_some_and(|(asked, at_ms)| {
-            asked >= revision && now_ms.saturating_sub(at_ms) < ASK_AGAIN_MS
+            asked >= stamp && now_ms.saturating_sub(at_ms) < ASK_AGAIN_MS
         });
         if !asked {
-            self.asked = Some((revision, now_ms));
+            self.asked = Some((stamp, now_ms));
         }
         !asked
     }
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -1,11 +1,11 @@
-//! Routes: which pool the flows to an address go to. A lower revision never replaces a higher one.
+//! Routes: which pool the flows to an address go to. An older configuration never replaces a newer one.
 
 use std::{hash::Hasher, net::SocketAddrV4};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use siphasher::sip::SipHasher13;
 
-use super::zone::RegionId;
+use super::{revision::Revision, zone::RegionId};
 use crate::invariant::{self, Invariant};
 
 /// A pool, by a hash of its name that is the same in every process.
@@ -106,11 +106,21 @@
     }
 }
 
-/// All routes of one revision of the configuration.
+/// What orders configurations. The operator's version goes first: it outlives the store's coming back from an older copy, after
+/// which an old version may stand at a newer revision than the one in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Stamp {
+    /// Version that the operator gave to the configuration.
+    pub version: u64,
+    /// Revision that the store gave to it.
+    pub revision: Revision,
+}
+
+/// All routes of one version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Routes {
     /// Revision that the store gave to this configuration.
-    pub revision: u64,
+    pub revision: Revision,
     /// Version that the operator gave to it.
     pub version: u64,
     /// Route of each address.
@@ -119,6 +129,13 @@
     pub cold_rates: FxHashMap<PoolId, u32>,
 }
 
+impl Routes {
+    /// What orders them among others.
+    pub fn stamp(&self) -> Stamp {
+        Stamp { version: self.version, revision: self.revision }
+    }
+}
+
 /// What the table says of an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lookup<'a> {
@@ -145,22 +162,18 @@
         self.routes.as_ref()
     }
 
-    /// Revision in force; 0 if there is none.
-    pub fn revision(&self) -> u64 {
-        self.routes.as_ref().map_or(0, |it| it.revision)
+    /// Stamp of the routes in force; none if there are none.
+    pub fn stamp(&self) -> Option<Stamp> {
+        self.routes.as_ref().map(Routes::stamp)
     }
 
     /// Puts routes in force unless they are older than those that are; whether they were.
     pub fn put(&mut self, routes: Routes) -> bool {
-        let old = self.routes.take();
-        if let Some(old) = old {
-            let newer = routes.revision > old.revision;
-            let grows = || invariant::check(Invariant::VersionGrows, routes.version >= old.version);
-            if !newer || !grows() {
-                self.routes = Some(old);
+        if let Some(known) = &self.routes {
+            if !has_grown(&known.stamp(), &routes.stamp()) {
                 return false;
             }
-            let gone = old.by_address.keys().filter(|it| !routes.by_address.contains_key(it));
+            let gone = known.by_address.keys().filter(|it| !routes.by_address.contains_key(it));
             self.dropped.extend(gone.copied());
         }
         self.dropped.retain(|it| !routes.by_address.contains_key(it));
@@ -185,3 +198,10 @@
         }
     }
 }
+
+/// Whether a configuration is newer than the known one. Within an era a later revision never has a lower version.
+fn has_grown(known: &Stamp, news: &Stamp) -> bool {
+    let later = news.revision > known.revision && news.revision.era == known.revision.era;
+    let grows = !later || invariant::check(Invariant::VersionGrows, news.version >= known.version);
+    grows && news > known
+}
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -5,6 +5,7 @@
     balancer::Balancer,
     effect::{Answer, Ask, Decision, Drop, Effect, Payload, Verdict, Why},
     fleet::{Listed, Plan, Report},
+    revision::Revision,
     route::Routes,
 };
 
@@ -125,7 +126,7 @@
     let mut it = Balancer::new(address(200), ZONE);
     let out = packet(&mut it, &head(1, Kind::Open), 1);
     assert_eq!(decisions(&out), [Decision::Dropped(Drop::NoConfig)]);
-    it.put_routes(Routes { revision: 1, version: 1, ..Routes::default() });
+    it.put_routes(Routes { revision: Revision::new(0, 1), version: 1, ..Routes::default() });
     let out = packet(&mut it, &head(1, Kind::Open), 2);
     assert_eq!(decisions(&out), [Decision::Reset(Why::NoRoute)]);
     // A packet within a flow may belong to a route that has not arrived here yet.
@@ -137,7 +138,7 @@
 fn flows_of_a_dropped_route_are_reset_with_a_number_that_the_caller_accepts() {
     let mut it = balancer(1);
     packet(&mut it, &head(1, Kind::Open), 1);
-    it.put_routes(Routes { revision: 2, version: 2, ..Routes::default() });
+    it.put_routes(Routes { revision: Revision::new(0, 2), version: 2, ..Routes::default() });
     let out = packet(&mut it, &data(1, 1, 777), 2);
     assert!(out.contains(&Effect::Reset { key: key(1), seq: 777 }));
 }
@@ -615,14 +616,14 @@
 fn a_configuration_that_did_not_come_is_asked_for_again() {
     let mut balancer = Balancer::new(address(200), ZONE);
     balancer.put_routes(routes(5));
-    assert!(!balancer.wants(5, 1_000));
-    assert!(balancer.wants(7, 1_000));
-    assert!(!balancer.wants(7, 1_400), "one call is under way");
-    assert!(balancer.wants(8, 1_400), "a newer one");
-    assert!(!balancer.wants(7, 1_500));
-    assert!(balancer.wants(7, 2_200));
+    assert!(!balancer.wants(routes(5).stamp(), 1_000));
+    assert!(balancer.wants(routes(7).stamp(), 1_000));
+    assert!(!balancer.wants(routes(7).stamp(), 1_400), "one call is under way");
+    assert!(balancer.wants(routes(8).stamp(), 1_400), "a newer one");
+    assert!(!balancer.wants(routes(7).stamp(), 1_500));
+    assert!(balancer.wants(routes(7).stamp(), 2_200));
     balancer.put_routes(routes(8));
-    assert!(!balancer.wants(8, 9_000));
+    assert!(!balancer.wants(routes(8).stamp(), 9_000));
 }
 
 // Agents keep copies for balancers that start while nobody else can tell the configuration: too many cost transfers, and balancers
--- a/crates/core/tests/opaque/regions.rs
+++ b/crates/core/tests/opaque/regions.rs
@@ -5,6 +5,7 @@
     balancer::Balancer,
     effect::{Answer, Ask, Decision, Effect, Verdict, Why},
     fleet::{Report, ZoneId},
+    revision::Revision,
     route::{Route, Routes, Share},
     zone::{RegionId, Regions},
 };
@@ -16,7 +17,8 @@
 const ABROAD: &str = "abroad";
 
 fn routes(revision: u64, allowed: &[&str]) -> Routes {
-    let mut routes = Routes { revision, version: revision, ..Routes::default() };
+    let mut routes =
+        Routes { revision: Revision::new(0, revision), version: revision, ..Routes::default() };
     let route = Route::new(vec![Share { pool: POOL, weight: 1 }]);
     let allowed = allowed.iter().map(|it| RegionId::of(it)).collect();
     routes.by_address.insert(service(), route.with_regions(allowed));
--- a/crates/core/tests/opaque/route.rs
+++ b/crates/core/tests/opaque/route.rs
@@ -1,5 +1,6 @@
 use camphorwinch_core::opaque::{
     PoolId,
+    revision::Revision,
     route::{Lookup, Route, RouteTable, Routes, Share},
 };
 use quickcheck::quickcheck;
@@ -12,33 +13,47 @@
     assert!(table.put(routes(5)));
     assert!(!table.put(routes(4)));
     assert!(!table.put(routes(5)));
-    assert_eq!(table.revision(), 5);
+    assert_eq!(table.stamp(), Some(routes(5).stamp()));
     let older_version = Routes { version: 3, ..routes(6) };
     assert!(!table.put(older_version));
-    assert_eq!(table.revision(), 5);
+    assert_eq!(table.stamp(), Some(routes(5).stamp()));
 }
 
 // Callers were served on a dropped route for seconds after the store had confirmed a configuration without it. The store had
-// come back from an older copy, and gave later versions revisions below the one that was known.
+// come back from an older copy, and gave later versions revisions below the one that was known, by which they were ordered.
 #[test]
 fn a_later_version_is_in_force_though_its_revision_is_lower() {
     let mut table = RouteTable::default();
+    let at = |era, number| Revision::new(era, number);
     assert!(table.put(Routes { version: 22, ..routes(25) }));
-    assert!(table.put(Routes { revision: 23, version: 26, ..Routes::default() }));
+    assert!(table.put(Routes { revision: at(1, 23), version: 26, ..Routes::default() }));
     assert_eq!(table.lookup(service()), Lookup::Dropped);
     // The next one stands at the revision that was known.
-    assert!(table.put(Routes { version: 28, ..routes(25) }));
+    assert!(table.put(Routes { revision: at(1, 25), version: 28, ..routes(25) }));
+    // Also from a store that does not tell its era.
+    assert!(table.put(Routes { revision: at(0, 24), version: 30, ..routes(24) }));
+}
+
+// Until the operator has written again what the store lost, it holds a former version at a revision of a new era.
+#[test]
+fn a_former_version_never_comes_back_with_the_store() {
+    let mut table = RouteTable::default();
+    assert!(table.put(Routes { version: 26, ..Routes::default() }));
+    assert!(!table.put(Routes { revision: Revision::new(1, 9), version: 22, ..routes(9) }));
+    assert_eq!(table.lookup(service()), Lookup::None);
+    assert!(table.put(Routes { revision: Revision::new(1, 10), version: 26, ..routes(10) }));
+    assert!(!table.put(Routes { revision: Revision::new(0, 99), version: 26, ..routes(99) }));
 }
 
 #[test]
 fn a_dropped_route_is_told_from_one_that_never_was() {
     let mut table = RouteTable::default();
     assert_eq!(table.lookup(service()), Lookup::NoConfig);
-    table.put(Routes { revision: 1, version: 1, ..Routes::default() });
+    table.put(Routes { revision: Revision::new(0, 1), version: 1, ..Routes::default() });
     assert_eq!(table.lookup(service()), Lookup::None);
     table.put(routes(2));
     assert!(matches!(table.lookup(service()), Lookup::Route(_)));
-    table.put(Routes { revision: 3, version: 3, ..Routes::default() });
+    table.put(Routes { revision: Revision::new(0, 3), version: 3, ..Routes::default() });
     assert_eq!(table.lookup(service()), Lookup::Dropped);
     table.put(routes(4));
     assert!(matches!(table.lookup(service()), Lookup::Route(_)));
@@ -58,12 +73,13 @@
 quickcheck! {
     fn revisions_only_grow(revisions: Vec<u8>) -> bool {
         let mut table = RouteTable::default();
-        let mut highest = 0;
+        let mut highest = None;
         for revision in revisions {
-            let before = table.revision();
-            let put = table.put(routes(u64::from(revision) + 1));
-            highest = highest.max(u64::from(revision) + 1);
-            if put != (table.revision() > before) || table.revision() != highest {
+            let before = table.stamp();
+            let news = routes(u64::from(revision) + 1);
+            highest = highest.max(Some(news.stamp()));
+            let put = table.put(news);
+            if put != (table.stamp() > before) || table.stamp() != highest {
                 return false;
             }
         }
--- a/crates/core/tests/opaque/support.rs
+++ b/crates/core/tests/opaque/support.rs
@@ -7,6 +7,7 @@
     agent::{Identity, Life},
     effect::{Ask, Decision, Effect, Relay},
     fleet::{Plan, Report, Upstream, ZoneId},
+    revision::Revision,
     route::{Route, Routes, Share},
     walk::Walk,
 };
@@ -81,7 +82,8 @@
 
 /// The same addresses with flows that go to `pool`.
 pub(crate) fn routes_to(revision: u64, pool: PoolId) -> Routes {
-    let mut routes = Routes { revision, version: revision, ..Routes::default() };
+    let mut routes =
+        Routes { revision: Revision::new(0, revision), version: revision, ..Routes::default() };
     let share = Share { pool, weight: 1 };
     for address in [service(), single_service()] {
         routes.by_address.insert(address, Route::new(vec![share]));
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -303,7 +303,7 @@
     }
 
     fn report_to(&mut self, to: SocketAddrV4, now: u64) {
-        let report = Report { kept: self.copy.revision(), ..self.state.next_report(now).into() };
+        let report = Report::from(self.state.next_report(now)).with_kept(self.copy.config());
         self.peers.control(to, Body::Report(report));
     }
 
--- a/crates/opaque/src/agent/copy.rs
+++ b/crates/opaque/src/agent/copy.rs
@@ -9,6 +9,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use camphorwinch_core::opaque::route::Stamp;
 use camphorwinch_wire::opaque::{Greeting, Snapshot};
 use tokio::{
     sync::watch,
@@ -37,18 +38,18 @@
         Ok(Copy { newest, fetched: None })
     }
 
-    /// Revision of the configuration in the copy; 0 if there is none.
-    pub(super) fn revision(&self) -> u64 {
-        self.newest.borrow().revision
+    /// The configuration in the copy, if there is one.
+    pub(super) fn config(&self) -> Option<Stamp> {
+        self.newest.borrow().config()
     }
 
     /// A balancer tells what is in force there, and whether this agent is to keep a copy.
     pub(super) fn take_greeting(&mut self, from: SocketAddrV4, greeting: &Greeting) {
         self.take_zones(greeting);
-        if !greeting.keep || greeting.revision < self.revision() {
+        if !greeting.keep || greeting.config() < self.config() {
             return;
         }
-        let pause = if greeting.revision == self.revision() { RENEW } else { ATTEMPT };
+        let pause = if greeting.config() == self.config() { RENEW } else { ATTEMPT };
         if self.fetched.is_some_and(|it| it.elapsed() < pause) {
             return;
         }
@@ -63,7 +64,7 @@
         };
         self.newest.send_if_modified(|copy| {
             let known = copy.zones.as_ref().map(|it| it.revision);
-            let newer = copy.revision > 0 && known.is_none_or(|it| it < zones.revision);
+            let newer = copy.config().is_some() && known.is_none_or(|it| it < zones.revision);
             if newer {
                 Arc::make_mut(copy).zones = Some(zones.clone());
             }
@@ -86,14 +87,24 @@
             return;
         }
     };
-    let (revision, members) = (snapshot.revision, snapshot.members.len());
+    let (era, revision, version) = (snapshot.era, snapshot.revision, snapshot.version);
+    let members = snapshot.members.len();
     let kept = newest.send_if_modified(|copy| replace(copy, snapshot));
-    tracing::info!(id = id as u16, name = id.name(), peer = %from, revision, members, kept);
+    tracing::info!(
+        id = id as u16,
+        name = id.name(),
+        peer = %from,
+        revision,
+        era,
+        version,
+        members,
+        kept,
+    );
 }
 
 /// Takes a fetched snapshot over unless it is older than the copy; whether it did. The newer set of zones stays.
 fn replace(copy: &mut Arc<Snapshot>, mut fetched: Snapshot) -> bool {
-    if fetched.revision < copy.revision || fetched.revision == 0 {
+    if fetched.config().is_none() || fetched.config() < copy.config() {
         return false;
     }
     let newest = |it: &Snapshot| it.zones.as_ref().map(|it| it.revision);
--- a/crates/opaque/src/agent/copy/tests.rs
+++ b/crates/opaque/src/agent/copy/tests.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use camphorwinch_core::opaque::{fleet::Listed, route::Routes, zone::ZonesOut};
+use camphorwinch_core::opaque::{fleet::Listed, revision::Revision, route::Routes, zone::ZonesOut};
 use camphorwinch_wire::opaque::ZonesEntry;
 use tokio::{net::TcpListener, time::sleep};
 
@@ -19,7 +19,8 @@
 
 /// A balancer that has this revision in force and serves what it knows.
 async fn balancer(revision: u64, zones: ZonesEntry) -> (SocketAddrV4, Greeting) {
-    let routes = Routes { revision, version: revision, ..Routes::default() };
+    let routes =
+        Routes { revision: Revision::new(0, revision), version: revision, ..Routes::default() };
     let members = [Listed {
         address: "10.0.0.9:7720".parse().expect("an address"),
         pool: None,
@@ -32,7 +33,16 @@
     snapshot::serve(at, newest).expect("serve");
     // It serves for as long as the test runs.
     std::mem::forget(keep);
-    (at, Greeting { revision, zones: Some(zones), keep: true, ..Greeting::default() })
+    (
+        at,
+        Greeting {
+            revision,
+            version: revision,
+            zones: Some(zones),
+            keep: true,
+            ..Greeting::default()
+        },
+    )
 }
 
 /// Time for a fetch over the loopback device, many times.
@@ -44,11 +54,11 @@
 async fn an_agent_that_is_asked_to_keep_a_copy_serves_it() {
     let own = free().await;
     let mut copy = Copy::serve(own).expect("serve");
-    assert_eq!(copy.revision(), 0);
+    assert_eq!(copy.config(), None);
     let (at, greeting) = balancer(5, zones(7, "a")).await;
     copy.take_greeting(at, &greeting);
     fetched().await;
-    assert_eq!(copy.revision(), 5);
+    assert_eq!(copy.config().map(|it| it.version), Some(5));
     let told = snapshot::ask(own).await.expect("the copy");
     assert_eq!((told.revision, told.members.len(), told.zones), (5, 1, Some(zones(7, "a"))));
 }
@@ -59,7 +69,7 @@
     let (at, greeting) = balancer(5, zones(7, "a")).await;
     copy.take_greeting(at, &Greeting { keep: false, ..greeting });
     fetched().await;
-    assert_eq!(copy.revision(), 0);
+    assert_eq!(copy.config(), None);
 }
 
 #[tokio::test]
@@ -71,7 +81,7 @@
     // A balancer that says it has a newer one and serves an older one.
     let (older, greeting) = balancer(5, zones(6, "b")).await;
     copy.fetched = None;
-    copy.take_greeting(older, &Greeting { revision: 12, ..greeting });
+    copy.take_greeting(older, &Greeting { revision: 12, version: 12, ..greeting });
     fetched().await;
     let kept = copy.newest.borrow().clone();
     assert_eq!((kept.revision, kept.zones.clone()), (8, Some(zones(9, "a"))));
@@ -100,9 +110,9 @@
     let (at, greeting) = balancer(5, zones(7, "a")).await;
     copy.take_greeting(free().await, &greeting);
     fetched().await;
-    assert_eq!(copy.revision(), 0);
+    assert_eq!(copy.config(), None);
     sleep(ATTEMPT).await;
     copy.take_greeting(at, &greeting);
     fetched().await;
-    assert_eq!(copy.revision(), 5);
+    assert_eq!(copy.config().map(|it| it.version), Some(5));
 }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -298,7 +298,7 @@
 
     /// Whether packets that come here can be served: the configuration is known and agents are heard of.
     fn is_connected(&self, now: u64) -> bool {
-        if self.state.routes().revision() == 0 {
+        if self.state.routes().stamp().is_none() {
             return false;
         }
         let (heard, known) = (self.state.fleet().heard(now), self.state.fleet().len());
--- a/crates/opaque/src/balancer/duties.rs
+++ b/crates/opaque/src/balancer/duties.rs
@@ -71,7 +71,7 @@
     /// Those that have the configuration from the store see to it that agents keep copies: with each greeting of another
     /// balancer one of an agent.
     fn greet_keeper(&mut self, now: u64) {
-        if *self.watches.borrow() != Duty::Watch || self.state.routes().revision() == 0 {
+        if *self.watches.borrow() != Duty::Watch || self.state.routes().stamp().is_none() {
             return;
         }
         let to = self.state.keepers(now).into_iter().choose(&mut rand::rng());
@@ -92,9 +92,8 @@
     /// What is in force here.
     pub(super) fn greeting(&self) -> Greeting {
         Greeting {
-            revision: self.state.routes().revision(),
             zones: self.state.fleet().zones_out().map(ZonesEntry::from),
-            ..Greeting::default()
+            ..Greeting::new(self.state.routes().stamp())
         }
     }
 
@@ -103,7 +102,7 @@
         self.peers.control(to, Body::Greeting(greeting));
     }
 
-    /// Tells all balancers of the revision that is in force here, and whether this one leaves.
+    /// Tells all balancers of the configuration that is in force here, and whether this one leaves.
     pub(super) fn greet_balancers(&mut self, leaving: bool) {
         for to in self.balancers.clone() {
             self.greet(to, leaving);
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -4,7 +4,7 @@
 
 use camphorwinch_core::opaque::{
     fleet::{Change, Listed},
-    route::Routes,
+    route::{Routes, Stamp},
     zone::{ZoneNews, ZonesOut},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Report, decode};
@@ -85,7 +85,7 @@
     }
 
     fn take_report(&mut self, from: SocketAddrV4, report: Report, now: u64) {
-        self.take_kept(from, report.kept, now);
+        self.take_kept(from, report.kept_config(), now);
         let Ok(report) = report.try_into() else {
             count_faulty();
             return;
@@ -108,10 +108,11 @@
         self.apply(&[], now);
     }
 
-    /// An agent keeps a copy of this revision. It is of use to a balancer that has started and knows none yet; later only other
+    /// An agent keeps a copy of this configuration. It is of use to a balancer that has started and knows none yet; later only other
     /// balancers and the store are asked.
-    fn take_kept(&mut self, from: SocketAddrV4, revision: u64, now: u64) {
-        if self.state.routes().revision() == 0 && self.state.wants(revision, now) {
+    fn take_kept(&mut self, from: SocketAddrV4, config: Option<Stamp>, now: u64) {
+        let known = self.state.routes().stamp().is_some();
+        if config.is_some_and(|it| !known && self.state.wants(it, now)) {
             self.ask(from);
         }
     }
@@ -125,10 +126,11 @@
         if !greeting.leaving && self.balancers.insert(from) {
             self.unpublished = true;
         }
+        let config = greeting.config();
         if let Some(zones) = greeting.zones {
             self.put_zones(zones.into());
         }
-        if self.state.wants(greeting.revision, now_ms()) {
+        if config.is_some_and(|it| self.state.wants(it, now_ms())) {
             self.ask(from);
         }
     }
@@ -218,25 +220,29 @@
 
     /// Puts routes in force; whether they are newer than those that were.
     fn put_routes(&mut self, routes: Routes, source: &str) -> bool {
-        let (revision, version, count) = (routes.revision, routes.version, routes.by_address.len());
-        let before = self.state.routes().revision();
-        let known_version = self.state.routes().routes().map_or(0, |it| it.version);
+        let (stamp, count) = (routes.stamp(), routes.by_address.len());
+        let known = self.state.routes().stamp();
         let newer = self.state.put_routes(routes);
-        if !newer && (revision, version) == (before, known_version) {
+        if Some(stamp) == known {
             return false;
         }
         let id = if newer { Id::ConfigInForce } else { Id::ConfigOld };
         tracing::info!(
             id = id as u16,
             name = id.name(),
-            revision,
-            version,
+            revision = stamp.revision.number,
+            era = stamp.revision.era,
+            version = stamp.version,
             source,
-            before,
-            known_version,
+            before = known.map_or(0, |it| it.revision.number),
+            known_era = known.map_or(0, |it| it.revision.era),
+            known_version = known.map_or(0, |it| it.version),
             routes = count,
         );
-        metrics::REVISION.set(self.state.routes().revision() as i64);
+        if newer {
+            metrics::REVISION.set(stamp.revision.number as i64);
+            metrics::VERSION.set(stamp.version as i64);
+        }
         newer
     }
 
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -5,7 +5,7 @@
 };
 
 use bytes::Bytes;
-use camphorwinch_core::opaque::{route::Routes, zone::ZonesOut};
+use camphorwinch_core::opaque::{revision::Revision, route::Routes, zone::ZonesOut};
 use camphorwinch_wire::{frame::frames, opaque::Snapshot};
 use futures::SinkExt;
 use prost::Message;
@@ -70,7 +70,8 @@
     async fn routes(&self, it: Freshness, _: Duration) -> Result<Seen, StoreError> {
         self.note(None);
         self.reads.lock().expect("not poisoned").push(it);
-        let routes = Routes { revision: CONFIG_AT, version: 1, ..Routes::default() };
+        let routes =
+            Routes { revision: Revision::new(0, CONFIG_AT), version: 1, ..Routes::default() };
         Ok(Seen { routes: Some(routes), at: STORE_AT })
     }
 
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -84,6 +84,12 @@
     register!(IntGauge::new("camphorwinch_opaque_peers", "Peers that were heard of lately."))
 });
 
+/// Version of the configuration in force.
+pub static VERSION: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help = "Version that the operator gave to the configuration in force.";
+    register!(IntGauge::new("camphorwinch_opaque_config_version", help))
+});
+
 /// Revision of the configuration in force.
 pub static REVISION: LazyLock<IntGauge> = LazyLock::new(|| {
     let help = "Revision of the configuration in force.";
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -350,7 +350,7 @@
 /// A balancer makes itself known, to agents that it does not hear of and to other balancers.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Greeting {
-    /// Revision of the configuration in force at the sender; 0 if none is.
+    /// Number of the revision of the configuration in force at the sender; 0 if none is.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// The sender stops.
@@ -365,6 +365,12 @@
     /// The receiver is to keep a copy of what the sender knows.
     #[prost(bool, tag = "5")]
     pub keep: bool,
+    /// Version of that configuration.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
+    /// Era of its revision.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
 }
 
 /// The zones out of service. They are few, so a greeting holds them all and nobody has to ask for them.
@@ -414,9 +420,15 @@
     /// Whether the upstream has as much as it can begin, or more.
     #[prost(bool, tag = "12")]
     pub full: bool,
-    /// Revision of the configuration of which the agent keeps a copy; 0 if it keeps none.
+    /// Number of the revision of the configuration of which the agent keeps a copy; 0 if it keeps none.
     #[prost(uint64, tag = "13")]
     pub kept: u64,
+    /// Version of that configuration.
+    #[prost(uint64, tag = "14")]
+    pub kept_version: u64,
+    /// Era of its revision.
+    #[prost(uint64, tag = "15")]
+    pub kept_era: u64,
 }
 
 impl From<fleet::Report> for Report {
@@ -444,6 +456,8 @@
             service_ms: it.service_ms.unwrap_or(0),
             full: it.full,
             kept: 0,
+            kept_version: 0,
+            kept_era: 0,
         }
     }
 }
@@ -483,7 +497,7 @@
 /// What a balancer knows, for a process that can't ask the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct Snapshot {
-    /// Revision of the configuration; 0 if none is known.
+    /// Number of the configuration's revision; 0 if none is known.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// Version that the operator gave to it.
@@ -501,6 +515,9 @@
     /// What cold upstreams bear, for pools where that is bounded.
     #[prost(message, repeated, tag = "7")]
     pub cold_rates: Vec<ColdRateEntry>,
+    /// Era of the configuration's revision.
+    #[prost(uint64, tag = "8")]
+    pub era: u64,
 }
 
 /// What a cold upstream of a pool bears.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -5,12 +5,14 @@
 use camphorwinch_core::opaque::{
     PoolId,
     fleet::{Listed, ZoneId},
-    route::{Objective, Route, Routes, Share},
+    revision::Revision,
+    route::{Objective, Route, Routes, Share, Stamp},
     zone::{RegionId, ZonesOut},
 };
 
 use crate::opaque::{
-    ColdRateEntry, DecodeError, MemberEntry, RouteEntry, ShareEntry, Snapshot, ZonesEntry,
+    ColdRateEntry, DecodeError, Greeting, MemberEntry, Report, RouteEntry, ShareEntry, Snapshot,
+    ZonesEntry,
 };
 
 impl From<&ZonesOut> for ZonesEntry {
@@ -25,7 +27,38 @@
     }
 }
 
+impl Greeting {
+    /// A greeting that tells of the configuration in force, if one is.
+    pub fn new(config: Option<Stamp>) -> Greeting {
+        let (version, era, revision) = config.map_or_else(Default::default, parts);
+        Greeting { revision, version, era, ..Greeting::default() }
+    }
+
+    /// The configuration in force at the sender, if one is.
+    pub fn config(&self) -> Option<Stamp> {
+        stamp(self.version, self.era, self.revision)
+    }
+}
+
+impl Report {
+    /// The report of an agent that keeps a copy of this configuration.
+    pub fn with_kept(self, config: Option<Stamp>) -> Report {
+        let (kept_version, kept_era, kept) = config.map_or_else(Default::default, parts);
+        Report { kept, kept_version, kept_era, ..self }
+    }
+
+    /// The configuration of which the agent keeps a copy, if it does.
+    pub fn kept_config(&self) -> Option<Stamp> {
+        stamp(self.kept_version, self.kept_era, self.kept)
+    }
+}
+
 impl Snapshot {
+    /// The configuration in it, if there is one.
+    pub fn config(&self) -> Option<Stamp> {
+        stamp(self.version, self.era, self.revision)
+    }
+
     /// The snapshot with the zones out of service, if they are known.
     pub fn with_zones(self, zones: Option<&ZonesOut>) -> Snapshot {
         Snapshot { zones: zones.map(ZonesEntry::from), ..self }
@@ -39,9 +72,11 @@
         };
         let cold_rates = routes.cold_rates.iter();
         let cold_rates = cold_rates.map(|(pool, &rate)| ColdRateEntry { pool: pool.0, rate });
+        let (version, era, revision) = parts(routes.stamp());
         Snapshot {
-            revision: routes.revision,
-            version: routes.version,
+            revision,
+            version,
+            era,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
             zones: None,
@@ -51,11 +86,10 @@
 
     /// The routes; none if the sender had none.
     pub fn routes(&self) -> Result<Option<Routes>, DecodeError> {
-        if self.revision == 0 {
+        let Some(Stamp { version, revision }) = self.config() else {
             return Ok(None);
-        }
-        let mut routes =
-            Routes { revision: self.revision, version: self.version, ..Routes::default() };
+        };
+        let mut routes = Routes { revision, version, ..Routes::default() };
         let cold_rates = self.cold_rates.iter();
         routes.cold_rates = cold_rates.map(|it| (PoolId(it.pool), it.rate)).collect();
         for entry in &self.routes {
@@ -86,6 +120,15 @@
     }
 }
 
+/// Version, era and number of a revision. Numbers begin at 1: 0 stands for none.
+fn parts(it: Stamp) -> (u64, u64, u64) {
+    (it.version, it.revision.era, it.revision.number)
+}
+
+fn stamp(version: u64, era: u64, number: u64) -> Option<Stamp> {
+    (number > 0).then(|| Stamp { version, revision: Revision::new(era, number) })
+}
+
 fn member_entry(it: &Listed) -> MemberEntry {
     MemberEntry {
         ip: it.address.ip().to_bits(),
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -6,7 +6,8 @@
     FlowKey, PoolId,
     effect::{Answer, Ask, Relay, Verdict},
     fleet::{self, Listed, Plan, Upstream, ZoneId},
-    route::{Objective, Route, Routes, Share},
+    revision::Revision,
+    route::{Objective, Route, Routes, Share, Stamp},
     walk::{PoolLoad, Walk},
     zone::{RegionId, ZonesOut},
 };
@@ -114,8 +115,16 @@
         unlisted: true,
         zones: Some(ZonesEntry { revision: 7, names: vec!["a".to_owned()] }),
         keep: true,
+        version: 9,
+        era: 2,
     });
-    for body in [Body::Report(report().into()), greeting] {
+    let config = Stamp { version: 9, revision: Revision::new(2, 5) };
+    let kept = Report::from(report()).with_kept(Some(config));
+    assert_eq!(kept.kept_config(), Some(config));
+    assert_eq!(Report::from(report()).with_kept(None).kept_config(), None);
+    assert_eq!(Greeting::new(Some(config)).config(), Some(config));
+    assert_eq!(Greeting::new(None).config(), None);
+    for body in [Body::Report(report().into()), Body::Report(kept), greeting] {
         let mut bytes = Vec::new();
         encode_control(&Control { body: Some(body.clone()) }, &mut bytes);
         let Ok(Datagram::Control(read)) = decode(&bytes) else { panic!("{body:?}") };
@@ -171,7 +180,7 @@
 
 #[test]
 fn snapshots_come_back_as_they_were() {
-    let mut routes = Routes { revision: 3, version: 2, ..Routes::default() };
+    let mut routes = Routes { revision: Revision::new(2, 3), version: 2, ..Routes::default() };
     let shares = vec![Share { pool: PoolId(1), weight: 9 }, Share { pool: PoolId(2), weight: 1 }];
     let route = Route::new(shares).with_regions(vec![RegionId(7), RegionId(8)]);
     routes.by_address.insert(address(2), route.clone().with_objective(OBJECTIVE));
