Zones out of service hold over a reset of the store

Callers were sent to a zone that was confirmed to be out of service: its entry stood at a revision below the known one, since the store had come back from an older copy; or the entry was lost with the copy, and the next higher revision brought the zone back.

The later era now goes before a higher number, between processes too. A zone that was out and of which the copy holds no entry stays out for 10 s or until its entry is seen again; from then on the store's word holds.

Left: a balancer that starts in those seconds knows nothing of the lost entry.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -142,8 +142,13 @@
     }
 
     /// Takes news on zones out of service.
-    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
-        self.fleet.put_zones(news)
+    pub fn put_zones(&mut self, news: ZonesOut, now_ms: u64) -> ZoneNews {
+        self.fleet.put_zones(news, now_ms)
+    }
+
+    /// Takes back zones whose lost entries were not written again in time; whether there were some.
+    pub fn release_zones(&mut self, now_ms: u64) -> bool {
+        self.fleet.release_zones(now_ms)
     }
 
     /// Takes the store's list of members.
--- a/crates/core/src/opaque/fleet/zones.rs
+++ b/crates/core/src/opaque/fleet/zones.rs
@@ -37,14 +37,24 @@
         allowed.is_empty() || self.regions.values().any(|it| allowed.contains(it))
     }
 
-    /// The zones out of service, if that is known.
+    /// The zones out of service by the store, if that is known.
     pub fn zones_out(&self) -> Option<&ZonesOut> {
         self.zones.known()
     }
 
     /// Takes news on zones out of service.
-    pub fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
-        self.zones.put(news)
+    pub fn put_zones(&mut self, news: ZonesOut, now_ms: u64) -> ZoneNews {
+        self.zones.put(news, now_ms)
+    }
+
+    /// Names of all zones that get no new flow: those that the store says are out of service, and those whose entries it lost.
+    pub fn zone_names_out(&self) -> Vec<&str> {
+        self.zones.names()
+    }
+
+    /// Takes back zones whose lost entries were not written again in time; whether there were some.
+    pub fn release_zones(&mut self, now_ms: u64) -> bool {
+        self.zones.release(now_ms)
     }
 
     /// Whether the agent's zone is out of service.
--- a/crates/core/src/opaque/zone.rs
+++ b/crates/core/src/opaque/zone.rs
@@ -1,11 +1,15 @@
 //! Zones that the operator has taken out of service: no new flow goes to their upstreams, flows that are open stay.
 //!
 //! The store holds one entry for each such zone. What a process knows is the whole set as of a revision of the store,
-//! so news that come out of order never bring a former set back.
+//! so news that come out of order never bring a former set back. When the store comes back from an older copy it may lack
+//! entries that it had confirmed: their zones stay out of service until the operator has had time to write them again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::PoolId;
+use super::{PoolId, revision::Revision};
+
+/// Time for which a zone stays out of service though the store, which came back from a copy, has no entry of it.
+const LOST_MS: u64 = 10_000;
 
 /// An availability zone, by a hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -35,13 +39,13 @@
 /// The zones that are out of service at a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ZonesOut {
-    revision: u64,
+    revision: Revision,
     names: BTreeMap<ZoneId, String>,
 }
 
 impl ZonesOut {
     /// The zones of these names, as of a revision of the store.
-    pub fn new<I>(revision: u64, names: I) -> ZonesOut
+    pub fn new<I>(revision: Revision, names: I) -> ZonesOut
     where
         I: IntoIterator<Item = String>,
     {
@@ -50,7 +54,7 @@
     }
 
     /// The set after changes up to a revision of the store: names, and whether each is out of service from then on.
-    pub fn with_changes<I>(&self, revision: u64, changes: I) -> ZonesOut
+    pub fn with_changes<I>(&self, revision: Revision, changes: I) -> ZonesOut
     where
         I: IntoIterator<Item = (String, bool)>,
     {
@@ -67,7 +71,7 @@
     }
 
     /// Revision of the store.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -93,40 +97,74 @@
     Changed,
 }
 
+/// A zone whose entry the store lost.
+#[derive(Clone, Debug)]
+struct Lost {
+    name: String,
+    until_ms: u64,
+}
+
 /// The set in force, if one is known.
 #[derive(Clone, Debug)]
 pub(super) struct ZoneTable {
     known: Option<ZonesOut>,
+    lost: BTreeMap<ZoneId, Lost>,
 }
 
 impl Default for ZoneTable {
     fn default() -> ZoneTable {
-        ZoneTable { known: Some(ZonesOut::default()) }
+        ZoneTable { known: Some(ZonesOut::default()), lost: BTreeMap::new() }
     }
 }
 
 impl ZoneTable {
     /// A table that knows nothing yet.
     pub(super) fn unknown() -> ZoneTable {
-        ZoneTable { known: None }
+        ZoneTable { known: None, lost: BTreeMap::new() }
     }
 
     pub(super) fn known(&self) -> Option<&ZonesOut> {
         self.known.as_ref()
     }
 
-    pub(super) fn put(&mut self, news: ZonesOut) -> ZoneNews {
-        let became = match &self.known {
-            Some(known) if news.revision < known.revision => return ZoneNews::Old,
-            Some(known) if news.names == known.names => ZoneNews::Same,
-            Some(known) if news.revision == known.revision => return ZoneNews::Old,
-            _ => ZoneNews::Changed,
-        };
-        self.known = Some(news);
-        became
+    /// Names of all zones that get no new flow, those of lost entries among them.
+    pub(super) fn names(&self) -> Vec<&str> {
+        let lost = self.lost.values().map(|it| it.name.as_str());
+        self.known.iter().flat_map(ZonesOut::names).chain(lost).collect()
+    }
+
+    pub(super) fn put(&mut self, news: ZonesOut, now_ms: u64) -> ZoneNews {
+        let before = self.zones();
+        if let Some(known) = &self.known {
+            let is_same = news.revision == known.revision && news.names == known.names;
+            if news.revision <= known.revision && !is_same {
+                return ZoneNews::Old;
+            }
+            if news.revision.era > known.revision.era {
+                let lost = |it: &String| Lost { name: it.clone(), until_ms: now_ms + LOST_MS };
+                self.lost.extend(known.names.iter().map(|(&zone, it)| (zone, lost(it))));
+            }
+        }
+        // From its entry on the store's word holds for a zone.
+        self.lost.retain(|it, _| !news.contains(*it));
+        let is_first = self.known.replace(news).is_none();
+        if is_first || self.zones() != before { ZoneNews::Changed } else { ZoneNews::Same }
+    }
+
+    /// Gives up waiting for entries that the operator did not write again; whether there were some.
+    pub(super) fn release(&mut self, now_ms: u64) -> bool {
+        let before = self.lost.len();
+        self.lost.retain(|_, it| now_ms < it.until_ms);
+        self.lost.len() < before
     }
 
     pub(super) fn is_out(&self, zone: ZoneId) -> bool {
-        self.known.as_ref().is_some_and(|it| it.contains(zone))
+        let known = self.known.as_ref().is_some_and(|it| it.contains(zone));
+        known || self.lost.contains_key(&zone)
+    }
+
+    fn zones(&self) -> BTreeSet<ZoneId> {
+        let known = self.known.iter().flat_map(|it| it.names.keys());
+        known.chain(self.lost.keys()).copied().collect()
     }
 }
--- a/crates/core/tests/opaque/zones.rs
+++ b/crates/core/tests/opaque/zones.rs
@@ -7,6 +7,7 @@
     balancer::Balancer,
     effect::{Answer, Ask, Decision, Drop, Effect, Why},
     fleet::{Report, ZoneId},
+    revision::Revision,
     zone::{ZoneNews, ZonesOut},
 };
 use quickcheck::quickcheck;
@@ -21,7 +22,7 @@
 }
 
 fn out(revision: u64, names: &[&str]) -> ZonesOut {
-    ZonesOut::new(revision, names.iter().map(|&it| it.to_owned()))
+    ZonesOut::new(Revision::new(0, revision), names.iter().map(|&it| it.to_owned()))
 }
 
 fn hear(balancer: &mut Balancer, now_ms: u64) {
@@ -58,11 +59,11 @@
 #[test]
 fn new_flows_leave_a_zone_that_is_out_and_return_with_it() {
     let mut it = balancer();
-    assert_eq!(it.put_zones(out(5, &["north"])), ZoneNews::Changed);
+    assert_eq!(it.put_zones(out(5, &["north"]), 0), ZoneNews::Changed);
     assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
-    assert_eq!(it.put_zones(out(6, &["north", "east"])), ZoneNews::Changed);
+    assert_eq!(it.put_zones(out(6, &["north", "east"]), 0), ZoneNews::Changed);
     assert_eq!(zones_of_new_flows(&mut it, 20), BTreeSet::from(["south"]));
-    assert_eq!(it.put_zones(out(7, &[])), ZoneNews::Changed);
+    assert_eq!(it.put_zones(out(7, &[]), 0), ZoneNews::Changed);
     assert_eq!(zones_of_new_flows(&mut it, 30), BTreeSet::from(NAMES));
 }
 
@@ -73,19 +74,19 @@
     let mut effects = Vec::new();
     it.packet(&head(1, Kind::Open), b"", 10, &mut effects);
     assert_eq!(decisions(&effects), [Decision::Dropped(Drop::NoConfig)]);
-    assert_eq!(it.put_zones(out(5, &["north"])), ZoneNews::Changed);
+    assert_eq!(it.put_zones(out(5, &["north"]), 0), ZoneNews::Changed);
     assert_eq!(zones_of_new_flows(&mut it, 20), BTreeSet::from(["south", "east"]));
 }
 
 #[test]
 fn flows_that_are_open_stay_where_they_are() {
     let mut it = balancer();
-    it.put_zones(out(5, &[]));
+    it.put_zones(out(5, &[]), 0);
     let mut effects = Vec::new();
     it.packet(&head(1, Kind::Open), b"", 10, &mut effects);
     let (agent, _) = relays(&effects)[0];
     it.answer(agent, key(1), Answer::Here, None, 11, &mut Vec::new());
-    it.put_zones(out(6, &[zone_of(agent.ip().octets()[3])]));
+    it.put_zones(out(6, &[zone_of(agent.ip().octets()[3])]), 0);
     effects.clear();
     it.packet(&data(1, 1, 1), b"", 20, &mut effects);
     assert_eq!(relays(&effects), [(agent, Ask::Deliver)]);
@@ -100,7 +101,7 @@
 #[test]
 fn with_all_zones_out_callers_are_refused_at_once() {
     let mut it = balancer();
-    it.put_zones(out(5, &NAMES));
+    it.put_zones(out(5, &NAMES), 0);
     hear(&mut it, 1_000);
     let mut effects = Vec::new();
     it.packet(&head(1, Kind::Open), b"", 1_100, &mut effects);
@@ -111,19 +112,19 @@
 #[test]
 fn a_name_that_no_zone_has_changes_nothing() {
     let mut it = balancer();
-    it.put_zones(out(5, &["nowhere", "north"]));
+    it.put_zones(out(5, &["nowhere", "north"]), 0);
     assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
 }
 
 #[test]
 fn late_news_do_not_bring_a_former_set_back() {
     let mut it = balancer();
-    it.put_zones(out(7, &["north"]));
+    it.put_zones(out(7, &["north"]), 0);
     for late in [out(6, &[]), out(5, &["south"]), out(7, &["east"])] {
-        assert_eq!(it.put_zones(late), ZoneNews::Old);
+        assert_eq!(it.put_zones(late, 0), ZoneNews::Old);
     }
-    assert_eq!(it.put_zones(out(8, &["north"])), ZoneNews::Same);
-    assert_eq!(it.put_zones(out(7, &[])), ZoneNews::Old);
+    assert_eq!(it.put_zones(out(8, &["north"]), 0), ZoneNews::Same);
+    assert_eq!(it.put_zones(out(7, &[]), 0), ZoneNews::Old);
     assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
 }
 
@@ -132,14 +133,58 @@
     let first = out(5, &["south"]);
     let changes = [("north", true), ("north", false), ("south", false), ("north", true)];
     let changes = changes.map(|(name, out)| (name.to_owned(), out));
-    let after = first.with_changes(9, changes);
+    let after = first.with_changes(Revision::new(0, 9), changes);
     assert_eq!(after, out(9, &["north"]));
     let mut it = balancer();
-    it.put_zones(first);
-    assert_eq!(it.put_zones(after), ZoneNews::Changed);
+    it.put_zones(first, 0);
+    assert_eq!(it.put_zones(after, 0), ZoneNews::Changed);
     assert_eq!(zones_of_new_flows(&mut it, 10), BTreeSet::from(["south", "east"]));
 }
 
+fn out_in(era: u64, number: u64, names: &[&str]) -> ZonesOut {
+    ZonesOut::new(Revision::new(era, number), names.iter().map(|&it| it.to_owned()))
+}
+
+// A zone that was taken out of service went on getting flows for seconds: the store had come back from an older copy, and the
+// entry stood at a revision below the one that was known.
+#[test]
+fn a_later_era_goes_before_a_higher_number() {
+    let mut it = balancer();
+    it.put_zones(out_in(1, 25, &[]), 0);
+    assert_eq!(it.put_zones(out_in(2, 23, &["north"]), 10), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 20), BTreeSet::from(["south", "east"]));
+    assert_eq!(it.put_zones(out_in(1, 26, &[]), 30), ZoneNews::Old);
+    assert_eq!(it.put_zones(out_in(2, 24, &[]), 40), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 50), BTreeSet::from(NAMES));
+}
+
+// The operator's word was confirmed, and the store that lost it holds nothing of it until it is written again.
+#[test]
+fn a_zone_whose_entry_the_store_lost_stays_out_until_it_is_written_again() {
+    let mut it = balancer();
+    it.put_zones(out_in(1, 25, &["north"]), 0);
+    assert_eq!(it.put_zones(out_in(2, 21, &["east"]), 1_000), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 1_010), BTreeSet::from(["south"]));
+    assert_eq!(it.fleet().zone_names_out(), ["east", "north"]);
+    assert_eq!(it.put_zones(out_in(2, 22, &["east", "north"]), 2_000), ZoneNews::Same);
+    // From then on the store's word holds, also that the zone is back.
+    assert_eq!(it.put_zones(out_in(2, 23, &["east"]), 3_000), ZoneNews::Changed);
+    assert_eq!(zones_of_new_flows(&mut it, 3_010), BTreeSet::from(["north", "south"]));
+}
+
+#[test]
+fn a_zone_whose_entry_is_not_written_again_is_taken_back() {
+    let mut it = balancer();
+    it.put_zones(out_in(1, 25, &["north"]), 0);
+    it.put_zones(out_in(2, 21, &[]), 1_000);
+    assert!(!it.release_zones(10_900));
+    hear(&mut it, 10_900);
+    assert_eq!(zones_of_new_flows(&mut it, 10_900), BTreeSet::from(["south", "east"]));
+    assert!(it.release_zones(11_000));
+    assert_eq!(zones_of_new_flows(&mut it, 11_000), BTreeSet::from(NAMES));
+    assert!(!it.release_zones(12_000));
+}
+
 /// What is in force is what the highest revision said, in whatever order and however often the news come.
 fn agrees_with_newest(news: &[(u8, u8)]) -> bool {
     // One set for each revision, as the store has it.
@@ -150,7 +195,7 @@
     let mut it = balancer();
     let mut newest = None;
     for &(revision, _) in news {
-        it.put_zones(set(revision));
+        it.put_zones(set(revision), 0);
         newest = newest.max(Some(revision));
     }
     it.fleet().zones_out().cloned() == newest.map(set)
@@ -173,7 +218,7 @@
     }
     let limit = |it: &Balancer| it.fleet().candidates(POOL, 1, ZoneId::of("north"), None, &[], 0);
     assert_eq!(limit(&it).pool.full_percent, 50);
-    it.put_zones(out(5, &["north"]));
+    it.put_zones(out(5, &["north"]), 0);
     let found = limit(&it);
     assert_eq!((found.pool.full_percent, found.limit), (0, 140));
 }
--- a/crates/opaque/src/agent/copy.rs
+++ b/crates/opaque/src/agent/copy.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use camphorwinch_core::opaque::route::Stamp;
-use camphorwinch_wire::opaque::{Greeting, Snapshot};
+use camphorwinch_wire::opaque::{Greeting, Snapshot, ZonesEntry};
 use tokio::{
     sync::watch,
     time::{Instant, timeout},
@@ -63,8 +63,8 @@
             return;
         };
         self.newest.send_if_modified(|copy| {
-            let known = copy.zones.as_ref().map(|it| it.revision);
-            let newer = copy.config().is_some() && known.is_none_or(|it| it < zones.revision);
+            let known = copy.zones.as_ref().map(ZonesEntry::at);
+            let newer = copy.config().is_some() && known.is_none_or(|it| it < zones.at());
             if newer {
                 Arc::make_mut(copy).zones = Some(zones.clone());
             }
@@ -107,7 +107,7 @@
     if fetched.config().is_none() || fetched.config() < copy.config() {
         return false;
     }
-    let newest = |it: &Snapshot| it.zones.as_ref().map(|it| it.revision);
+    let newest = |it: &Snapshot| it.zones.as_ref().map(ZonesEntry::at);
     if newest(copy) > newest(&fetched) {
         fetched.zones = copy.zones.clone();
     }
--- a/crates/opaque/src/agent/copy/tests.rs
+++ b/crates/opaque/src/agent/copy/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn zones(revision: u64, name: &str) -> ZonesEntry {
-    ZonesEntry::from(&ZonesOut::new(revision, [name.to_owned()]))
+    ZonesEntry::from(&ZonesOut::new(Revision::new(0, revision), [name.to_owned()]))
 }
 
 /// A balancer that has this revision in force and serves what it knows.
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -273,6 +273,7 @@
         self.notes.tick(now);
         self.gossip(now);
         self.tell_again(now);
+        self.release_zones(now);
         self.weed(now);
         if self.ready.get() && now.saturating_sub(self.looked_ms) < LOOK_MS {
             return;
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -204,18 +204,28 @@
 
     /// Takes news on zones out of service, from the store or a peer.
     fn put_zones(&mut self, news: ZonesOut) -> ZoneNews {
-        let revision = news.revision();
-        let became = self.state.put_zones(news);
-        let Some(zones) = self.state.fleet().zones_out().filter(|_| became == ZoneNews::Changed)
-        else {
-            return became;
-        };
-        let names: Vec<&str> = zones.names().collect();
+        let became = self.state.put_zones(news, now_ms());
+        if became == ZoneNews::Changed {
+            self.show_zones_out();
+        }
+        became
+    }
+
+    /// Takes back zones whose entries the store lost and the operator did not write again.
+    pub(super) fn release_zones(&mut self, now: u64) {
+        if self.state.release_zones(now) {
+            self.show_zones_out();
+        }
+    }
+
+    fn show_zones_out(&mut self) {
+        let names = self.state.fleet().zone_names_out();
+        let at = self.state.fleet().zones_out().map(ZonesOut::revision).unwrap_or_default();
         let id = Id::ZonesOutChanged;
-        tracing::info!(id = id as u16, name = id.name(), revision, zones = names.join(" "));
+        let zones = names.join(" ");
+        tracing::info!(id = id as u16, name = id.name(), revision = at.number, era = at.era, zones);
         metrics::show_zones_out(&names);
         self.unpublished = true;
-        became
     }
 
     /// Puts routes in force; whether they are newer than those that were.
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -294,6 +294,7 @@
         Err(StoreError::Connection { .. }) => "connection",
         Err(StoreError::Busy { .. }) => "busy",
         Err(StoreError::Conflict { .. }) => "conflict",
+        Err(StoreError::Reset { .. }) => "reset",
         Err(StoreError::Answer { .. }) => "answer",
     };
     metrics::STORE_CALLS.with_label_values(&[step, outcome]).inc();
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -95,7 +95,7 @@
         if self.busy {
             return Err(StoreError::Busy { step: "list zones", status: 503 });
         }
-        Ok(ZonesOut::new(STORE_AT, ["a".to_owned()]))
+        Ok(ZonesOut::new(Revision::new(0, STORE_AT), ["a".to_owned()]))
     }
 
     async fn watch_zones(
@@ -104,13 +104,15 @@
         _: Duration,
         _: Duration,
     ) -> Result<Watched<ZonesOut>, StoreError> {
-        self.note(Some(known.revision()));
+        self.note(Some(known.revision().number));
         if self.forgets {
             return Ok(Watched::Compacted);
         }
         sleep(Duration::from_millis(50)).await;
         let change = ("a".to_owned(), known.names().count() == 0);
-        Ok(Watched::Seen(known.with_changes(known.revision() + 1, [change])))
+        Ok(Watched::Seen(
+            known.with_changes(Revision::new(0, known.revision().number + 1), [change]),
+        ))
     }
 }
 
--- a/crates/opaque/src/discovery/topic.rs
+++ b/crates/opaque/src/discovery/topic.rs
@@ -109,7 +109,7 @@
             Topic::Zones(known) => {
                 let zones = store.zones_out(freshness, patience).await;
                 *known = count("read-zones", zones)?;
-                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+                Ok(Watched::Seen((known.revision().number, Some(Found::ZoneNews(known.clone())))))
             }
         }
     }
@@ -133,7 +133,7 @@
                     return Ok(Watched::Compacted);
                 };
                 *known = zones;
-                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
+                Ok(Watched::Seen((known.revision().number, Some(Found::ZoneNews(known.clone())))))
             }
         }
     }
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -107,6 +107,12 @@
         /// What was asked.
         step: &'static str,
     },
+    /// The store came back from an older copy between two answers that belong together.
+    #[error("{step}: the store was reset meanwhile")]
+    Reset {
+        /// What was asked.
+        step: &'static str,
+    },
     /// An answer that makes no sense.
     #[error("{step}: answer of status {status}: {reason}")]
     Answer {
@@ -125,7 +131,8 @@
         match self {
             StoreError::Timeout { .. }
             | StoreError::Connection { .. }
-            | StoreError::Busy { .. } => true,
+            | StoreError::Busy { .. }
+            | StoreError::Reset { .. } => true,
             StoreError::Conflict { .. } | StoreError::Answer { .. } => false,
         }
     }
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -376,12 +376,15 @@
 /// The zones out of service. They are few, so a greeting holds them all and nobody has to ask for them.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ZonesEntry {
-    /// Revision of the store at which this was so.
+    /// Number of the store's revision at which this was so.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// Names.
     #[prost(string, repeated, tag = "2")]
     pub names: Vec<String>,
+    /// Era of the revision.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 /// An agent's state; `core::opaque::fleet::Report` says what the fields mean.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -17,13 +17,21 @@
 
 impl From<&ZonesOut> for ZonesEntry {
     fn from(it: &ZonesOut) -> ZonesEntry {
-        ZonesEntry { revision: it.revision(), names: it.names().map(str::to_owned).collect() }
+        let Revision { era, number: revision } = it.revision();
+        ZonesEntry { revision, names: it.names().map(str::to_owned).collect(), era }
     }
 }
 
 impl From<ZonesEntry> for ZonesOut {
     fn from(it: ZonesEntry) -> ZonesOut {
-        ZonesOut::new(it.revision, it.names)
+        ZonesOut::new(it.at(), it.names)
+    }
+}
+
+impl ZonesEntry {
+    /// The store's revision at which this was so.
+    pub fn at(&self) -> Revision {
+        Revision::new(self.era, self.revision)
     }
 }
 
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -113,7 +113,7 @@
         revision: 5,
         leaving: true,
         unlisted: true,
-        zones: Some(ZonesEntry { revision: 7, names: vec!["a".to_owned()] }),
+        zones: Some(ZonesEntry { revision: 7, names: vec!["a".to_owned()], era: 3 }),
         keep: true,
         version: 9,
         era: 2,
@@ -194,7 +194,7 @@
     assert_eq!(snapshot.routes(), Ok(Some(routes)));
     assert_eq!(snapshot.members(), Ok(members.to_vec()));
     assert_eq!(snapshot.zones, None);
-    let out = ZonesOut::new(6, ["a".to_owned(), "b".to_owned()]);
+    let out = ZonesOut::new(Revision::new(3, 6), ["a".to_owned(), "b".to_owned()]);
     let told = snapshot.clone().with_zones(Some(&out)).zones.map(ZonesOut::from);
     assert_eq!(told, Some(out));
     assert_eq!(Snapshot::new(None, &[]).routes(), Ok(None));
