No call goes on from a revision of a former era of the store

A call that waits for changes went on from the number of a revision, whatever had become of the store meanwhile: after it came back from an older copy and had counted past that number, changes below it never came, and a zone stayed in service or a configuration out of force until something else was written.

A revision is now an era and a number for what follows the store; an answer of another era ends the watch like a 410, as does another call's answer that tells of a later era. Stale answers count only in an era that a current one told, and none are asked for in the 10 s after a reset.

--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -15,7 +15,7 @@
     time::sleep,
 };
 
-use super::{Duty, Found, Topic, follow, join, list_pause, withdraw};
+use super::{Duty, Found, Topic, follow, join, list_pause, topic::Era, withdraw};
 use crate::store::{Freshness, Member, Record, Seen, Store, StoreError, Watched};
 
 /// Revision of the store, far above that of its configuration.
@@ -72,17 +72,18 @@
         self.reads.lock().expect("not poisoned").push(it);
         let routes =
             Routes { revision: Revision::new(0, CONFIG_AT), version: 1, ..Routes::default() };
-        Ok(Seen { routes: Some(routes), at: STORE_AT })
+        let era = self.era.borrow().unwrap_or_default();
+        Ok(Seen { routes: Some(routes), at: Revision::new(era, STORE_AT) })
     }
 
     async fn watch(
         &self,
-        at: u64,
+        at: Revision,
         wait: Duration,
         _: Duration,
     ) -> Result<Watched<Seen>, StoreError> {
-        self.note(Some(at));
-        if self.forgets || at < STORE_AT {
+        self.note(Some(at.number));
+        if self.forgets || at.number < STORE_AT {
             return Ok(Watched::Compacted);
         }
         sleep(wait).await;
@@ -228,12 +229,43 @@
         assert_eq!(next_zones(&mut found).await, ["a"]);
     }
     assert_eq!(store.calls()[..4], [None, Some(STORE_AT), None, Some(STORE_AT)]);
-    // A stale list could lack the history again that the store has dropped.
+    // The first one tells the era that stale answers have to be of; later ones that are stale could lack the history again
+    // that the store has dropped.
     let reads = store.reads.lock().expect("not poisoned").clone();
-    assert_eq!(reads[..2], [Freshness::Stale, Freshness::Current]);
+    assert_eq!(reads[..2], [Freshness::Current; 2]);
     task.abort();
 }
 
+#[tokio::test]
+async fn a_call_that_waits_ends_when_another_one_sees_that_the_store_was_reset() {
+    let store = Fake::default();
+    let (_watches, watching) = watch::channel(Duty::Watch);
+    let (out, _found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(store.calls(), [None, Some(STORE_AT)]);
+    store.era.send_replace(Some(1));
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(store.calls(), [None, Some(STORE_AT), None, Some(STORE_AT)]);
+    task.abort();
+}
+
+// A stale answer may be of the store as it was before it came back from a copy. Taken for the newest state it would stand above
+// all that the store confirms until its numbers have passed those of before.
+#[test]
+fn a_stale_answer_counts_only_in_an_era_that_a_current_one_told() {
+    let mut era = Era::default();
+    assert_eq!(era.freshness(), Freshness::Current);
+    assert!(!era.accepts(1, Freshness::Stale));
+    assert!(era.accepts(1, Freshness::Current));
+    assert_eq!(era.freshness(), Freshness::Stale);
+    assert!(era.accepts(1, Freshness::Stale));
+    assert!(!era.accepts(2, Freshness::Stale));
+    assert!(era.accepts(2, Freshness::Current));
+    assert_eq!(era.freshness(), Freshness::Current, "stale ones may still be of before");
+    assert!(!era.accepts(1, Freshness::Current));
+}
+
 #[tokio::test]
 async fn a_removal_is_repeated_while_the_store_is_away() {
     let store = Fake::default();
@@ -317,10 +349,15 @@
     }
 
     async fn routes(&self, _: Freshness, _: Duration) -> Result<Seen, StoreError> {
-        Ok(Seen { routes: None, at: STORE_AT })
+        Ok(Seen { routes: None, at: Revision::new(0, STORE_AT) })
     }
 
-    async fn watch(&self, at: u64, _: Duration, _: Duration) -> Result<Watched<Seen>, StoreError> {
+    async fn watch(
+        &self,
+        at: Revision,
+        _: Duration,
+        _: Duration,
+    ) -> Result<Watched<Seen>, StoreError> {
         Ok(Watched::Seen(Seen { routes: None, at }))
     }
 
--- a/crates/opaque/src/discovery/topic.rs
+++ b/crates/opaque/src/discovery/topic.rs
@@ -2,11 +2,11 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use camphorwinch_core::opaque::zone::ZonesOut;
+use camphorwinch_core::opaque::{revision::Revision, zone::ZonesOut};
 use rand::Rng;
 use tokio::{
     sync::{Notify, mpsc, watch},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{Backoff, FIRST_PAUSE, Found, count, spread};
@@ -29,6 +29,8 @@
 const READ_EVERY: Duration = Duration::from_secs(10);
 /// The same for the zones out of service; with 11 such balancers one reads them each 0.3 s.
 const READ_ZONES_EVERY: Duration = Duration::from_secs(4);
+/// Age that a stale answer may have: for so long after the store came back from a copy no stale ones are asked for.
+const STALE_FOR: Duration = Duration::from_secs(10);
 /// Longest time for which a process waits until it knows whether it is to wait at the store: as long as a list of the members
 /// takes on a slow VM. In a fleet of 15 balancers that saves each start of one that is not a call.
 const UNDECIDED: Duration = Duration::from_millis(500);
@@ -43,7 +45,7 @@
 }
 
 /// What a call about a topic brought: the store's revision and the news, if there are some.
-type Step = Watched<(u64, Option<Found>)>;
+type Step = Watched<(Revision, Option<Found>)>;
 
 impl Topic {
     /// Zones of which nothing is known yet.
@@ -51,15 +53,6 @@
         Topic::Zones(ZonesOut::default())
     }
 
-    /// How new the answer to a process's first read has to be. Zones may be served stale: whoever starts to wait gets what is
-    /// newer at once, and the others hear of it from those. A route that is missing would have flows refused meanwhile.
-    fn at_start(&self) -> Freshness {
-        match self {
-            Topic::Routes => Freshness::Current,
-            Topic::Zones(_) => Freshness::Stale,
-        }
-    }
-
     /// Pause between two reads while nobody waits here for changes.
     fn read_every(&self) -> Duration {
         match self {
@@ -109,12 +102,17 @@
             Topic::Zones(known) => {
                 let zones = store.zones_out(freshness, patience).await;
                 *known = count("read-zones", zones)?;
-                Ok(Watched::Seen((known.revision().number, Some(Found::ZoneNews(known.clone())))))
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
             }
         }
     }
 
-    async fn watch<S>(&mut self, store: &S, at: u64, patience: Duration) -> Result<Step, StoreError>
+    async fn watch<S>(
+        &mut self,
+        store: &S,
+        at: Revision,
+        patience: Duration,
+    ) -> Result<Step, StoreError>
     where
         S: Store,
     {
@@ -133,7 +131,7 @@
                     return Ok(Watched::Compacted);
                 };
                 *known = zones;
-                Ok(Watched::Seen((known.revision().number, Some(Found::ZoneNews(known.clone())))))
+                Ok(Watched::Seen((known.revision(), Some(Found::ZoneNews(known.clone())))))
             }
         }
     }
@@ -159,6 +157,36 @@
     }
 }
 
+/// The store's era, as far as a follower knows it.
+#[derive(Debug, Default)]
+pub(super) struct Era {
+    known: Option<u64>,
+    rose: Option<Instant>,
+}
+
+impl Era {
+    /// Whether an answer may be taken. A stale one may be of the store as it was before it came back from a copy, whatever era it
+    /// tells; its revisions could pass for later ones.
+    pub(super) fn accepts(&mut self, era: u64, freshness: Freshness) -> bool {
+        if self.known == Some(era) {
+            return true;
+        }
+        if freshness == Freshness::Stale || self.known > Some(era) {
+            return false;
+        }
+        if self.known.replace(era).is_some() {
+            self.rose = Some(Instant::now());
+        }
+        true
+    }
+
+    /// How new the answer to the next read has to be.
+    pub(super) fn freshness(&self) -> Freshness {
+        let settled = self.rose.is_none_or(|it| it.elapsed() > STALE_FOR);
+        if self.known.is_some() && settled { Freshness::Stale } else { Freshness::Current }
+    }
+}
+
 /// Follows a topic in the store, as `duty` says. `served` tells the zones' follower that the store answered the other one.
 pub(crate) async fn follow<S>(
     store: S,
@@ -171,7 +199,9 @@
 {
     let mut backoff = Backoff::new();
     let mut at = None;
-    let mut freshness = topic.at_start();
+    let mut era = Era::default();
+    let mut resets = store.era();
+    let mut freshness = Freshness::Current;
     loop {
         if at.is_some() {
             let Some(now) = decided(&mut duty).await else {
@@ -188,15 +218,21 @@
         }
         let step = match at {
             None => topic.read(&store, freshness, backoff.patience()).await,
-            Some(at) => topic.watch(&store, at, backoff.patience()).await,
+            Some(at) => tokio::select! {
+                it = topic.watch(&store, at, backoff.patience()) => it,
+                // Its connection may have gone silent with the store that it reached.
+                _ = resets.wait_for(|it| *it > Some(at.era)) => Ok(Watched::Compacted),
+            },
         };
-        freshness = match (&step, at) {
-            (Ok(Watched::Seen(_)), _) => Freshness::Stale,
-            _ => Freshness::Current,
+        let asked_for = std::mem::replace(&mut freshness, Freshness::Current);
+        let step = match step {
+            Ok(Watched::Seen((it, _))) if !era.accepts(it.era, asked_for) => Ok(Watched::Compacted),
+            it => it,
         };
         match step {
             Ok(Watched::Seen((seen_at, news))) => {
                 backoff.succeeded();
+                freshness = era.freshness();
                 if let Topic::Routes = topic {
                     served.notify_waiters();
                 }
@@ -210,7 +246,7 @@
             }
             Ok(Watched::Compacted) => {
                 at = None;
-                // The store may go on dropping its history.
+                // The store may go on like that.
                 sleep(FIRST_PAUSE.mul_f64(spread())).await;
             }
             Err(e) => {
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -5,6 +5,7 @@
 use camphorwinch_core::opaque::{
     PoolId,
     fleet::{Listed, ZoneId},
+    revision::Revision,
     route::Routes,
     zone::ZonesOut,
 };
@@ -51,7 +52,7 @@
     pub routes: Option<Routes>,
     /// The store's revision, from which a watch goes on. It may be far above that of the configuration, whose own may
     /// have left the store's history.
-    pub at: u64,
+    pub at: Revision,
 }
 
 /// How new an answer has to be.
@@ -68,7 +69,7 @@
 pub enum Watched<T> {
     /// What happened up to a revision.
     Seen(T),
-    /// The store no longer has the history: read anew.
+    /// The store no longer has the history, or has come back from an older copy: read anew.
     Compacted,
 }
 
@@ -175,7 +176,7 @@
     /// Waits for a configuration newer than `revision` of the store.
     fn watch(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
         patience: Duration,
     ) -> impl Future<Output = Result<Watched<Seen>, StoreError>> + Send;
