A removal never depends on a revision of a former era

Objects of agents that are gone are removed on condition of their revision, again and again while the store is away. A store that comes back from an older copy gives the number out again, so the removal could hit the object that the agent, or another process of its name, has written since: whoever started then did not know it.

A record's revision has its era now, and a removal of a former one is a conflict without a call. Left: a reset between the last answer and the call; the agent is told that its object was removed and lists itself again, as before.

--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -57,8 +57,8 @@
         Ok(())
     }
 
-    async fn withdraw(&self, _: &str, at: Option<u64>, _: Duration) -> Result<(), StoreError> {
-        self.note(at);
+    async fn withdraw(&self, _: &str, at: Option<Revision>, _: Duration) -> Result<(), StoreError> {
+        self.note(at.map(|it| it.number));
         let step = "withdraw a member";
         match self.calls().len() {
             1 | 2 => Err(StoreError::Busy { step, status: 503 }),
@@ -131,7 +131,7 @@
 fn record() -> Record {
     let address = "10.0.0.1:7720".parse().expect("an address");
     let member = Member { name: "one".to_owned(), address, pool: None, zone: "a".to_owned() };
-    Record { member, revision: 7 }
+    Record { member, revision: Revision::new(0, 7) }
 }
 
 #[tokio::test]
@@ -343,7 +343,12 @@
         Ok(())
     }
 
-    async fn withdraw(&self, name: &str, _: Option<u64>, _: Duration) -> Result<(), StoreError> {
+    async fn withdraw(
+        &self,
+        name: &str,
+        _: Option<Revision>,
+        _: Duration,
+    ) -> Result<(), StoreError> {
         self.names.lock().expect("not poisoned").retain(|it| it != name);
         Ok(())
     }
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -42,7 +42,7 @@
     /// The member.
     pub member: Member,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The configuration as a call saw it.
@@ -158,11 +158,11 @@
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Takes a member off the list; with a revision only if it has not changed since.
+    /// Takes a member off the list; with a revision only if it has not changed since, and the store has not been reset.
     fn withdraw(
         &self,
         name: &str,
-        revision: Option<u64>,
+        revision: Option<Revision>,
         patience: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
