Reproduced, red: the same fault in processes that follow the object API

Objects, deletions, marks between processes and leases are ordered by the object API's revision, too. After it came back from an older copy a confirmed change is in force nowhere, and no lease can be renewed or taken. The tests' platform learns to come back from a copy.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod place;
 pub mod record;
 pub mod report;
+pub mod revision;
 pub mod roster;
 pub mod seal;
 pub mod slots;
--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -18,7 +18,6 @@
 pub mod hold;
 pub mod load;
 pub mod presence;
-pub mod revision;
 pub mod route;
 pub mod walk;
 mod warmup;
@@ -26,3 +25,5 @@
 
 pub use flow::{FlowKey, Head, Kind};
 pub use route::PoolId;
+
+pub use crate::revision;
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -5,8 +5,11 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use siphasher::sip::SipHasher13;
 
-use super::{revision::Revision, zone::RegionId};
-use crate::invariant::{self, Invariant};
+use super::zone::RegionId;
+use crate::{
+    invariant::{self, Invariant},
+    revision::Revision,
+};
 
 /// A pool, by a hash of its name that is the same in every process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/core/src/opaque/zone.rs
+++ b/crates/core/src/opaque/zone.rs
@@ -6,7 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{PoolId, revision::Revision};
+use super::PoolId;
+use crate::revision::Revision;
 
 /// Time for which a zone stays out of service though the store, which came back from a copy, has no entry of it.
 const LOST_MS: u64 = 10_000;
--- a/crates/daemon/src/control/tests.rs
+++ b/crates/daemon/src/control/tests.rs
@@ -408,3 +408,43 @@
     assert!(end.is_none_or(|it| it.is_err()));
     assert!(b1.inner.state.lock().links.is_empty());
 }
+
+/// Port of a service's address, as a process knows it.
+fn port_of(control: &Control, name: &str) -> Option<u16> {
+    let snapshot = snapshot(control);
+    snapshot.services.get(&ServiceId::new(name)).map(|it| it.spec.address.port())
+}
+
+// A change that the platform had confirmed was in force nowhere, and its leases could not be taken: it had come back from an older
+// copy, and gave out again revisions that all processes held for past.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_are_in_force_after_the_platform_came_back_from_a_copy() {
+    let fleet = Fleet::new().await;
+    fleet.add_service("ledger", 4_433);
+    let b1 = fleet.balancer("b1", "z1").await;
+    let b2 = fleet.balancer("b2", "z2").await;
+    let a1 = fleet.agent("a1", "z1", "ledger").await;
+    let all = [&b1, &b2, &a1];
+    let in_force = |name, port| all.iter().all(|it| port_of(it, name) == Some(port));
+    until("the service everywhere", || in_force("ledger", 4_433)).await;
+    fleet.platform.keep_copy();
+    for port in 4_500..4_510 {
+        fleet.add_service("ledger", port);
+    }
+    fleet.add_service("intake", 4_434);
+    until("the changes everywhere", || in_force("ledger", 4_509) && in_force("intake", 4_434))
+        .await;
+    fleet.platform.reset();
+    // What was confirmed holds until the operator has written it again.
+    sleep(Duration::from_secs(1)).await;
+    assert!(in_force("ledger", 4_509) && in_force("intake", 4_434));
+    fleet.add_service("ledger", 4_509);
+    fleet.add_service("intake", 4_434);
+    let changed = fleet.add_service("ledger", 4_600);
+    until("a change everywhere", || in_force("ledger", 4_600) && in_force("intake", 4_434)).await;
+    until("the reports say so", || {
+        report_of(&fleet, "z1").is_some_and(|it| it.in_force >= changed)
+    })
+    .await;
+    intact();
+}
--- a/crates/daemon/src/platform/fake.rs
+++ b/crates/daemon/src/platform/fake.rs
@@ -22,14 +22,23 @@
 
 #[derive(Default)]
 struct Store {
-    revision: u64,
-    objects: BTreeMap<(String, String), Object>,
-    events: Vec<(&'static str, Object)>,
+    data: Data,
+    /// Rises each time that the platform comes back from its copy.
+    era: u64,
+    copy: Data,
     down: bool,
     lose: bool,
     skip: bool,
 }
 
+/// What the platform holds, and loses if it comes back from a copy.
+#[derive(Clone, Default)]
+struct Data {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+    events: Vec<(&'static str, Object)>,
+}
+
 /// The platform.
 #[derive(Clone, Default)]
 pub(crate) struct Fake {
@@ -75,9 +84,24 @@
         self.store.lock().unwrap().skip = skip;
     }
 
+    /// Keeps a copy of all that it holds.
+    pub(crate) fn keep_copy(&self) {
+        let mut store = self.store.lock().unwrap();
+        store.copy = store.data.clone();
+    }
+
+    /// Comes back from its copy: what was written since is lost, and revisions are given out again.
+    pub(crate) fn reset(&self) {
+        let mut store = self.store.lock().unwrap();
+        store.data = store.copy.clone();
+        store.era += 1;
+        drop(store);
+        self.news.notify_waiters();
+    }
+
     /// Writes an object whatever its version; returns the new one.
     pub(crate) fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
-        let version = self.store.lock().unwrap().put(kind, name, "test", spec).version;
+        let version = self.store.lock().unwrap().data.put(kind, name, "test", spec).version;
         self.news.notify_waiters();
         version
     }
@@ -85,10 +109,11 @@
     /// Deletes an object.
     pub(crate) fn delete(&self, kind: &str, name: &str) {
         let mut store = self.store.lock().unwrap();
-        store.revision += 1;
-        let mut gone = store.objects.remove(&(kind.to_owned(), name.to_owned())).unwrap();
-        gone.version = store.revision;
-        store.events.push(("delete", gone));
+        let data = &mut store.data;
+        data.revision += 1;
+        let mut gone = data.objects.remove(&(kind.to_owned(), name.to_owned())).unwrap();
+        gone.version = data.revision;
+        data.events.push(("delete", gone));
         drop(store);
         self.news.notify_waiters();
     }
@@ -96,7 +121,7 @@
     /// Reads an object.
     pub(crate) fn read(&self, kind: &str, name: &str) -> Option<Object> {
         let store = self.store.lock().unwrap();
-        store.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+        store.data.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
     }
 
     async fn answer(
@@ -108,24 +133,26 @@
         let path = head.uri.path().to_owned();
         let (status, value) = match path.strip_prefix("/v1/objects/") {
             _ if self.store.lock().unwrap().down => (503, json!({ "error": "down" })),
-            None => (200, self.watch(head.uri.query().unwrap_or_default()).await),
+            None => self.watch(head.uri.query().unwrap_or_default()).await,
             Some(rest) => self.object(&head.method, rest, &body),
         };
         let status = match self.store.lock().unwrap().down {
             true => StatusCode::SERVICE_UNAVAILABLE,
             false => StatusCode::from_u16(status).unwrap(),
         };
+        let era = self.store.lock().unwrap().era;
         let body = Full::new(Bytes::from(value.to_string()));
-        Ok(Response::builder().status(status).body(body).unwrap())
+        Ok(Response::builder().status(status).header("store-era", era).body(body).unwrap())
     }
 
     fn object(&self, method: &Method, rest: &str, body: &[u8]) -> (u16, Value) {
         let mut store = self.store.lock().unwrap();
         let Some((kind, name)) = rest.split_once('/') else {
-            let items: Vec<&Object> = store.objects.values().filter(|it| it.kind == rest).collect();
-            return (200, json!({ "revision": store.revision, "items": items }));
+            let data = &store.data;
+            let items: Vec<&Object> = data.objects.values().filter(|it| it.kind == rest).collect();
+            return (200, json!({ "revision": data.revision, "items": items }));
         };
-        let old = store.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let old = store.data.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
         if method == Method::GET {
             return old.map_or((404, json!({ "error": "none" })), |it| (200, json!(it)));
         }
@@ -134,13 +161,13 @@
             return (409, json!({ "error": "conflict", "current": old }));
         }
         let writer = write["writer"].as_str().unwrap();
-        let object = store.put(kind, name, writer, write["spec"].clone());
+        let object = store.data.put(kind, name, writer, write["spec"].clone());
         let lost = std::mem::take(&mut store.lose);
         self.news.notify_waiters();
         if lost { (504, json!({ "error": "lost" })) } else { (200, json!(object)) }
     }
 
-    async fn watch(&self, query: &str) -> Value {
+    async fn watch(&self, query: &str) -> (u16, Value) {
         let since: u64 = query
             .split('&')
             .find_map(|it| it.strip_prefix("since="))
@@ -148,16 +175,19 @@
             .unwrap();
         for _ in 0..20 {
             let news = self.news.notified();
+            if since > self.store.lock().unwrap().data.revision {
+                return (410, json!({ "error": "the history does not hold this revision" }));
+            }
             if let Some(value) = self.store.lock().unwrap().since(since, query) {
-                return value;
+                return (200, value);
             }
             let _ = timeout(Duration::from_millis(500), news).await;
         }
-        json!({ "revision": since, "events": [] })
+        (200, json!({ "revision": since, "events": [] }))
     }
 }
 
-impl Store {
+impl Data {
     fn put(&mut self, kind: &str, name: &str, writer: &str, spec: Value) -> Object {
         self.revision += 1;
         let object = Object {
@@ -171,11 +201,13 @@
         self.events.push(("put", object.clone()));
         object
     }
+}
 
+impl Store {
     fn since(&self, since: u64, query: &str) -> Option<Value> {
         let wanted = |it: &Object| query.contains(&format!("kind={}", it.kind));
         let fresh: Vec<_> =
-            self.events.iter().filter(|(_, it)| it.version > since && wanted(it)).collect();
+            self.data.events.iter().filter(|(_, it)| it.version > since && wanted(it)).collect();
         if fresh.is_empty() && !self.down {
             return None;
         }
@@ -185,6 +217,6 @@
                 fresh.iter().map(|(it, object)| json!({ "type": it, "object": object })).collect()
             }
         };
-        Some(json!({ "revision": self.revision, "events": events }))
+        Some(json!({ "revision": self.data.revision, "events": events }))
     }
 }
