The platform stand-in comes back from a copy

PUT /admin/copy keeps a copy, PUT /admin/reset comes back from it; Store-Era is in all answers. Test: it_comes_back_from_a_copy_in_a_later_era.

--- a/crates/standin/src/platform/api.rs
+++ b/crates/standin/src/platform/api.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use camphorwinch_core::object::{Kind, MAX_OBJECT, Object};
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -22,6 +22,8 @@
 };
 use crate::server::{self, Answer, Body, Dropped, Refusal, Server};
 
+/// Tells in each answer how often the store came back from a copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 const MAX_WAIT: u64 = 30;
 /// Room for the version and the writer's mark around a spec.
 const MAX_BODY: usize = MAX_OBJECT + 1024;
@@ -182,10 +184,11 @@
         if request.uri().path().starts_with("/admin/") {
             return Ok(self.admin(request).await.unwrap_or_else(|refusal| refusal.answer()));
         }
-        let answer = match Call::new(&request) {
+        let mut answer = match Call::new(&request) {
             Ok(call) => self.call(call, request.into_body()).await?,
             Err(refusal) => refusal.answer(),
         };
+        answer.headers_mut().insert(STORE_ERA, self.store.lock().era().into());
         self.counts.lock().bytes_out += answer.body().size_hint().lower();
         Ok(answer)
     }
@@ -206,6 +209,16 @@
                 self.faults.send_replace(faults.clone());
                 Ok(server::json(StatusCode::OK, &faults))
             }
+            (&Method::PUT, "/admin/copy") => {
+                self.store.lock().keep_copy();
+                Ok(server::json(StatusCode::OK, &Value::Null))
+            }
+            (&Method::PUT, "/admin/reset") => {
+                self.store.lock().reset();
+                let revision = self.store.lock().revision();
+                self.revision.send_replace(revision);
+                Ok(server::json(StatusCode::OK, &Value::Null))
+            }
             (_, path) => Err(Refusal::unknown(path)),
         }
     }
@@ -365,12 +378,17 @@
             end = Instant::now() + self.part_of(wait);
         }
         let _waiting = Waiting::new(&self.counts);
+        let era = self.store.lock().era();
         let mut revision = self.revision.subscribe();
         let mut faults = self.faults.subscribe();
         loop {
             revision.borrow_and_update();
             let (found, now) = {
                 let store = self.store.lock();
+                if store.era() != era {
+                    // Its connections ended with it.
+                    return Err(Dropped);
+                }
                 (store.since(since, kinds), store.revision())
             };
             let events = match found {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -196,3 +196,33 @@
     let counts = counts(&client).await;
     assert_eq!((counts.skipped, counts.repeated, counts.closed), (20, 1, 1));
 }
+
+#[tokio::test]
+async fn it_comes_back_from_a_copy_in_a_later_era() {
+    let (_platform, client) = start(16, Faults::default()).await;
+    let put = async |version, spec| {
+        client.put("/v1/objects/service/s", &write(version, spec)).await.unwrap()
+    };
+    assert_eq!(put(0, 1).await.header("store-era"), Some("0"));
+    client.put("/admin/copy", &json!(null)).await.unwrap();
+    for version in 1..4 {
+        put(version, 7).await;
+    }
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.get("/v1/watch?since=4&wait=20").await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    client.put("/admin/reset", &json!(null)).await.unwrap();
+    assert!(waiting.await.unwrap().is_err(), "a call that waits ends with the store");
+    let list = client.get("/v1/objects/service").await.unwrap();
+    assert_eq!(list.header("store-era"), Some("1"));
+    assert_eq!(
+        (&list.json()["revision"], &list.json()["items"][0]["spec"]),
+        (&json!(1), &json!(1))
+    );
+    assert_eq!(client.get("/v1/watch?since=4&wait=0").await.unwrap().status, 410);
+    assert_eq!(put(4, 2).await.status, 409);
+    let again = put(1, 2).await;
+    assert_eq!((again.status, &again.json()["version"]), (200, &json!(2)));
+}
