Versions of the object API are ordered over its resets

After the object API came back from an older copy a confirmed change was in force in no process and no lease could be renewed or taken, until its revisions had passed those of before: records, marks, floors and leases are ordered by them.

Era and number of a revision are packed into one version where answers are read, so that the order holds wherever versions go, between processes too. For 10 s after the first list of a later era its objects count as of the former era and absence is no deletion, so that nothing confirmed is undone before its writer wrote it again. A watch of a former era lists anew, a write based on one is a conflict, a lease is not free before its holder's time is over. The command-line tool packs alike, and reports a write that the API came back under.

Ruled out: the list's word at once.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use camphorwinch_core::object::{Kind, Object};
-use http::{Method, Request, StatusCode, Uri, header::RETRY_AFTER};
+use camphorwinch_core::{
+    object::{Kind, Object},
+    revision::{ERA_HEADER, Revision, parse_era},
+};
+use http::{HeaderValue, Method, Request, StatusCode, Uri, header::RETRY_AFTER};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -59,11 +62,44 @@
     pub events: Vec<WatchEvent>,
 }
 
+/// An answer, or a part of one, with revisions of the platform as it numbers them. Packed with the era of the answer they are
+/// ordered over all eras.
+pub trait Pack {
+    /// Packs the revisions.
+    fn pack(&mut self, era: u64);
+}
+
+fn pack(number: &mut u64, era: u64) {
+    *number = Revision::new(era, *number).packed();
+}
+
+impl Pack for Object {
+    fn pack(&mut self, era: u64) {
+        pack(&mut self.version, era);
+    }
+}
+
+impl Pack for List {
+    fn pack(&mut self, era: u64) {
+        pack(&mut self.revision, era);
+        self.items.iter_mut().for_each(|it| it.pack(era));
+    }
+}
+
+impl Pack for Events {
+    fn pack(&mut self, era: u64) {
+        pack(&mut self.revision, era);
+        self.events.iter_mut().for_each(|it| it.object.pack(era));
+    }
+}
+
 /// An answer of the platform.
 #[derive(Clone, Debug)]
 pub struct Answer {
     /// Status.
     pub status: StatusCode,
+    /// Era of the platform in which it answered.
+    pub era: u64,
     /// When to try again, if the platform said so.
     pub after: Option<Duration>,
     /// Body.
@@ -194,19 +230,25 @@
         since: u64,
         retry: &mut Retry,
     ) -> Result<Option<Events>, Error> {
-        let path = format!("/v1/watch?since={since}&wait=0&kind={kind}");
-        self.read("read the history", &path, retry).await
+        let since = Revision::unpacked(since);
+        let path = format!("/v1/watch?since={}&wait=0&kind={kind}", since.number);
+        let events: Option<Events> = self.read("read the history", &path, retry).await?;
+        // In another era the same number stands for another state, after which other events come.
+        Ok(events.filter(|it| Revision::unpacked(it.revision).era == since.era))
     }
 
-    /// One attempt to wait for events since a revision.
+    /// One attempt to wait for events since a revision. An answer of another era is of no use.
     pub async fn wait(&self, kinds: &[Kind], since: u64) -> Result<Answer, Lost> {
-        let mut path = format!("/v1/watch?since={since}&wait={WATCH_WAIT_S}");
+        let since = Revision::unpacked(since);
+        let mut path = format!("/v1/watch?since={}&wait={WATCH_WAIT_S}", since.number);
         for kind in kinds {
             path.push_str("&kind=");
             path.push_str(kind.as_str());
         }
         let limit = Duration::from_secs(WATCH_WAIT_S) + self.timeout;
-        self.call(Method::GET, &path, Bytes::new(), limit).await
+        let answer = self.call(Method::GET, &path, Bytes::new(), limit).await?;
+        let status = if answer.era == since.era { answer.status } else { StatusCode::GONE };
+        Ok(Answer { status, ..answer })
     }
 
     /// One attempt of one call.
@@ -237,21 +279,23 @@
             Err(e) => return Err(Lost::MaybeSent(chain(&e))),
         };
         let status = response.status();
+        let era = response.headers().get(ERA_HEADER).map(HeaderValue::as_bytes);
+        let era = parse_era(ERA_HEADER, era).map_err(|e| Lost::MaybeSent(e.to_string()))?;
         let after = response.headers().get(RETRY_AFTER);
         let after = after.and_then(|it| it.to_str().ok()?.parse().ok()).map(Duration::from_secs);
         let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
         let body = body.map_err(|e| Lost::MaybeSent(e.to_string()))?.to_bytes();
-        Ok(Answer { status, after, body })
+        Ok(Answer { status, era, after, body })
     }
 
     async fn read<T>(&self, step: &str, path: &str, retry: &mut Retry) -> Result<Option<T>, Error>
     where
-        T: DeserializeOwned,
+        T: DeserializeOwned + Pack,
     {
         loop {
             let failure = match self.call(Method::GET, path, Bytes::new(), retry.limit()).await {
                 Ok(it) if it.status == StatusCode::OK => {
-                    return self.parse(step, &it.body).map(Some);
+                    return self.parse(step, &it).map(Some);
                 }
                 Ok(it) if matches!(it.status, StatusCode::NOT_FOUND | StatusCode::GONE) => {
                     return Ok(None);
@@ -271,15 +315,18 @@
     }
 
     /// Parses the body of an answer.
-    pub fn parse<T>(&self, step: &str, body: &[u8]) -> Result<T, Error>
+    pub fn parse<T>(&self, step: &str, answer: &Answer) -> Result<T, Error>
     where
-        T: DeserializeOwned,
+        T: DeserializeOwned + Pack,
     {
-        serde_json::from_slice(body).map_err(|e| Error::Refused {
+        let parsed = serde_json::from_slice(&answer.body);
+        let mut parsed: T = parsed.map_err(|e| Error::Refused {
             step: step.to_owned(),
             peer: self.peer(),
             reason: format!("an answer that is not readable: {e}"),
-        })
+        })?;
+        parsed.pack(answer.era);
+        Ok(parsed)
     }
 
     /// The error for an answer that trying again won't change.
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -77,7 +77,7 @@
         }
         match self.platform.wait(self.kinds, self.since).await {
             Ok(it) if it.status == StatusCode::OK => {
-                let events: Events = self.platform.parse("watch", &it.body)?;
+                let events: Events = self.platform.parse("watch", &it)?;
                 Ok(Step::Events(self.take(events)))
             }
             Ok(it) if it.status == StatusCode::GONE => self.relist().await.map(Step::Events),
--- a/crates/cli/src/write.rs
+++ b/crates/cli/src/write.rs
@@ -5,7 +5,10 @@
 //! effect only once, since both attempts ask for the same version. Anything else is reported as unknown.
 
 use bytes::Bytes;
-use camphorwinch_core::object::{Kind, Object};
+use camphorwinch_core::{
+    object::{Kind, Object},
+    revision::Revision,
+};
 use http::{Method, StatusCode};
 use rand::Rng as _;
 use serde::{Deserialize, Serialize};
@@ -14,7 +17,7 @@
 use crate::{
     error::Error,
     output::pretty,
-    platform::{Answer, Failure, Lost, Platform, is_passing},
+    platform::{Answer, Failure, Lost, Pack, Platform, is_passing},
     retry::Retry,
 };
 
@@ -50,6 +53,21 @@
     revision: u64,
 }
 
+impl Pack for ConflictBody {
+    fn pack(&mut self, era: u64) {
+        self.current.iter_mut().for_each(|it| it.pack(era));
+    }
+}
+
+impl Pack for DeleteBody {
+    fn pack(&mut self, era: u64) {
+        self.revision = Revision::new(era, self.revision).packed();
+    }
+}
+
+/// Why it is not known what a write replaced.
+const RESET: &str = "the platform came back from an older copy after the version was read";
+
 /// What a search for a write found.
 enum Found {
     /// The write took effect.
@@ -91,7 +109,8 @@
     /// Writes the object and returns it as stored.
     pub async fn put(&self, platform: &Platform) -> Result<Object, Error> {
         let writer = mark();
-        let body = PutBody { version: self.version, writer: &writer, spec: &self.spec };
+        let base = Revision::unpacked(self.version);
+        let body = PutBody { version: base.number, writer: &writer, spec: &self.spec };
         let body = serde_json::to_vec(&body)
             .map_err(|e| Error::usage(format!("encode {}", self.at()), e.to_string()))?;
         let body = Bytes::from(body);
@@ -100,7 +119,11 @@
         loop {
             let answer =
                 platform.call(Method::PUT, &self.path(), body.clone(), retry.limit()).await;
-            let failure = match attempt(answer) {
+            let failure = match attempt::<Object>(answer) {
+                Attempt::Done(object) if self.is_of_former_era(object.version) => {
+                    let current = Some(&object);
+                    return Err(self.unknown(platform, "put", &writer, RESET, stored(current)));
+                }
                 Attempt::Done(object) => return Ok(object),
                 Attempt::Conflict(Some(current)) if current.writer == writer => return Ok(current),
                 Attempt::Conflict(current) if !lost => return Err(self.conflict(&writer, current)),
@@ -149,12 +172,16 @@
 
     /// Deletes the object at its version and returns the revision of the deletion, if the answer came through.
     pub async fn delete(&self, platform: &Platform) -> Result<Option<u64>, Error> {
-        let path = format!("{}?version={}", self.path(), self.version);
+        let number = Revision::unpacked(self.version).number;
+        let path = format!("{}?version={number}", self.path());
         let mut retry = platform.retry();
         let mut lost = false;
         loop {
             let answer = platform.call(Method::DELETE, &path, Bytes::new(), retry.limit()).await;
             let failure = match attempt::<DeleteBody>(answer) {
+                Attempt::Done(it) if self.is_of_former_era(it.revision) => {
+                    return Err(self.unknown(platform, "delete", "", RESET, not_read()));
+                }
                 Attempt::Done(it) => return Ok(Some(it.revision)),
                 Attempt::Refused(it) if it.status == StatusCode::NOT_FOUND && lost => {
                     return Ok(None);
@@ -188,6 +215,13 @@
         }
     }
 
+    /// Whether the platform came back from a copy between the read on which a write was based and the write: it may have
+    /// replaced another writer's object that had the same number.
+    fn is_of_former_era(&self, written: u64) -> bool {
+        let base = Revision::unpacked(self.version);
+        base.number > 0 && Revision::unpacked(written).era != base.era
+    }
+
     async fn find(
         &self,
         platform: &Platform,
@@ -267,7 +301,7 @@
 
 fn attempt<T>(answer: Result<Answer, Lost>) -> Attempt<T>
 where
-    T: for<'a> Deserialize<'a>,
+    T: for<'a> Deserialize<'a> + Pack,
 {
     let answer = match answer {
         Ok(answer) => answer,
@@ -275,11 +309,11 @@
         Err(Lost::MaybeSent(reason)) => return Attempt::Unclear(Failure::new(reason)),
     };
     match answer.status {
-        StatusCode::OK => match serde_json::from_slice(&answer.body) {
+        StatusCode::OK => match read(&answer) {
             Ok(it) => Attempt::Done(it),
             Err(e) => unreadable(&e),
         },
-        StatusCode::CONFLICT => match serde_json::from_slice::<ConflictBody>(&answer.body) {
+        StatusCode::CONFLICT => match read::<ConflictBody>(&answer) {
             Ok(it) => Attempt::Conflict(it.current),
             Err(e) => unreadable(&e),
         },
@@ -289,6 +323,15 @@
     }
 }
 
+fn read<T>(answer: &Answer) -> serde_json::Result<T>
+where
+    T: for<'a> Deserialize<'a> + Pack,
+{
+    let mut parsed: T = serde_json::from_slice(&answer.body)?;
+    parsed.pack(answer.era);
+    Ok(parsed)
+}
+
 fn unreadable<T>(error: &serde_json::Error) -> Attempt<T> {
     Attempt::Unclear(Failure::new(format!("an answer that is not readable: {error}")))
 }
--- a/crates/cli/tests/runs/fake.rs
+++ b/crates/cli/tests/runs/fake.rs
@@ -42,6 +42,8 @@
     Delete(&'static str, &'static str),
     /// The platform drops its history.
     Forget,
+    /// The platform comes back from a copy in which the objects have the numbers that they have now.
+    Reset,
     /// The last write whose connection broke before it took effect takes effect now.
     Late,
 }
@@ -49,6 +51,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     pub(crate) revision: u64,
+    pub(crate) era: u64,
     pub(crate) objects: BTreeMap<(String, String), Value>,
     pub(crate) history: Vec<Value>,
     pub(crate) oldest: u64,
@@ -79,6 +82,7 @@
             Step::Put(kind, name, spec) => drop(self.put(kind, name, "other", spec)),
             Step::Delete(kind, name) => self.delete(kind, name),
             Step::Forget => self.forget(),
+            Step::Reset => self.era += 1,
             Step::Late => {
                 let (method, path, body) = self.late.take().unwrap();
                 let path: Vec<&str> = path.split('/').collect();
@@ -237,9 +241,19 @@
     }
 }
 
+/// The answer, with the era of the platform that gave it.
 async fn answer(
     request: Request<Incoming>,
     store: Arc<Mutex<Store>>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let mut response = answer_call(request, store.clone()).await?;
+    response.headers_mut().insert("store-era", store.lock().unwrap().era.into());
+    Ok(response)
+}
+
+async fn answer_call(
+    request: Request<Incoming>,
+    store: Arc<Mutex<Store>>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
--- a/crates/cli/tests/runs/write.rs
+++ b/crates/cli/tests/runs/write.rs
@@ -182,3 +182,29 @@
     assert_eq!(fake.run(&["undrain", "--zone", "rvk-a"]).code, 4);
     assert_eq!(fake.run(&["drain", "--zone", "a", "--vm", "b"]).code, 2);
 }
+
+// A write replaced another operator's object unnoticed: between the read on which it was based and the write the platform had come
+// back from an older copy, and the object there had the same number.
+#[test]
+fn a_write_over_a_reset_of_the_platform_is_reported() {
+    let fake = Fake::new();
+    fake.put("service", "ledger", service("127.0.9.1:4433", "theirs"));
+    fake.store.lock().unwrap().faults.push_back(Fault::Race(vec![Step::Reset]));
+    let run = fake.apply(&ledger("mine"));
+    assert_ne!(run.code, 0, "{run:?}");
+    assert!(run.err.contains("came back from an older copy"), "{run:?}");
+}
+
+#[test]
+fn versions_go_on_growing_over_a_reset_of_the_platform() {
+    let fake = Fake::new();
+    let before = fake.apply(&ledger("a")).json()[0]["version"].as_u64().unwrap();
+    fake.store.lock().unwrap().era = 1;
+    let after = fake.apply(&ledger("b")).json()[0]["version"].as_u64().unwrap();
+    assert!(after > before, "{after}");
+    let mut object = ledger("c");
+    object["version"] = json!(before);
+    assert_eq!(fake.apply(&object).code, 3, "a version of before is a conflict");
+    object["version"] = json!(after);
+    assert_eq!(fake.apply(&object).code, 0);
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -37,6 +37,8 @@
     since_ms: Option<u64>,
     term: Term,
     former: VecDeque<Term>,
+    /// When it was seen that the platform had come back from a copy.
+    reset_ms: Option<u64>,
 }
 
 impl Slot {
@@ -116,6 +118,15 @@
         intact
     }
 
+    /// The platform came back from a copy, which may lack the last writes of leases. Whoever holds one by such a write counts on
+    /// it for [`HOLD_MS`] more, so none is free before [`EXPIRE_MS`] passed; and former holders may stand there again.
+    pub fn reset(&mut self, now_ms: u64) {
+        for slot in &mut self.slots {
+            slot.former.clear();
+            slot.reset_ms = Some(now_ms);
+        }
+    }
+
     /// Whether a lease may be taken now; `None` if a lease is held or none is free.
     pub fn take(&self, now_ms: u64, wall_ms: u64) -> Option<Attempt> {
         if self.holds(now_ms).is_some() {
@@ -130,6 +141,9 @@
         let Some(since) = slot.since_ms else {
             return false;
         };
+        if slot.reset_ms.is_some_and(|it| now_ms.saturating_sub(it) < EXPIRE_MS) {
+            return false;
+        }
         let own = self.held.as_ref().is_some_and(|it| it.number == number);
         own || slot.term.holder.is_empty() || now_ms.saturating_sub(since) >= EXPIRE_MS
     }
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -81,7 +81,7 @@
     pub kind: String,
     /// Name, unique within the kind.
     pub name: String,
-    /// The platform's revision at the last write; 0 before the first.
+    /// The platform's revision at the last write, with its era ([`crate::revision::Revision::packed`]); 0 before the first.
     #[serde(default)]
     pub version: u64,
     /// Mark of the last writer.
--- a/crates/core/src/opaque/zone.rs
+++ b/crates/core/src/opaque/zone.rs
@@ -7,10 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::PoolId;
-use crate::revision::Revision;
-
-/// Time for which a zone stays out of service though the store, which came back from a copy, has no entry of it.
-const LOST_MS: u64 = 10_000;
+use crate::revision::{Revision, WRITTEN_AGAIN_MS};
 
 /// An availability zone, by a hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -142,7 +139,8 @@
                 return ZoneNews::Old;
             }
             if news.revision.era > known.revision.era {
-                let lost = |it: &String| Lost { name: it.clone(), until_ms: now_ms + LOST_MS };
+                let lost =
+                    |it: &String| Lost { name: it.clone(), until_ms: now_ms + WRITTEN_AGAIN_MS };
                 self.lost.extend(known.names.iter().map(|(&zone, it)| (zone, lost(it))));
             }
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -15,6 +15,7 @@
 use crate::{
     object::{Kind, Object},
     record::{Deletion, Key, Mark, Member, Record, Role, Version},
+    revision::Revision,
 };
 
 /// Groups into which records are divided for comparison.
@@ -183,10 +184,35 @@
     /// An object that is held at or below `revision` but is not in the list was deleted. The list goes before anything
     /// that was concluded from peers: an object in it is held, even one that was believed deleted.
     pub fn take_list(&mut self, kind: Kind, objects: &[Object], revision: u64) -> Vec<Record> {
+        let mut changed = self.take_newer(kind, objects);
+        let listed: BTreeSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
+        for ((it, name), slot) in &mut self.objects {
+            let held = matches!(slot, Slot::Present(object) if object.version <= revision);
+            if *it != kind || !held || listed.contains(name.as_str()) {
+                continue;
+            }
+            *slot = Slot::Deleted(revision);
+            changed.push(Record::Deleted { kind, name: name.clone(), revision });
+        }
+        changed
+    }
+
+    /// Takes in a list of a platform that may have just come back from a copy; returns what changed. Its objects count as of the
+    /// former era: one that the copy holds in an older state does not replace the newer one, and one that it lacks stays. Their
+    /// writers write them again; after that whole lists count.
+    pub fn take_copy(&mut self, kind: Kind, objects: &[Object], former_era: u64) -> Vec<Record> {
+        let of_before = |it: &Object| {
+            let number = Revision::unpacked(it.version).number;
+            Object { version: Revision::new(former_era, number).packed(), ..it.clone() }
+        };
+        let objects: Vec<Object> = objects.iter().map(of_before).collect();
+        self.take_newer(kind, &objects)
+    }
+
+    /// Takes in the objects that are newer than what is held; returns them.
+    fn take_newer(&mut self, kind: Kind, objects: &[Object]) -> Vec<Record> {
         let mut changed = Vec::new();
-        let mut listed = BTreeSet::new();
         for object in objects {
-            listed.insert(object.name.as_str());
             let key = (kind, object.name.clone());
             let old = self.objects.get(&key).map_or(0, Slot::revision);
             if old >= object.version {
@@ -195,14 +221,6 @@
             self.objects.insert(key, Slot::Present(object.clone()));
             changed.push(Record::Object { kind, object: object.clone() });
         }
-        for ((it, name), slot) in &mut self.objects {
-            let held = matches!(slot, Slot::Present(object) if object.version <= revision);
-            if *it != kind || !held || listed.contains(name.as_str()) {
-                continue;
-            }
-            *slot = Slot::Deleted(revision);
-            changed.push(Record::Deleted { kind, name: name.clone(), revision });
-        }
         changed
     }
 
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -1,6 +1,9 @@
 //! Keepers against a platform that delays, loses answers and lets its callers pause.
 
-use camphorwinch_core::lease::{Attempt, EXPIRE_MS, Keeper, LEASES, Term};
+use camphorwinch_core::{
+    lease::{Attempt, EXPIRE_MS, Keeper, LEASES, Term},
+    revision::Revision,
+};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 const KEEPERS: usize = 3;
@@ -259,3 +262,23 @@
     held(&mut keeper, 4, 0, 8);
     assert!(keeper.release(5).is_some_and(|it| it.term.holder.is_empty()));
 }
+
+// The platform came back from a copy made before the lease was taken. Its holder goes on for what it counts on.
+#[test]
+fn a_lease_is_not_free_at_once_when_the_platform_came_back_from_a_copy() {
+    let mut keeper = Keeper::new("b0");
+    let holder = Term { holder: "b1".to_owned(), taken_ms: 1 };
+    let other = Term { holder: "b2".to_owned(), taken_ms: 2 };
+    let at = |era, number| Revision::new(era, number).packed();
+    keeper.observe(0, 0, at(0, 25), holder.clone());
+    keeper.observe(0, 1, at(0, 26), other.clone());
+    keeper.reset(1_000);
+    keeper.observe(1_000, 0, 0, Term::default());
+    keeper.observe(1_000, 1, at(1, 20), other.clone());
+    assert!(keeper.take(1_000 + EXPIRE_MS - 1, 0).is_none());
+    assert_eq!(keeper.take(1_000 + EXPIRE_MS, 0).map(|it| it.number), Some(0));
+    // A holder of before that stands there again wrote nothing late.
+    assert!(keeper.observe(2_000, 0, at(1, 22), other));
+    keeper.reset(3_000);
+    assert!(keeper.observe(3_000, 0, at(2, 21), holder));
+}
--- a/crates/core/tests/view.rs
+++ b/crates/core/tests/view.rs
@@ -8,6 +8,7 @@
     member::{Agent, AgentState, Balancer, BalancerState, Place},
     object::{Kind, Object},
     record::{Key, Member, Record, Role, Version},
+    revision::Revision,
     view::{Adoption, FORGET_MS, Scope, View},
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -367,3 +368,61 @@
     assert_eq!(snapshot.services.values().next().map(|it| it.version), Some(1));
     assert!(assembler.snapshot(&view).1.is_empty(), "a fault is reported once");
 }
+
+fn object_at(era: u64, number: u64, name: &str) -> Object {
+    Object {
+        kind: Kind::Change.as_str().to_owned(),
+        name: name.to_owned(),
+        version: Revision::new(era, number).packed(),
+        writer: String::new(),
+        spec: json!({ "action": "drain", "target": { "vm": format!("vm-{number}") } }),
+    }
+}
+
+// Processes held a confirmed change for past, as the platform had come back from an older copy, and would have gone back to what
+// the copy held had they taken its word at once.
+#[test]
+fn what_a_copy_holds_or_lacks_does_not_undo_what_was_confirmed() {
+    let mut view = View::new();
+    let at = |era, number| Revision::new(era, number).packed();
+    let known = [object_at(0, 25, "changed"), object_at(0, 26, "lost"), object_at(0, 20, "same")];
+    view.take_list(Kind::Change, &known, at(0, 26));
+    view.confirm(at(0, 26));
+    let copy = [object_at(1, 18, "changed"), object_at(1, 20, "same")];
+    assert!(view.take_copy(Kind::Change, &copy, 0).is_empty());
+    view.advance(at(1, 21));
+    let kept = [("changed", at(0, 25)), ("lost", at(0, 26)), ("same", at(0, 20))];
+    assert_eq!(versions(&view), kept.map(|(name, it)| (name.to_owned(), it)).into());
+    assert_eq!(view.floor(), at(0, 26), "nothing counts as deleted");
+    // A change after the reset is in force though its number is below the one that is known.
+    let news = Record::Object { kind: Kind::Change, object: object_at(1, 22, "changed") };
+    assert!(view.merge(&news, 0));
+    // Whole lists count once writers had time to write again.
+    let list = [object_at(1, 22, "changed"), object_at(1, 20, "same")];
+    view.take_list(Kind::Change, &list, at(1, 23));
+    assert_eq!(
+        versions(&view),
+        [("changed".to_owned(), at(1, 22)), ("same".to_owned(), at(1, 20))].into()
+    );
+}
+
+// A process that starts after the reset knows nothing but the copy. Its peers know more.
+#[test]
+fn a_view_that_knows_only_the_copy_does_not_undo_what_its_peers_know() {
+    let at = |era, number| Revision::new(era, number).packed();
+    let (mut old, mut new) = (View::new(), View::new());
+    old.take_list(
+        Kind::Change,
+        &[object_at(0, 25, "changed"), object_at(0, 26, "lost")],
+        at(0, 26),
+    );
+    old.confirm(at(0, 26));
+    new.take_copy(Kind::Change, &[object_at(1, 18, "changed")], 0);
+    new.advance(at(1, 21));
+    for _ in 0..2 {
+        compare(&mut new, &mut old, false);
+        compare(&mut old, &mut new, false);
+    }
+    let known = BTreeMap::from([("changed".to_owned(), at(0, 25)), ("lost".to_owned(), at(0, 26))]);
+    assert_eq!((versions(&old), versions(&new)), (known.clone(), known));
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -72,6 +72,7 @@
     206 SeedLost "seed-lost" Warn "the process lost its seed lease";
     207 WriteSettled "write-settled" Info "a write whose answer was lost was settled by reading it back";
     208 ZoneInForce "zone-in-force" Info "a revision of the configuration is in force in every process of the zone";
+    209 PlatformReset "platform-reset" Warn "the object API came back from an older copy: what it had confirmed since is lost";
     301 LinkUp "link-up" Info "a link to another process is up";
     302 LinkDown "link-down" Info "a link to another process is down";
     303 LinkRefused "link-refused" Warn "another process was refused: not authenticated, or a faulty frame";
--- a/crates/daemon/src/lease.rs
+++ b/crates/daemon/src/lease.rs
@@ -63,6 +63,8 @@
     timeline: Option<TimelineWriter>,
     whole: Option<WholeWriter>,
     written: Option<Report>,
+    /// Era of the platform that is known.
+    era: Option<u64>,
 }
 
 impl Holder {
@@ -79,10 +81,21 @@
             timeline: None,
             whole: None,
             written: None,
+            era: None,
+        }
+    }
+
+    /// Takes in that the platform came back from a copy.
+    fn note_reset(&mut self) {
+        let era = self.inner.platform.era();
+        let known = std::mem::replace(&mut self.era, era);
+        if known.is_some() && known < era {
+            self.keeper.reset(now_ms());
         }
     }
 
     async fn step(&mut self) {
+        self.note_reset();
         match self.keeper.renew(now_ms()) {
             Some(attempt) => self.renew(attempt).await,
             None => self.look().await,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,8 +6,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use camphorwinch_core::object::{Kind, Object};
-use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use camphorwinch_core::{
+    object::{Kind, Object},
+    revision::{ERA_HEADER, Revision, parse_era},
+};
+use http::{HeaderValue, Method, Request, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -17,7 +20,10 @@
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use thiserror::Error;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{
     event::{self, About, Id},
@@ -45,7 +51,7 @@
     /// No answer, or one that says so: the outcome of a write is not known.
     #[error("{step} at the platform {peer}: {reason}")]
     Unavailable { step: String, peer: SocketAddr, reason: String },
-    /// The platform no longer keeps the events that were asked for.
+    /// The platform no longer keeps the events that were asked for, or has come back from an older copy.
     #[error("{step} at the platform {peer}: the revision is too old")]
     TooOld { step: String, peer: SocketAddr },
     /// The platform refused the call.
@@ -115,14 +121,22 @@
 
 struct Answer {
     status: StatusCode,
+    /// Era of the platform in which it answered.
+    era: u64,
     body: Bytes,
 }
 
+/// Versions in an answer are numbers of its era; packed with it they are ordered over all eras.
+fn pack(version: &mut u64, era: u64) {
+    *version = Revision::new(era, *version).packed();
+}
+
 /// The client.
 #[derive(Clone)]
 pub(crate) struct Platform {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
+    era: watch::Sender<Option<u64>>,
 }
 
 impl Platform {
@@ -133,7 +147,12 @@
         connector.set_connect_timeout(Some(CALL_TIMEOUT));
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new()).pool_idle_timeout(Duration::from_secs(10));
-        Platform { client: builder.build(connector), address }
+        Platform { client: builder.build(connector), address, era: watch::Sender::new(None) }
+    }
+
+    /// The highest era that an answer told; none before the first.
+    pub(crate) fn era(&self) -> Option<u64> {
+        *self.era.borrow()
     }
 
     /// Lists a kind.
@@ -141,8 +160,12 @@
         let step = format!("list {kind}");
         let path = format!("/v1/objects/{kind}");
         let answer = self.call(&step, Method::GET, &path, None, LIST_TIMEOUT).await?;
-        let bytes = answer.body.len();
-        let list: List = self.parse(&step, answer)?;
+        let (bytes, era) = (answer.body.len(), answer.era);
+        let mut list: List = self.parse(&step, answer)?;
+        pack(&mut list.revision, era);
+        for object in &mut list.items {
+            pack(&mut object.version, era);
+        }
         Ok(List { bytes, ..list })
     }
 
@@ -158,21 +181,29 @@
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        self.parse(&step, answer).map(Some)
+        self.parse_object(&step, answer).map(Some)
     }
 
     /// Waits for events of the configuration's kinds after `since`.
     pub(crate) async fn watch(&self, since: u64, wait: Duration) -> Result<Watched, PlatformError> {
+        let since = Revision::unpacked(since);
         let step = format!("{WATCH} since {since}");
-        let mut path = format!("/v1/watch?since={since}&wait={}", wait.as_secs());
+        let mut path = format!("/v1/watch?since={}&wait={}", since.number, wait.as_secs());
         for kind in Kind::CONFIG {
             path.push_str(&format!("&kind={kind}"));
         }
         let answer = self.call(&step, Method::GET, &path, None, wait + CALL_TIMEOUT).await?;
-        if answer.status == StatusCode::GONE {
+        let era = answer.era;
+        // In another era the same number stands for another state, after which other events come.
+        if answer.status == StatusCode::GONE || era != since.era {
             return Err(PlatformError::TooOld { step, peer: self.address });
         }
-        self.parse(&step, answer)
+        let mut watched: Watched = self.parse(&step, answer)?;
+        pack(&mut watched.revision, era);
+        for event in &mut watched.events {
+            pack(&mut event.object.version, era);
+        }
+        Ok(watched)
     }
 
     /// Writes an object if its version is still `base`; 0 creates it.
@@ -185,8 +216,13 @@
     ) -> Result<Put, PlatformError> {
         let step = format!("put {kind}/{name}");
         let path = format!("/v1/objects/{kind}/{name}");
+        let base = Revision::unpacked(base);
+        if base.number > 0 && Some(base.era) < self.era() {
+            // The platform may have given the same number to another writer's object.
+            return Ok(Put::Conflict(self.get(kind, name).await?));
+        }
         let mark = format!("{:032x}", rand::rng().random::<u128>());
-        let body = json!({ "version": base, "writer": mark, "spec": spec }).to_string();
+        let body = json!({ "version": base.number, "writer": mark, "spec": spec }).to_string();
         let body = Bytes::from(body);
         let deadline = Instant::now() + PUT_TIMEOUT;
         let mut wait = RETRY_MIN;
@@ -194,6 +230,10 @@
         loop {
             let call = self.call(&step, Method::PUT, &path, Some(body.clone()), CALL_TIMEOUT);
             match call.await {
+                Ok(answer) if base.number > 0 && answer.era != base.era => {
+                    let reason = "the platform was reset meanwhile".to_owned();
+                    return Err(self.unavailable(&step, reason));
+                }
                 Ok(answer) => return self.settle(&step, answer, &mark, lost),
                 Err(e) if Instant::now() + wait > deadline => return Err(e),
                 Err(_) => lost = true,
@@ -211,9 +251,12 @@
         lost: bool,
     ) -> Result<Put, PlatformError> {
         if answer.status != StatusCode::CONFLICT {
-            return self.parse(step, answer).map(Put::Done);
+            return self.parse_object(step, answer).map(Put::Done);
+        }
+        let mut fault: Fault = self.decode(step, &answer.body)?;
+        if let Some(current) = &mut fault.current {
+            pack(&mut current.version, answer.era);
         }
-        let fault: Fault = self.decode(step, &answer.body)?;
         let own = fault.current.as_ref().is_some_and(|it| it.writer == mark);
         match fault.current {
             Some(current) if own && lost => {
@@ -264,9 +307,36 @@
             .map_err(|e| e.to_string())?;
         let response = self.client.request(request).await.map_err(|e| chain(&e))?;
         let status = response.status();
+        let era = response.headers().get(ERA_HEADER).map(HeaderValue::as_bytes);
+        let era = parse_era(ERA_HEADER, era).map_err(|e| e.to_string())?;
+        self.note_era(era);
         let body = Limited::new(response.into_body(), MAX_ANSWER);
         let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
-        Ok(Answer { status, body })
+        Ok(Answer { status, era, body })
+    }
+
+    /// Notes the era of an answer. An answer of a former era may come after one of a later era.
+    fn note_era(&self, era: u64) {
+        let mut before = None;
+        self.era.send_if_modified(|known| {
+            before = *known;
+            let rose = *known < Some(era);
+            if rose {
+                *known = Some(era);
+            }
+            rose
+        });
+        if let Some(before) = before.filter(|it| *it < era) {
+            let text = format!("the platform came back from a copy: era {before} to {era}");
+            event::emit(Id::PlatformReset, About::new(), &text);
+        }
+    }
+
+    fn parse_object(&self, step: &str, answer: Answer) -> Result<Object, PlatformError> {
+        let era = answer.era;
+        let mut object: Object = self.parse(step, answer)?;
+        pack(&mut object.version, era);
+        Ok(object)
     }
 
     fn parse<T>(&self, step: &str, answer: Answer) -> Result<T, PlatformError>
--- a/crates/daemon/src/seed.rs
+++ b/crates/daemon/src/seed.rs
@@ -2,14 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use camphorwinch_core::{object::Kind, record::Record};
+use camphorwinch_core::{
+    object::Kind,
+    record::Record,
+    revision::{Revision, WRITTEN_AGAIN_MS},
+};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock::now_ms,
     control::Inner,
-    platform::{Happened, PlatformError, WatchEvent},
+    platform::{Happened, List, PlatformError, WatchEvent},
 };
 
 /// Longest wait of one watch.
@@ -33,10 +37,36 @@
     }
 }
 
+/// The era of the platform in which the first list came, and when.
+#[derive(Clone, Copy, Debug, Default)]
+struct Era {
+    number: u64,
+    since_ms: u64,
+}
+
+impl Era {
+    /// Takes in the era of a list.
+    fn observe(&mut self, number: u64) {
+        if number > self.number {
+            *self = Era { number, since_ms: now_ms() };
+        }
+    }
+
+    /// Time for which lists may lack what their writers have yet to write again: the platform may just have come back from a copy.
+    /// In the first era it has not.
+    fn unsettled_ms(&self) -> u64 {
+        if self.number == 0 {
+            return 0;
+        }
+        (self.since_ms + WRITTEN_AGAIN_MS).saturating_sub(now_ms())
+    }
+}
+
 async fn follow(inner: &Inner) {
     let mut wait = RETRY_MIN;
+    let mut era = Era::default();
     loop {
-        match round(inner).await {
+        match round(inner, &mut era).await {
             Ok(()) => wait = RETRY_MIN,
             Err(e) => {
                 inner.platform_lost(&e);
@@ -48,10 +78,11 @@
 }
 
 /// One list, and the watches after it until the next list is due.
-async fn round(inner: &Inner) -> Result<(), PlatformError> {
-    let (mut since, bytes) = list(inner).await?;
+async fn round(inner: &Inner, era: &mut Era) -> Result<(), PlatformError> {
+    let (mut since, bytes) = list(inner, era).await?;
     inner.platform_back();
-    let until = now_ms() + (bytes as u64 * 1_000 / LIST_RATE).clamp(LIST_MIN_MS, LIST_MAX_MS);
+    let pause = (bytes as u64 * 1_000 / LIST_RATE).clamp(LIST_MIN_MS, LIST_MAX_MS);
+    let until = now_ms() + if era.unsettled_ms() > 0 { LIST_MIN_MS } else { pause };
     loop {
         let left = until.saturating_sub(now_ms()) / 1_000;
         if left == 0 {
@@ -68,13 +99,18 @@
     }
 }
 
-async fn list(inner: &Inner) -> Result<(u64, usize), PlatformError> {
-    let mut lists = Vec::new();
-    for kind in Kind::CONFIG {
-        lists.push((kind, inner.platform.list(kind).await?));
+async fn list(inner: &Inner, era: &mut Era) -> Result<(u64, usize), PlatformError> {
+    let mut lists = list_all(inner).await?;
+    while !are_of_one_era(&lists) {
+        lists = list_all(inner).await?;
     }
     let revision = lists.iter().map(|(_, it)| it.revision).min().unwrap_or(0);
     let bytes = lists.iter().map(|(_, it)| it.bytes).sum();
+    era.observe(Revision::unpacked(revision).era);
+    if era.unsettled_ms() > 0 {
+        take_copy(inner, &lists, revision);
+        return Ok((revision, bytes));
+    }
     let mut state = inner.state.lock();
     let mut changed = Vec::new();
     for (kind, list) in &lists {
@@ -96,6 +132,39 @@
     Ok((revision, bytes))
 }
 
+async fn list_all(inner: &Inner) -> Result<Vec<(Kind, List)>, PlatformError> {
+    let mut lists = Vec::new();
+    for kind in Kind::CONFIG {
+        lists.push((kind, inner.platform.list(kind).await?));
+    }
+    Ok(lists)
+}
+
+/// Whether the platform did not come back from a copy between the lists: they would not belong together.
+fn are_of_one_era(lists: &[(Kind, List)]) -> bool {
+    let mut eras = lists.iter().map(|(_, it)| Revision::unpacked(it.revision).era);
+    let first = eras.next();
+    eras.all(|it| Some(it) == first)
+}
+
+/// Takes in lists of a platform that may have just come back from a copy.
+fn take_copy(inner: &Inner, lists: &[(Kind, List)], revision: u64) {
+    let mut state = inner.state.lock();
+    let known = Revision::unpacked(state.view.revision()).era;
+    let former = Revision::unpacked(revision).era.saturating_sub(1);
+    let former = if state.view.synced() { former.min(known) } else { former };
+    let mut changed = Vec::new();
+    for (kind, list) in lists {
+        changed.extend(state.view.take_copy(*kind, &list.items, former));
+    }
+    let news = state.view.advance(revision);
+    if news || !changed.is_empty() {
+        state.flood(&changed, None);
+        drop(state);
+        inner.changed();
+    }
+}
+
 fn take_events(inner: &Inner, events: &[WatchEvent]) {
     let mut records = Vec::new();
     let mut newest = 0;
