Zones whose entries the store lost can be learnt from a peer

Cause (read in the account of the reset): a balancer that starts in the seconds until the operator has written a lost entry again knew nothing of its zone, as the store's list lacks it, and placed flows there. Peers hold such zones for 10 s. Ruled out: telling it in greetings to everyone (balancers would keep it alive among themselves for ever). Now a peer's word counts for 10 s from the first news that a process has. Test, red without: a_balancer_that_starts_after_the_store_ lost_an_entry_learns_of_it_from_a_peer.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -146,6 +146,11 @@
         self.fleet.put_zones(news, now_ms)
     }
 
+    /// Takes a peer's word on zones whose entries the store lost; whether it changes anything.
+    pub fn learn_lost_zones(&mut self, names: Vec<String>, now_ms: u64) -> bool {
+        self.fleet.learn_lost_zones(names, now_ms)
+    }
+
     /// Takes back zones whose lost entries were not written again in time; whether there were some.
     pub fn release_zones(&mut self, now_ms: u64) -> bool {
         self.fleet.release_zones(now_ms)
--- a/crates/core/src/opaque/fleet/zones.rs
+++ b/crates/core/src/opaque/fleet/zones.rs
@@ -52,6 +52,16 @@
         self.zones.names()
     }
 
+    /// Names of the zones whose entries the store lost, as far as the operator has not written them again.
+    pub fn lost_zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.lost()
+    }
+
+    /// Takes a peer's word on such zones; whether it changes anything.
+    pub fn learn_lost_zones(&mut self, names: Vec<String>, now_ms: u64) -> bool {
+        self.zones.learn_lost(names, now_ms)
+    }
+
     /// Takes back zones whose lost entries were not written again in time; whether there were some.
     pub fn release_zones(&mut self, now_ms: u64) -> bool {
         self.zones.release(now_ms)
--- a/crates/core/src/opaque/zone.rs
+++ b/crates/core/src/opaque/zone.rs
@@ -107,18 +107,21 @@
 pub(super) struct ZoneTable {
     known: Option<ZonesOut>,
     lost: BTreeMap<ZoneId, Lost>,
+    /// When the first news came: what peers say of lost entries counts for the time of one reset from then on, so that they can't
+    /// tell one another of it for ever.
+    first_ms: Option<u64>,
 }
 
 impl Default for ZoneTable {
     fn default() -> ZoneTable {
-        ZoneTable { known: Some(ZonesOut::default()), lost: BTreeMap::new() }
+        ZoneTable { known: Some(ZonesOut::default()), lost: BTreeMap::new(), first_ms: None }
     }
 }
 
 impl ZoneTable {
     /// A table that knows nothing yet.
     pub(super) fn unknown() -> ZoneTable {
-        ZoneTable { known: None, lost: BTreeMap::new() }
+        ZoneTable { known: None, ..ZoneTable::default() }
     }
 
     pub(super) fn known(&self) -> Option<&ZonesOut> {
@@ -131,7 +134,30 @@
         self.known.iter().flat_map(ZonesOut::names).chain(lost).collect()
     }
 
+    /// Names of the zones whose entries the store lost.
+    pub(super) fn lost(&self) -> impl Iterator<Item = &str> {
+        self.lost.values().map(|it| it.name.as_str())
+    }
+
+    /// Takes a peer's word on entries that the store lost before this process knew it; whether it changes anything.
+    pub(super) fn learn_lost(&mut self, names: Vec<String>, now_ms: u64) -> bool {
+        let until_ms = *self.first_ms.get_or_insert(now_ms) + WRITTEN_AGAIN_MS;
+        if now_ms >= until_ms {
+            return false;
+        }
+        let before = self.lost.len();
+        for name in names {
+            let zone = ZoneId::of(&name);
+            if self.known.as_ref().is_some_and(|it| it.contains(zone)) {
+                continue;
+            }
+            self.lost.entry(zone).or_insert(Lost { name, until_ms });
+        }
+        self.lost.len() > before
+    }
+
     pub(super) fn put(&mut self, news: ZonesOut, now_ms: u64) -> ZoneNews {
+        self.first_ms.get_or_insert(now_ms);
         let before = self.zones();
         if let Some(known) = &self.known {
             let is_same = news.revision == known.revision && news.names == known.names;
--- a/crates/core/tests/opaque/zones.rs
+++ b/crates/core/tests/opaque/zones.rs
@@ -185,6 +185,27 @@
     assert!(!it.release_zones(12_000));
 }
 
+// Read in the account of the reset of the store: a balancer that started before the operator had written a lost entry again knew nothing
+// of it, as the store's list has no such zone, and placed flows there. Proof: it takes a peer's word, for as long as peers hold it.
+#[test]
+fn a_balancer_that_starts_after_the_store_lost_an_entry_learns_of_it_from_a_peer() {
+    let mut peer = balancer();
+    peer.put_zones(out_in(1, 25, &["north"]), 0);
+    peer.put_zones(out_in(2, 21, &[]), 1_000);
+    let lost: Vec<String> = peer.fleet().lost_zones().map(str::to_owned).collect();
+    assert_eq!(lost, ["north"]);
+    let mut it = balancer();
+    it.put_zones(out_in(2, 21, &[]), 2_000);
+    assert!(it.learn_lost_zones(lost.clone(), 2_100));
+    hear(&mut it, 2_100);
+    assert_eq!(zones_of_new_flows(&mut it, 2_100), BTreeSet::from(["south", "east"]));
+    assert!(it.release_zones(12_000));
+    // Balancers must not go on telling one another.
+    assert!(!it.learn_lost_zones(lost, 12_001));
+    hear(&mut it, 12_001);
+    assert_eq!(zones_of_new_flows(&mut it, 12_001), BTreeSet::from(NAMES));
+}
+
 /// What is in force is what the highest revision said, in whatever order and however often the news come.
 fn agrees_with_newest(news: &[(u8, u8)]) -> bool {
     // One set for each revision, as the store has it.
