--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod flow;
 pub mod hold;
+pub mod listing;
 pub mod load;
 pub mod presence;
 pub mod route;
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -4,6 +4,7 @@
 mod agent;
 mod balancer;
 mod fleet;
+mod listing;
 mod lives;
 mod load;
 mod placing;
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -24,7 +24,7 @@
 use crate::{
     clock::now_ms,
     codec::Codec,
-    discovery::{self, Found},
+    discovery::{self, Found, Join, Start},
     event::Id,
     member::Peers,
     metrics,
@@ -67,6 +67,8 @@
     pub caller_port: u16,
     /// Pause between two heartbeats of the upstream.
     pub heartbeat: Duration,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Balancers to ask while the store is of no use; they may change.
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
 }
@@ -119,7 +121,21 @@
     let learning = is_listening(settings.upstream).await;
     let (serves, serving) = watch::channel(learning);
     tokio::spawn(discovery::observe_resets(store.era()));
-    tokio::spawn(discovery::join(store.clone(), own.clone(), serving, seeds, again, found));
+    let greeted = watch::Sender::<BTreeSet<SocketAddrV4>>::default();
+    let join = Join {
+        store: store.clone(),
+        own: own.clone(),
+        serves: serving,
+        first_start: settings.first_start,
+        seeds,
+        greeted: greeted.subscribe(),
+        again,
+        lists: Arc::default(),
+        // It follows nothing in the store.
+        start: watch::Sender::new(Start::Alone),
+        out: found,
+    };
+    tokio::spawn(join.run());
     let id = Id::UpstreamLookedFor;
     tracing::info!(id = id as u16, name = id.name(), peer = %settings.upstream, found = learning);
     let now = now_ms();
@@ -138,6 +154,7 @@
         peers,
         copy,
         balancers: BTreeSet::new(),
+        greeted,
         list_again,
         serves,
         effects: Vec::new(),
@@ -183,6 +200,8 @@
     peers: Peers,
     copy: Copy,
     balancers: BTreeSet<SocketAddrV4>,
+    /// Some of those that have greeted this process, which can tell it the others.
+    greeted: watch::Sender<BTreeSet<SocketAddrV4>>,
     list_again: Arc<Notify>,
     /// Whether the process belongs on the list of members. An agent that never had an upstream does not: it holds nothing,
     /// and if it is lost (a VM on its way out that was powered on once more), a fleet that starts anew would wait for it
--- a/crates/opaque/src/agent/copy.rs
+++ b/crates/opaque/src/agent/copy.rs
@@ -10,18 +10,18 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use camphorwinch_core::opaque::route::Stamp;
-use camphorwinch_wire::opaque::{Greeting, Snapshot, ZonesEntry};
-use tokio::{
-    sync::watch,
-    time::{Instant, timeout},
-};
+use camphorwinch_wire::opaque::{Greeting, Question, Snapshot, ZonesEntry};
+use tokio::{sync::watch, time::Instant};
 
-use crate::{event::Id, snapshot};
+use crate::{
+    event::Id,
+    snapshot::{self, ASK_TIMEOUT},
+};
 
 /// Age from which a copy of the newest revision is fetched again, as members come and go: with 160 kB and 8 copies at the size
 /// designed for 43 kB a second in all, 5 from each of the eight balancers that watch the store.
 const RENEW: Duration = Duration::from_secs(30);
-/// Pause between two attempts: an attempt takes 600 ms at the most.
+/// Pause between two attempts, above the time that one may take.
 const ATTEMPT: Duration = Duration::from_millis(700);
 
 /// The copy, as it is served to balancers.
@@ -34,7 +34,7 @@
     /// Serves the copy at the agent's address from now on.
     pub(super) fn serve(address: SocketAddrV4) -> anyhow::Result<Copy> {
         let (newest, snapshots) = watch::channel(Arc::default());
-        snapshot::serve(address, snapshots)?;
+        snapshot::serve(address, snapshots, None)?;
         Ok(Copy { newest, fetched: None })
     }
 
@@ -75,17 +75,13 @@
 
 async fn fetch(from: SocketAddrV4, newest: watch::Sender<Arc<Snapshot>>) {
     let id = Id::CopyKept;
-    let snapshot = match timeout(ATTEMPT, snapshot::ask(from)).await {
-        Ok(Ok(it)) => it,
-        Ok(Err(e)) => {
+    let snapshot = match snapshot::ask(from, &Question::all(), ASK_TIMEOUT).await {
+        Ok(it) => it,
+        Err(e) => {
             let error = format!("{e:#}");
             tracing::warn!(id = id as u16, name = id.name(), peer = %from, error);
             return;
         }
-        Err(_) => {
-            tracing::warn!(id = id as u16, name = id.name(), peer = %from, error = "no answer");
-            return;
-        }
     };
     let (era, revision, version) = (snapshot.era, snapshot.revision, snapshot.version);
     let members = snapshot.members.len();
--- a/crates/opaque/src/agent/copy/tests.rs
+++ b/crates/opaque/src/agent/copy/tests.rs
@@ -30,7 +30,7 @@
     let snapshot = Snapshot::new(Some(&routes), &members).with_zones(Some(&out));
     let at = free().await;
     let (keep, newest) = watch::channel(Arc::new(snapshot));
-    snapshot::serve(at, newest).expect("serve");
+    snapshot::serve(at, newest, None).expect("serve");
     // It serves for as long as the test runs.
     std::mem::forget(keep);
     (
@@ -59,7 +59,7 @@
     copy.take_greeting(at, &greeting);
     fetched().await;
     assert_eq!(copy.config().map(|it| it.version), Some(5));
-    let told = snapshot::ask(own).await.expect("the copy");
+    let told = snapshot::ask(own, &Question::all(), ASK_TIMEOUT).await.expect("the copy");
     assert_eq!((told.revision, told.members.len(), told.zones), (5, 1, Some(zones(7, "a"))));
 }
 
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -20,6 +20,9 @@
     store::Members,
 };
 
+/// Balancers that are remembered as those who greeted this process.
+const GREETED_KEPT: usize = 16;
+
 impl<C> Process<C>
 where
     C: Codec,
@@ -105,8 +108,10 @@
         self.copy.take_greeting(from, &greeting);
         if greeting.leaving {
             self.balancers.remove(&from);
+            self.greeted.send_if_modified(|it| it.remove(&from));
         } else {
             self.balancers.insert(from);
+            self.greeted.send_if_modified(|it| it.len() < GREETED_KEPT && it.insert(from));
             self.report_to(from, now);
         }
         self.pace();
@@ -114,12 +119,16 @@
 
     pub(super) fn take_found(&mut self, found: Found) {
         let members = match found {
-            Found::Members(Members { records, .. }) => {
+            Found::Members(Members { records, .. }, _) => {
                 self.balancers.clear();
-                records.iter().map(|it| it.member.listed()).collect()
+                records.iter().map(|it| it.listed).collect()
             }
             Found::PeerMembers(members) => members,
-            Found::Routes(_) | Found::News(_) | Found::Zones(_) | Found::ZoneNews(_) => return,
+            Found::Routes(_)
+            | Found::News(_)
+            | Found::Zones(_)
+            | Found::LostZones(_)
+            | Found::ZoneNews(_) => return,
         };
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -31,8 +31,9 @@
 use crate::{
     clock::now_ms,
     codec::Codec,
-    discovery::{self, Duty, Found, Topic},
+    discovery::{self, Duty, Follow, Found, Join, Start, Topic},
     event::Id,
+    lists::Lists,
     member::{Peers, send},
     metrics,
     note::Notes,
@@ -68,6 +69,8 @@
     pub callers: SocketAddrV4,
     /// Port at which callers take packets.
     pub caller_port: u16,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Balancers to ask while the store is of no use; they may change.
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
     /// Whether zones may be taken out of service here. Then no flow is placed before it is known which ones are.
@@ -108,32 +111,47 @@
     let callers = socket::udp(settings.callers, "callers")?;
     let peers = Peers::new(socket::udp(own.address, "other processes")?);
     let (newest, snapshots) = watch::channel(Arc::new(Snapshot::default()));
-    snapshot::serve(own.address, snapshots)?;
+    let lists = Arc::new(Lists::default());
+    snapshot::serve(own.address, snapshots, Some(lists.clone()))?;
     let (found, input) = mpsc::channel(WAITING);
     tokio::spawn(discovery::observe_resets(store.era()));
     let list_again = Arc::new(Notify::new());
     let (_, serves) = watch::channel(true);
-    tokio::spawn(discovery::join(
-        store.clone(),
-        own.clone(),
+    let (start, started) = watch::channel(Start::Asking);
+    let join = Join {
+        store: store.clone(),
+        own: own.clone(),
         serves,
-        settings.seeds.clone(),
-        list_again.clone(),
-        found.clone(),
-    ));
+        first_start: settings.first_start,
+        seeds: settings.seeds.clone(),
+        // Only agents are greeted.
+        greeted: watch::Sender::default().subscribe(),
+        again: list_again.clone(),
+        lists: lists.clone(),
+        start,
+        out: found.clone(),
+    };
+    tokio::spawn(join.run());
     let (watches, watching) = watch::channel(Duty::Undecided);
     let (zone_watches, zone_watching) = watch::channel(Duty::Undecided);
     let topic = Topic::Routes;
     let served = Arc::new(Notify::new());
-    let (follower, out) = (store.clone(), found.clone());
-    tokio::spawn(discovery::follow(follower, topic, watching, served.clone(), out));
+    let routes = Follow {
+        store: store.clone(),
+        duty: watching,
+        start: started.clone(),
+        served: served.clone(),
+        out: found.clone(),
+    };
+    tokio::spawn(routes.run(topic));
     let mut state =
         Balancer::new(own.address, ZoneId::of(&own.zone)).with_regions(settings.regions);
     if settings.zones_change {
         state = state.with_unknown_zones();
         let topic = Topic::zones();
-        let (follower, out) = (store.clone(), found.clone());
-        tokio::spawn(discovery::follow(follower, topic, zone_watching, served, out));
+        let (store, out) = (store.clone(), found.clone());
+        let zones = Follow { store, duty: zone_watching, start: started, served, out };
+        tokio::spawn(zones.run(topic));
     }
     let (gone, to_withdraw) = mpsc::channel(WAITING);
     tokio::spawn(discovery::weed(store, to_withdraw));
@@ -152,7 +170,9 @@
         found,
         list_again,
         balancers: BTreeSet::new(),
+        lists,
         records: Vec::new(),
+        removed: BTreeSet::new(),
         list_era: None,
         retell_ms: None,
         due: BTreeMap::new(),
@@ -188,7 +208,11 @@
     list_again: Arc<Notify>,
     /// The other balancers.
     balancers: BTreeSet<SocketAddrV4>,
+    /// The list as others may ask for it.
+    lists: Arc<Lists>,
     records: Vec<Record>,
+    /// Agents whose objects this balancer has removed since the list.
+    removed: BTreeSet<SocketAddrV4>,
     /// Era of the store that listed the members last.
     list_era: Option<u64>,
     /// When all other balancers are told of the newest configuration.
@@ -265,7 +289,9 @@
         members.extend(self.balancers.iter().map(balancer));
         members.push(balancer(&self.own));
         let snapshot = Snapshot::new(self.state.routes().routes(), &members);
+        let lost_zones = self.state.fleet().lost_zones().map(str::to_owned).collect();
         let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
+        let snapshot = Snapshot { lost_zones, ..snapshot };
         self.newest.send_replace(Arc::new(snapshot));
     }
 
--- a/crates/opaque/src/balancer/duties.rs
+++ b/crates/opaque/src/balancer/duties.rs
@@ -7,7 +7,7 @@
 use rand::seq::IteratorRandom;
 
 use super::Process;
-use crate::{codec::Codec, discovery::Duty};
+use crate::{codec::Codec, discovery::Duty, store::Record};
 
 /// Pause between two greetings of another balancer, which tell it of a newer configuration: news reaches all of
 /// 520 balancers within 2 s even if the store serves only one of them.
@@ -30,9 +30,11 @@
         self.weed_ms = now;
         let gone = self.state.to_withdraw(now);
         self.due.retain(|it, _| gone.contains(it));
-        let due = self.records.iter().filter(|it| gone.contains(&it.member.address));
-        for record in due.cloned().collect::<Vec<_>>() {
-            let agent = record.member.address;
+        let is_due = |it: &&Record| {
+            gone.contains(&it.listed.address) && !self.removed.contains(&it.listed.address)
+        };
+        for record in self.records.iter().filter(is_due).cloned().collect::<Vec<_>>() {
+            let agent = record.listed.address;
             let since_ms = now.saturating_sub(*self.due.entry(agent).or_insert(now));
             if !self.state.is_remover(agent, &self.balancers, since_ms) {
                 continue;
@@ -42,7 +44,7 @@
                 return;
             }
             self.state.withdraw(agent);
-            self.records.retain(|it| it.member.address != agent);
+            self.removed.insert(agent);
         }
     }
 
@@ -50,9 +52,10 @@
         if !self.state.knows_members() {
             return;
         }
-        let routes = duty(self.state.is_watcher(&self.balancers));
+        let balancers = self.balancers.len();
+        let routes = duty(self.state.is_watcher(&self.balancers), balancers);
         self.watches.send_if_modified(|it| std::mem::replace(it, routes) != routes);
-        let zones = duty(self.state.is_zone_watcher(&self.balancers));
+        let zones = duty(self.state.is_zone_watcher(&self.balancers), balancers);
         self.zone_watches.send_if_modified(|it| std::mem::replace(it, zones) != zones);
     }
 
@@ -124,6 +127,6 @@
     }
 }
 
-fn duty(watches: bool) -> Duty {
-    if watches { Duty::Watch } else { Duty::Read }
+fn duty(watches: bool, balancers: usize) -> Duty {
+    if watches { Duty::Watch } else { Duty::Read(balancers) }
 }
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -7,7 +7,7 @@
     route::{Routes, Stamp},
     zone::{ZoneNews, ZonesOut},
 };
-use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Report, decode};
+use camphorwinch_wire::opaque::{Body, Datagram, Greeting, Question, Report, decode};
 
 use super::{Process, TURN, duties::RETELL_MS};
 use crate::{
@@ -119,7 +119,13 @@
 
     fn ask(&self, peer: SocketAddrV4) {
         let (own, found) = (self.own, self.found.clone());
-        tokio::spawn(async move { discovery::ask_any(&[peer], own, &found).await });
+        // Who knows the members needs the configuration only, which is half of it.
+        let ask = if self.state.knows_members() {
+            Question::default().with_config()
+        } else {
+            Question::all()
+        };
+        tokio::spawn(async move { discovery::ask_any(&[peer], own, &ask, &found).await });
     }
 
     fn take_greeting(&mut self, from: SocketAddrV4, greeting: Greeting) {
@@ -144,12 +150,18 @@
                 self.put_zones(zones);
                 false
             }
+            Found::LostZones(names) => {
+                if self.state.learn_lost_zones(names, now) {
+                    self.show_zones_out();
+                }
+                false
+            }
             Found::ZoneNews(zones) => {
                 self.take_zone_news(zones, now);
                 false
             }
-            Found::Members(members) => {
-                self.take_members(members, now);
+            Found::Members(members, attempt) => {
+                self.take_members(members, attempt, now);
                 false
             }
             Found::PeerMembers(members) => {
@@ -185,15 +197,20 @@
         }
     }
 
-    fn take_members(&mut self, members: Members, now: u64) {
-        let Members { era, records } = members;
+    fn take_members(&mut self, members: Members, attempt: u64, now: u64) {
+        let Members { at, records } = members;
+        let (era, revision) = (at.era, at.number);
         let id = Id::MembersListed;
-        tracing::info!(id = id as u16, name = id.name(), members = records.len(), era);
-        let listed: Vec<Listed> = records.iter().map(|it| it.member.listed()).collect();
-        self.records = records;
+        tracing::info!(id = id as u16, name = id.name(), members = records.len(), era, revision);
+        let listed: Vec<Listed> = records.iter().map(|it| it.listed).collect();
+        self.records.clone_from(&records);
+        self.removed.clear();
         self.state.list(&listed, now);
         self.balancers.clear();
         self.add_balancers(&listed);
+        // Whoever waits for the list is told the members of now.
+        self.publish();
+        self.lists.put(at, records, attempt);
         if self.list_era.replace(era).is_some_and(|it| it < era) {
             self.state.tell_unlisted(&self.balancers, now, &mut self.effects);
             self.apply(&[], now);
--- /dev/null
+++ b/crates/opaque/src/discovery/join.rs
@@ -0,0 +1,410 @@
+//! How a process enters the list of members, and gets the list: from processes that have it, or from the store.
+
+use std::{collections::BTreeSet, net::SocketAddrV4, sync::Arc, time::Duration};
+
+use camphorwinch_core::opaque::{
+    fleet::Listed,
+    listing::{Need, ask_order},
+    revision::Revision,
+};
+use camphorwinch_wire::opaque::{Part, Question, Snapshot};
+use rand::seq::IteratorRandom;
+use tokio::{
+    sync::{Notify, mpsc, watch},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{Backoff, Found, ask_any, count, found, reset_after, spread};
+use crate::{
+    event::Id,
+    lists::Lists,
+    metrics, snapshot,
+    store::{Announced, Member, Members, Record, Store, StoreError},
+};
+
+/// Pause between two lists of members, which find what was missed at the start.
+const LIST_EVERY: Duration = Duration::from_secs(45);
+/// Pauses of balancers that an agent leaves between two lists of its own: it needs the balancers only, and those that list it
+/// greet it.
+const AGENT_PAUSES: u32 = 10;
+/// Members up to which that pause holds. It grows with more of them, as each list takes more calls then.
+const LIST_MEMBERS: usize = 300;
+/// Time over which a fleet of [`LIST_MEMBERS`] spreads the lists that follow on a reset of the store.
+const RESET_SPREAD: Duration = Duration::from_millis(500);
+/// Shortest pause between the beginnings of two lists that others need: whoever asks meanwhile is served by the next one.
+const LIST_GAP: Duration = Duration::from_millis(200);
+/// Time for a peer's first word on the list. One that stands still must not hold up a start for longer.
+const TELL_PATIENCE: Duration = Duration::from_millis(200);
+/// Time for all peers, after which the process reads the store itself.
+const TELL_LIMIT: Duration = Duration::from_millis(1_600);
+/// The same at the first start of the whole system, when those who are asked start themselves and no caller waits.
+const FIRST_START_PATIENCE: Duration = Duration::from_millis(1_000);
+const FIRST_START_LIMIT: Duration = Duration::from_secs(5);
+/// Pause before peers that were not there yet are asked again then.
+const FIRST_START_PAUSE: Duration = Duration::from_millis(150);
+/// Referrals that are followed one after the other before the store is read.
+const MAX_REFERRED: usize = 4;
+/// Time for which an agent waits to be greeted before it asks for the balancers: after a start of the whole fleet all balancers greet
+/// all agents, and who was greeted asks one of those and not a seed.
+const GREETED_WITHIN: Duration = Duration::from_millis(300);
+
+/// Where a process stands that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Start {
+    /// It asks others.
+    Asking,
+    /// Another one told it the configuration and the members.
+    Told,
+    /// It has to call the store for all it needs.
+    Alone,
+}
+
+/// What a process needs to enter the list and to get it.
+pub(crate) struct Join<S> {
+    /// The store.
+    pub(crate) store: S,
+    /// This process.
+    pub(crate) own: Member,
+    /// Whether it belongs on the list.
+    pub(crate) serves: watch::Receiver<bool>,
+    /// Whether the whole system starts for the first time, so that nothing is left from a former life.
+    pub(crate) first_start: bool,
+    /// Balancers that are asked first.
+    pub(crate) seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    /// Balancers that have greeted this process.
+    pub(crate) greeted: watch::Receiver<BTreeSet<SocketAddrV4>>,
+    /// Somebody says that this process is not on the list, or that the list may have changed.
+    pub(crate) again: Arc<Notify>,
+    /// The list as it is told to others.
+    pub(crate) lists: Arc<Lists>,
+    /// Where this process stands.
+    pub(crate) start: watch::Sender<Start>,
+    /// Where what is found goes.
+    pub(crate) out: mpsc::Sender<Found>,
+}
+
+/// The list, and members beside it that a peer has heard of: the store may have lost their entries.
+struct Got {
+    members: Members,
+    others: Vec<Listed>,
+}
+
+impl Got {
+    /// What a peer told; none if it does not have the store's list.
+    fn from_peer(snapshot: &Snapshot) -> Option<Got> {
+        let at = snapshot.listed_at()?;
+        let (mut records, mut others) = (Vec::new(), Vec::new());
+        for it in &snapshot.members {
+            let listed = it.listed().ok()?;
+            if it.name.is_empty() {
+                others.push(listed);
+                continue;
+            }
+            let revision = Revision::new(at.era, it.revision);
+            records.push(Record { name: it.name.clone(), listed, revision });
+        }
+        Some(Got { members: Members { at, records }, others })
+    }
+}
+
+/// Why the list is got once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    /// The process starts.
+    Start,
+    /// Its time has come: what another process read some time ago will do.
+    Due,
+    /// Others need one that is read now, or the store came back from a copy.
+    Wanted,
+    /// This process may have been taken off it.
+    Again,
+}
+
+impl<S> Join<S>
+where
+    S: Store,
+{
+    /// Lists this process once it serves, and gets the list of members; then again from time to time, when `again` says so, and when
+    /// others need it.
+    pub(crate) async fn run(self) {
+        let mut backoff = Backoff::new();
+        let mut asking: Option<JoinHandle<()>> = None;
+        // Its own object as it was announced last; none if there may be none.
+        let mut object = None;
+        let mut withdrawn = self.first_start;
+        let mut resets = self.store.era();
+        let mut reason = Reason::Start;
+        let mut newest = None;
+        loop {
+            let begun = Instant::now();
+            let attempt = self.lists.begin();
+            let patience = backoff.patience();
+            match self.enter(&mut object, &mut withdrawn, reason, patience).await {
+                Ok(None) => {
+                    backoff.succeeded();
+                    self.again.notified().await;
+                }
+                Ok(Some(Got { members, others })) => {
+                    backoff.succeeded();
+                    self.started(Start::Alone);
+                    let (at, known) = (members.at, members.records.len());
+                    let others = Some(others).filter(|it| !it.is_empty()).map(Found::PeerMembers);
+                    let is_older = newest > Some(at);
+                    newest = newest.max(Some(at));
+                    if is_older {
+                        // Of a peer that got it before this process got its last one.
+                        self.lists.failed(attempt);
+                    } else {
+                        for it in [Found::Members(members, attempt)].into_iter().chain(others) {
+                            if self.out.send(it).await.is_err() {
+                                return;
+                            }
+                        }
+                    }
+                    reason = self.wait(begun, at, known, &mut resets).await;
+                    if reason == Reason::Again && self.is_agent() {
+                        object = None;
+                    }
+                }
+                Err(e) => {
+                    self.lists.failed(attempt);
+                    self.started(Start::Alone);
+                    // A peer that is down answers only after its timeout, when the store may have been back for long.
+                    if asking.as_ref().is_none_or(JoinHandle::is_finished) {
+                        asking = Some(self.ask_seeds());
+                    }
+                    backoff.failed(&e).await;
+                }
+            }
+        }
+    }
+
+    /// Notes how the start went. Only the first word counts.
+    fn started(&self, how: Start) {
+        self.start.send_if_modified(|it| {
+            let asked = *it == Start::Asking;
+            if asked {
+                *it = how;
+            }
+            asked
+        });
+    }
+
+    fn is_agent(&self) -> bool {
+        self.own.pool.is_some()
+    }
+
+    /// Waits for a reason to get the list again.
+    async fn wait(
+        &self,
+        begun: Instant,
+        at: Revision,
+        known: usize,
+        resets: &mut watch::Receiver<Option<u64>>,
+    ) -> Reason {
+        tokio::select! {
+            () = sleep(list_pause(known, self.is_agent()).mul_f64(spread())) => Reason::Due,
+            () = self.again.notified() => Reason::Again,
+            () = self.lists.wanted.notified() => {
+                tokio::time::sleep_until(begun + LIST_GAP).await;
+                Reason::Wanted
+            }
+            () = reset_after(resets, at.era) => {
+                sleep(reset_pause(known).mul_f64(spread())).await;
+                Reason::Wanted
+            }
+        }
+    }
+
+    /// Asks the seeds for what they know, beside other work.
+    fn ask_seeds(&self) -> JoinHandle<()> {
+        let seeds = self.seeds.borrow().clone();
+        let (own, out) = (self.own.address, self.out.clone());
+        tokio::spawn(async move { ask_any(&seeds, own, &Question::all(), &out).await })
+    }
+
+    /// The members, this process among them, if it serves. A list that is not older than its own object shows each process that was
+    /// listed before, so of two that start at once one sees the other.
+    async fn enter(
+        &self,
+        object: &mut Option<Announced>,
+        withdrawn: &mut bool,
+        reason: Reason,
+        patience: Duration,
+    ) -> Result<Option<Got>, StoreError> {
+        if !*self.serves.borrow() {
+            if !*withdrawn {
+                // From a former life that could not remove it, as the store was away.
+                count("withdraw", self.store.withdraw(&self.own.name, None, patience).await)?;
+                *withdrawn = true;
+            }
+            return Ok(None);
+        }
+        let need = match object {
+            Some(_) if reason == Reason::Due => Need::Any,
+            Some(_) => Need::Fresh,
+            None => self.announce(object, patience).await?,
+        };
+        let got = self.members(need, patience).await?;
+        if self.is_agent() || got.members.lists(&self.own) {
+            return Ok(Some(got));
+        }
+        // It was removed meanwhile, or lost by the store.
+        let need = self.announce(object, patience).await?;
+        self.members(need, patience).await.map(Some)
+    }
+
+    /// Announces this process; how new a list has to be afterwards.
+    async fn announce(
+        &self,
+        object: &mut Option<Announced>,
+        patience: Duration,
+    ) -> Result<Need, StoreError> {
+        let announced = count("announce", self.store.announce(&self.own, patience).await)?;
+        *object = Some(announced);
+        let id = Id::Announced;
+        let revision = announced.revision.map(|it| it.number);
+        tracing::info!(id = id as u16, name = id.name(), revision, created = announced.created);
+        let since = announced.revision.map_or(Need::Fresh, Need::Since);
+        // Balancers that started after a balancer was listed need not know that it has started again: only a list of now shows the
+        // agents that joined while it was away. Agents are greeted by balancers that list them.
+        let is_back = !announced.created && !self.is_agent();
+        Ok(if is_back { Need::Fresh } else { since })
+    }
+
+    /// The members, from processes that have the list or from the store. A process that others ask reads the store itself.
+    async fn members(&self, need: Need, patience: Duration) -> Result<Got, StoreError> {
+        if self.is_agent() && self.greeted.borrow().is_empty() {
+            let mut greeted = self.greeted.clone();
+            let pause = GREETED_WITHIN.mul_f64(spread());
+            // Without a greeting the seeds are asked.
+            let _ = timeout(pause, greeted.wait_for(|it| !it.is_empty())).await;
+        }
+        let seeds = self.seeds.borrow().clone();
+        if !seeds.contains(&self.own.address) {
+            let limit = if self.first_start { FIRST_START_LIMIT } else { TELL_LIMIT };
+            if let Ok(Some(got)) = timeout(limit, self.told(&seeds, need)).await {
+                return Ok(got);
+            }
+        }
+        let members = count("list", self.store.members(patience).await)?;
+        Ok(Got { members, others: Vec::new() })
+    }
+
+    /// The list as others tell it, if one of them has it as new as it is needed.
+    async fn told(&self, seeds: &[SocketAddrV4], need: Need) -> Option<Got> {
+        let own = self.own.address;
+        let part = if self.is_agent() { Part::Balancers } else { Part::All };
+        let mut ask = Question::default().with_members(part).with_need(need);
+        if !self.is_agent() {
+            ask = ask.with_config().with_asker(own);
+        }
+        let mut peers = ask_order(own, seeds);
+        if self.is_agent() {
+            let greeted: Vec<_> = self.greeted.borrow().iter().copied().collect();
+            let mut near = ask_order(own, &greeted);
+            near.truncate(2);
+            near.append(&mut peers);
+            peers = near;
+        }
+        loop {
+            for &peer in &peers {
+                let Some(snapshot) = self.ask(peer, &ask).await else {
+                    continue;
+                };
+                let got = Got::from_peer(&snapshot).filter(|_| snapshot.meets_need);
+                self.pass_on(&snapshot, got.is_none()).await;
+                if got.is_some() {
+                    return got;
+                }
+            }
+            if !self.first_start || peers.is_empty() {
+                return None;
+            }
+            sleep(FIRST_START_PAUSE.mul_f64(spread())).await;
+        }
+    }
+
+    /// Asks a peer, and those whom it names in its place.
+    async fn ask(&self, peer: SocketAddrV4, ask: &Question) -> Option<Snapshot> {
+        let patience = if self.first_start { FIRST_START_PATIENCE } else { TELL_PATIENCE };
+        let (mut to, mut next) = (peer, ask.clone());
+        for _ in 0..MAX_REFERRED {
+            let answer = snapshot::ask(to, &next, patience).await;
+            log_asked(to, &answer);
+            let snapshot = match answer {
+                Ok(it) if it.referred.is_empty() && (it.meets_need || to == peer) => {
+                    return Some(it);
+                }
+                Ok(it) if to == peer => it,
+                // Who was named can't tell it, or is gone.
+                Ok(_) | Err(_) if to != peer => {
+                    (to, next) = (peer, ask.clone());
+                    continue;
+                }
+                Ok(_) | Err(_) => return None,
+            };
+            let named = snapshot.referred.iter().choose(&mut rand::rng()).copied();
+            to = named.and_then(|it| SocketAddrV4::try_from(it).ok()).unwrap_or(peer);
+            let need = snapshot.listed_at().map_or(ask.need(), Need::Since);
+            next = Question { referred: true, ..ask.clone().with_need(need) };
+        }
+        None
+    }
+
+    /// Passes on what a peer knows beside the list.
+    async fn pass_on(&self, snapshot: &Snapshot, with_members: bool) {
+        let found = match found(snapshot, with_members) {
+            Ok(it) => it,
+            Err(e) => return tracing::debug!("what a peer told: {e}"),
+        };
+        let told = found.iter().any(|it| matches!(it, Found::Routes(_)));
+        for it in found {
+            if self.out.send(it).await.is_err() {
+                return;
+            }
+        }
+        if told && !with_members {
+            self.started(Start::Told);
+        }
+    }
+}
+
+fn log_asked(peer: SocketAddrV4, answer: &anyhow::Result<Snapshot>) {
+    let id = Id::ListAsked;
+    match answer {
+        Ok(it) => tracing::info!(
+            id = id as u16,
+            name = id.name(),
+            peer = %peer,
+            members = it.members.len(),
+            revision = it.list_revision,
+            era = it.list_era,
+            met = it.meets_need,
+            referred = it.referred.len(),
+        ),
+        Err(e) => {
+            let error = format!("{e:#}");
+            tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
+        }
+    }
+    let result = match answer {
+        Ok(it) if !it.referred.is_empty() => "referred",
+        Ok(it) if it.meets_need => "told",
+        Ok(_) => "old",
+        Err(_) => "no-answer",
+    };
+    metrics::LIST_ASKS.with_label_values(&[result]).inc();
+}
+
+pub(super) fn list_pause(members: usize, agent: bool) -> Duration {
+    let pause = LIST_EVERY.mul_f64((members as f64 / LIST_MEMBERS as f64).max(1.0));
+    if agent { pause * AGENT_PAUSES } else { pause }
+}
+
+/// Time over which the processes that see a reset of the store spread their lists. What it lost of them is on its list again
+/// within two seconds in a small fleet.
+fn reset_pause(members: usize) -> Duration {
+    RESET_SPREAD.mul_f64(members as f64 / LIST_MEMBERS as f64)
+}
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -1,22 +1,30 @@
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, SocketAddrV4},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bytes::Bytes;
-use camphorwinch_core::opaque::{revision::Revision, route::Routes, zone::ZonesOut};
+use camphorwinch_core::opaque::{
+    fleet::Listed,
+    revision::Revision,
+    route::Routes,
+    zone::{ZoneId, ZonesOut},
+};
 use camphorwinch_wire::{frame::frames, opaque::Snapshot};
 use futures::SinkExt;
 use prost::Message;
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
-use super::{Duty, Found, Topic, follow, join, list_pause, topic::Era, withdraw};
-use crate::store::{Freshness, Member, Members, Record, Seen, Store, StoreError, Watched};
+use super::{Duty, Follow, Found, Join, Start, Topic, join::list_pause, topic::Era, withdraw};
+use crate::store::{
+    Announced as Object, Freshness, Member, Members, Record, Seen, Store, StoreError, Watched,
+};
+use crate::{lists::Lists, snapshot};
 
 /// Revision of the store, far above that of its configuration.
 const STORE_AT: u64 = 900;
@@ -53,8 +61,8 @@
         Ok(Members::default())
     }
 
-    async fn announce(&self, _: &Member, _: Duration) -> Result<(), StoreError> {
-        Ok(())
+    async fn announce(&self, _: &Member, _: Duration) -> Result<Object, StoreError> {
+        Ok(Object { revision: None, created: true })
     }
 
     async fn withdraw(&self, _: &str, at: Option<Revision>, _: Duration) -> Result<(), StoreError> {
@@ -128,16 +136,52 @@
     store.calls()
 }
 
-fn record() -> Record {
+fn member() -> Member {
     let address = "10.0.0.1:7720".parse().expect("an address");
-    let member = Member { name: "one".to_owned(), address, pool: None, zone: "a".to_owned() };
-    Record { member, revision: Revision::new(0, 7) }
+    Member { name: "one".to_owned(), address, pool: None, zone: "a".to_owned() }
+}
+
+fn record() -> Record {
+    let member = member();
+    Record { listed: member.listed(), name: member.name, revision: Revision::new(0, 7) }
+}
+
+/// Follows a topic as a process does that nobody told anything.
+async fn follow<S>(
+    store: S,
+    topic: Topic,
+    duty: watch::Receiver<Duty>,
+    served: Arc<Notify>,
+    out: mpsc::Sender<Found>,
+) where
+    S: Store,
+{
+    let start = watch::channel(Start::Alone).1;
+    Follow { store, duty, start, served, out }.run(topic).await;
+}
+
+/// Joins as a process does whom nobody has greeted.
+async fn join<S>(
+    store: S,
+    own: Member,
+    serves: watch::Receiver<bool>,
+    seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    again: Arc<Notify>,
+    out: mpsc::Sender<Found>,
+) where
+    S: Store,
+{
+    let greeted = watch::Sender::default().subscribe();
+    let (lists, start) = (Arc::default(), watch::Sender::new(Start::Asking));
+    Join { store, own, serves, first_start: false, seeds, greeted, again, lists, start, out }
+        .run()
+        .await;
 }
 
 #[tokio::test]
 async fn a_balancer_that_is_no_watcher_reads_and_does_not_wait() {
     let store = Fake::default();
-    let (watches, watching) = watch::channel(Duty::Read);
+    let (watches, watching) = watch::channel(Duty::Read(3));
     let (out, mut found) = mpsc::channel::<Found>(16);
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, watching, Arc::default(), out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
@@ -185,7 +229,7 @@
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, deciding, Arc::default(), out));
     assert!(matches!(found.recv().await, Some(Found::News(_))));
     sleep(Duration::from_millis(200)).await;
-    duty.send_replace(Duty::Read);
+    duty.send_replace(Duty::Read(3));
     sleep(Duration::from_millis(500)).await;
     assert_eq!(store.calls(), [None]);
     task.abort();
@@ -315,6 +359,8 @@
 struct Announced {
     busy: Arc<Mutex<u32>>,
     names: Arc<Mutex<Vec<String>>>,
+    /// Lists that were read.
+    lists: Arc<Mutex<u32>>,
     era: watch::Sender<Option<u64>>,
 }
 
@@ -335,13 +381,19 @@
             *busy -= 1;
             return Err(StoreError::Busy { step: "list members", status: 503 });
         }
+        *self.lists.lock().expect("not poisoned") += 1;
         let records = self.names().iter().map(|_| record()).collect();
-        Ok(Members { era: self.era.borrow().unwrap_or_default(), records })
+        let at = Revision::new(self.era.borrow().unwrap_or_default(), STORE_AT);
+        Ok(Members { at, records })
     }
 
-    async fn announce(&self, member: &Member, _: Duration) -> Result<(), StoreError> {
-        self.names.lock().expect("not poisoned").push(member.name.clone());
-        Ok(())
+    async fn announce(&self, member: &Member, _: Duration) -> Result<Object, StoreError> {
+        let mut names = self.names.lock().expect("not poisoned");
+        let created = !names.contains(&member.name);
+        if created {
+            names.push(member.name.clone());
+        }
+        Ok(Object { revision: None, created })
     }
 
     async fn withdraw(
@@ -393,15 +445,17 @@
     *store.busy.lock().expect("not poisoned") = 1;
     let task = tokio::spawn(join(
         store,
-        record().member,
+        member(),
         watch::channel(true).1,
         seeds,
         Arc::new(Notify::new()),
         out,
     ));
-    let (stream, _) = peer.accept().await.expect("the process asks");
-    let first = found.recv().await.expect("the store's list");
-    assert!(matches!(first, Found::Members(_)), "{first:?}");
+    let (_unanswered, _) = peer.accept().await.expect("the process asks for the list");
+    let (stream, _) = peer.accept().await.expect("the process asks for what is known");
+    let first = timeout(Duration::from_millis(900), found.recv()).await;
+    let first = first.expect("in time").expect("the store's list");
+    assert!(matches!(first, Found::Members(..)), "{first:?}");
     // The peer is still being waited for.
     let snapshot = Bytes::from(Snapshot::default().encode_to_vec());
     frames(stream).send(snapshot).await.expect("the answer is taken");
@@ -418,13 +472,13 @@
     let (out, mut found) = mpsc::channel(16);
     let serving = watch::channel(true).1;
     let again = Arc::new(Notify::new());
-    let task = tokio::spawn(join(store.clone(), record().member, serving, seeds, again, out));
+    let task = tokio::spawn(join(store.clone(), member(), serving, seeds, again, out));
     found.recv().await.expect("a list");
     assert_eq!(store.names(), ["one"]);
     store.names.lock().expect("not poisoned").clear();
     store.era.send_replace(Some(1));
-    let Some(Found::Members(members)) = found.recv().await else { panic!("no list") };
-    assert_eq!((members.era, members.records.len()), (1, 1));
+    let Some(Found::Members(members, _)) = found.recv().await else { panic!("no list") };
+    assert_eq!((members.at.era, members.records.len()), (1, 1));
     assert_eq!(store.names(), ["one"]);
     // Once is enough.
     sleep(Duration::from_millis(600)).await;
@@ -439,18 +493,96 @@
 async fn an_agent_without_an_upstream_is_not_on_the_list() {
     let store = Announced::default();
     // From before it was powered off, when the store was away.
-    store.announce(&record().member, Duration::ZERO).await.expect("announced");
+    store.announce(&member(), Duration::ZERO).await.expect("announced");
     let (serves, serving) = watch::channel(false);
     let (_keep, seeds) = watch::channel(Vec::new());
     let (out, mut found) = mpsc::channel(16);
     let again = Arc::new(Notify::new());
-    let task =
-        tokio::spawn(join(store.clone(), record().member, serving, seeds, again.clone(), out));
-    found.recv().await.expect("a list");
-    assert!(store.names().is_empty());
+    let task = tokio::spawn(join(store.clone(), member(), serving, seeds, again.clone(), out));
+    let removed = async {
+        while !store.names().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(1), removed).await.expect("it is taken off the list");
     serves.send_replace(true);
     again.notify_one();
-    found.recv().await.expect("another list");
+    found.recv().await.expect("a list");
     assert_eq!(store.names(), ["one"]);
     task.abort();
 }
+
+/// A process of another address than the one that joins, which tells what it knows.
+async fn seed(lists: &Arc<Lists>) -> (SocketAddrV4, watch::Sender<Arc<Snapshot>>) {
+    let free = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let SocketAddr::V4(at) = free.local_addr().expect("its address") else { panic!("not IPv4") };
+    drop(free);
+    let routes = Routes { revision: Revision::new(0, 3), version: 8, ..Routes::default() };
+    // A process that has only heard of another one does not know its zone.
+    let heard = Listed { zone: ZoneId(9), ..member().listed() };
+    let known = Snapshot::new(Some(&routes), &[heard]);
+    let (newest, snapshots) = watch::channel(Arc::new(known));
+    snapshot::serve(at, snapshots, Some(lists.clone())).expect("it listens");
+    (at, newest)
+}
+
+// Fleet of 981 processes: 3 to 5 calls of the store at each start, most of them for the list, which every process read for itself.
+// Cause: nobody could tell it on, as nobody said as of when it was read. Proof: the store is asked for one entry and for no list.
+#[tokio::test]
+async fn a_process_takes_the_list_from_a_seed() {
+    let lists = Arc::new(Lists::default());
+    let (at, _newest) = seed(&lists).await;
+    let (_keep, seeds) = watch::channel(vec![at]);
+    let (out, mut found) = mpsc::channel(16);
+    let store = Announced::default();
+    let serving = watch::channel(true).1;
+    let task = tokio::spawn(join(store.clone(), member(), serving, seeds, Arc::default(), out));
+    // The seed has no list that was read after the question.
+    timeout(Duration::from_secs(1), lists.wanted.notified()).await.expect("it is asked");
+    let attempt = lists.begin();
+    lists.put(Revision::new(0, STORE_AT), vec![record()], attempt);
+    assert!(matches!(found.recv().await, Some(Found::Routes(it)) if it.version == 8));
+    let Some(Found::Members(members, _)) = found.recv().await else { panic!("no list") };
+    assert_eq!((members.at, &members.records), (Revision::new(0, STORE_AT), &vec![record()]));
+    assert_eq!(
+        (store.names(), *store.lists.lock().expect("not poisoned")),
+        (vec!["one".to_owned()], 0)
+    );
+    task.abort();
+}
+
+// A third of all processes may be turned away by the store, a seed among them.
+#[tokio::test]
+async fn a_process_whose_seed_can_not_read_the_list_reads_it_itself() {
+    let lists = Arc::new(Lists::default());
+    let (at, _newest) = seed(&lists).await;
+    let (_keep, seeds) = watch::channel(vec![at]);
+    let (out, mut found) = mpsc::channel(16);
+    let store = Announced::default();
+    let serving = watch::channel(true).1;
+    let task = tokio::spawn(join(store.clone(), member(), serving, seeds, Arc::default(), out));
+    timeout(Duration::from_secs(1), lists.wanted.notified()).await.expect("it is asked");
+    lists.failed(lists.begin());
+    let members = async {
+        loop {
+            if let Some(Found::Members(members, _)) = found.recv().await {
+                return members;
+            }
+        }
+    };
+    let members = timeout(Duration::from_millis(500), members).await.expect("at once");
+    assert_eq!((members.records.len(), *store.lists.lock().expect("not poisoned")), (1, 1));
+    task.abort();
+}
+
+// Balancers that read the configuration beside those that wait for its changes made more calls the more of them there were.
+#[test]
+fn reads_of_the_configuration_do_not_grow_with_the_fleet() {
+    let reads_per_s =
+        |balancers| balancers as f64 / Topic::Routes.read_every(balancers).as_secs_f64();
+    for balancers in [60, 520, 1_040] {
+        assert!(reads_per_s(balancers) < 5.2, "{balancers}: {}", reads_per_s(balancers));
+    }
+    // Each balancer must find a zone that went out by itself, in any fleet.
+    assert_eq!(Topic::zones().read_every(520), Topic::zones().read_every(5));
+}
--- a/crates/opaque/src/discovery/topic.rs
+++ b/crates/opaque/src/discovery/topic.rs
@@ -9,7 +9,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{Backoff, FIRST_PAUSE, Found, count, reset_after, spread};
+use super::{Backoff, FIRST_PAUSE, Found, Start, count, reset_after, spread};
 use crate::store::{Freshness, Store, StoreError, Watched};
 
 /// Mean time for which one call waits for a change of the configuration; each draws its own, so that calls that a change woke
@@ -23,11 +23,14 @@
 /// Time after which a process whose call about zones failed tries again, if its calls about the configuration go on failing.
 /// Before that it waits for one of those to succeed: in an outage each process calls for one topic instead of two.
 const RETRY_ZONES: Duration = Duration::from_secs(3);
-/// Pause between two reads of the configuration by a balancer that does not wait for its changes. With 51 of them one reads
-/// it each 0.2 s, so that a change is found even while all those that wait for it are cut off from the store. These reads may
-/// be stale, at a tenth of a call's price.
+/// Pause between two reads of the configuration by a balancer that does not wait for its changes, in a fleet of up to
+/// [`READERS`] of them. These reads may be stale, at a tenth of a call's price.
 const READ_EVERY: Duration = Duration::from_secs(10);
-/// The same for the zones out of service; with 11 such balancers one reads them each 0.3 s.
+/// Such balancers of which one reads the configuration each 0.2 s, so that a change is found even while all those that wait for it
+/// are cut off from the store. More of them make longer pauses, so that a larger fleet does not make more calls.
+const READERS: usize = 51;
+/// Pause between two reads of the zones out of service, by any number of balancers: each must leave a zone within seconds, also if no
+/// other balancer reaches it.
 const READ_ZONES_EVERY: Duration = Duration::from_secs(4);
 /// Age that a stale answer may have: for so long after the store came back from a copy no stale ones are asked for.
 const STALE_FOR: Duration = Duration::from_secs(10);
@@ -53,10 +56,10 @@
         Topic::Zones(ZonesOut::default())
     }
 
-    /// Pause between two reads while nobody waits here for changes.
-    fn read_every(&self) -> Duration {
+    /// Pause between two reads while nobody waits here for changes, in a fleet of so many balancers.
+    pub(super) fn read_every(&self, balancers: usize) -> Duration {
         match self {
-            Topic::Routes => READ_EVERY,
+            Topic::Routes => READ_EVERY.mul_f64((balancers as f64 / READERS as f64).max(1.0)),
             Topic::Zones(_) => READ_ZONES_EVERY,
         }
     }
@@ -144,8 +147,8 @@
     Undecided,
     /// It does.
     Watch,
-    /// It reads from time to time; others tell of changes.
-    Read,
+    /// It reads from time to time, as so many balancers do; others tell of changes.
+    Read(usize),
 }
 
 /// The duty once it is decided on; none if the process ends.
@@ -187,72 +190,96 @@
     }
 }
 
-/// Follows a topic in the store, as `duty` says. `served` tells the zones' follower that the store answered the other one.
-pub(crate) async fn follow<S>(
-    store: S,
-    mut topic: Topic,
-    mut duty: watch::Receiver<Duty>,
-    served: Arc<Notify>,
-    out: mpsc::Sender<Found>,
-) where
+/// What a process needs to follow a topic in the store.
+pub(crate) struct Follow<S> {
+    /// The store.
+    pub(crate) store: S,
+    /// Whether it waits there for changes.
+    pub(crate) duty: watch::Receiver<Duty>,
+    /// Whether others have told it what is in force, so that it need not read that at its start.
+    pub(crate) start: watch::Receiver<Start>,
+    /// Tells the zones' follower that the store answered the other one.
+    pub(crate) served: Arc<Notify>,
+    /// Where what is found goes.
+    pub(crate) out: mpsc::Sender<Found>,
+}
+
+impl<S> Follow<S>
+where
     S: Store,
 {
-    let mut backoff = Backoff::new();
-    let mut at = None;
-    let mut era = Era::default();
-    let mut resets = store.era();
-    let mut freshness = Freshness::Current;
-    loop {
-        if at.is_some() {
-            let Some(now) = decided(&mut duty).await else {
-                return;
-            };
-            if now == Duty::Read {
-                // Others tell of changes meanwhile. A closed channel means that the process ends.
-                let pause = topic.read_every().mul_f64(spread());
-                if let Ok(Err(_)) = timeout(pause, duty.changed()).await {
+    /// Follows a topic until the process ends.
+    pub(crate) async fn run(mut self, mut topic: Topic) {
+        let mut backoff = Backoff::new();
+        let mut resets = self.store.era();
+        let mut era = Era::default();
+        // Where the last read or call ended; none if the next one has to read.
+        let mut at = None;
+        let mut freshness = Freshness::Current;
+        let Ok(start) = self.start.wait_for(|&it| it != Start::Asking).await.map(|it| *it) else {
+            return;
+        };
+        let mut informed = start == Start::Told;
+        if informed {
+            era.known = *resets.borrow();
+            freshness = era.freshness();
+        }
+        loop {
+            if at.is_some() || informed {
+                let Some(now) = decided(&mut self.duty).await else {
                     return;
+                };
+                if let Duty::Read(balancers) = now {
+                    let pause = topic.read_every(balancers).mul_f64(spread());
+                    // Others tell of changes meanwhile. A closed channel means that the process ends.
+                    let watches = timeout(pause, self.duty.wait_for(|&it| it == Duty::Watch));
+                    if let Ok(Err(_)) = watches.await {
+                        return;
+                    }
+                    at = None;
                 }
-                at = None;
             }
-        }
-        let step = match at {
-            None => topic.read(&store, freshness, backoff.patience()).await,
-            Some(at) => tokio::select! {
-                it = topic.watch(&store, at, backoff.patience()) => it,
-                // Its connection may have gone silent with the store that it reached.
-                () = reset_after(&mut resets, at.era) => Ok(Watched::Compacted),
-            },
-        };
-        let asked_for = std::mem::replace(&mut freshness, Freshness::Current);
-        let step = match step {
-            Ok(Watched::Seen((it, _))) if !era.accepts(it.era, asked_for) => Ok(Watched::Compacted),
-            it => it,
-        };
-        match step {
-            Ok(Watched::Seen((seen_at, news))) => {
-                backoff.succeeded();
-                freshness = era.freshness();
-                if let Topic::Routes = topic {
-                    served.notify_waiters();
+            informed = false;
+            let step = match at {
+                None => topic.read(&self.store, freshness, backoff.patience()).await,
+                Some(at) => tokio::select! {
+                    it = topic.watch(&self.store, at, backoff.patience()) => it,
+                    // Its connection may have gone silent with the store that it reached.
+                    () = reset_after(&mut resets, at.era) => Ok(Watched::Compacted),
+                },
+            };
+            let asked_for = std::mem::replace(&mut freshness, Freshness::Current);
+            let step = match step {
+                Ok(Watched::Seen((it, _))) if !era.accepts(it.era, asked_for) => {
+                    Ok(Watched::Compacted)
                 }
-                at = Some(seen_at);
-                let Some(news) = news else {
-                    continue;
-                };
-                if out.send(news).await.is_err() {
-                    return;
+                it => it,
+            };
+            match step {
+                Ok(Watched::Seen((seen_at, news))) => {
+                    backoff.succeeded();
+                    freshness = era.freshness();
+                    if let Topic::Routes = topic {
+                        self.served.notify_waiters();
+                    }
+                    at = Some(seen_at);
+                    let Some(news) = news else {
+                        continue;
+                    };
+                    if self.out.send(news).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(Watched::Compacted) => {
+                    at = None;
+                    // The store may go on like that.
+                    sleep(FIRST_PAUSE.mul_f64(spread())).await;
+                }
+                Err(e) => {
+                    topic.failed(&e, &mut backoff, &self.served).await;
+                    // What came while the watch was broken may be in no history any more.
+                    at = None;
                 }
-            }
-            Ok(Watched::Compacted) => {
-                at = None;
-                // The store may go on like that.
-                sleep(FIRST_PAUSE.mul_f64(spread())).await;
-            }
-            Err(e) => {
-                topic.failed(&e, &mut backoff, &served).await;
-                // What came while the watch was broken may be in no history any more.
-                at = None;
             }
         }
     }
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -46,6 +46,8 @@
     623 Disconnected "opaque-disconnected" "too few agents are heard of: the balancer is not ready";
     624 CopyKept "opaque-copy-kept" "an agent fetched a copy of what a balancer knows, for balancers that start while the store is away";
     625 StoreReset "opaque-store-reset" "the store came back from an older copy: what it had confirmed since is lost, and its revisions are given out again";
+    626 ListAsked "opaque-list-asked" "a process was asked for the list of members";
+    627 Announced "opaque-announced" "this process's object stands in the store";
     630 UpstreamLookedFor "opaque-upstream-looked-for" "at its start the agent looked for a listening upstream";
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -13,6 +13,7 @@
 mod discovery;
 pub mod event;
 pub mod http;
+mod lists;
 pub mod log;
 mod member;
 pub mod metrics;
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -43,6 +43,15 @@
     register!(IntCounterVec::new(opts, &["step", "result"]))
 });
 
+/// Questions for the list of members, by result.
+pub static LIST_ASKS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let opts = Opts::new(
+        "camphorwinch_opaque_list_asks_total",
+        "Questions to other processes for the list of members, by result.",
+    );
+    register!(IntCounterVec::new(opts, &["result"]))
+});
+
 /// Objects of the store that could not be read, counted with each list.
 pub static UNREADABLE: LazyLock<IntCounter> = LazyLock::new(|| {
     register!(IntCounter::new(
--- a/crates/opaque/src/snapshot.rs
+++ b/crates/opaque/src/snapshot.rs
@@ -1,10 +1,14 @@
-//! What a balancer knows, asked for and given over TCP when the store is of no use.
+//! What a process knows, asked for and told over TCP.
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use anyhow::{Context, anyhow};
+use anyhow::{Context, anyhow, bail};
 use bytes::Bytes;
-use camphorwinch_wire::{frame::frames, opaque::Snapshot};
+use camphorwinch_core::opaque::revision::Revision;
+use camphorwinch_wire::{
+    frame::{Frames, frames},
+    opaque::{Question, Snapshot},
+};
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::{
@@ -13,46 +17,117 @@
     time::timeout,
 };
 
-use crate::socket;
+use crate::{
+    lists::{Answer, Lists},
+    socket,
+};
+
+/// Time for the question and for the answer to pass: a round trip between regions, the transfer of a large configuration, and some.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time for asking one peer: a round trip between regions, the transfer of a large configuration, and some.
-const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for the rest of an answer whose sender has to read the list first.
+const PENDING_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Serves the newest snapshot to whoever connects.
+/// Tells the newest state to whoever asks.
 pub(crate) fn serve(
     address: SocketAddrV4,
     newest: watch::Receiver<Arc<Snapshot>>,
+    lists: Option<Arc<Lists>>,
 ) -> anyhow::Result<()> {
     let listener = socket::tcp(address, "snapshots")?;
-    tokio::spawn(accept(listener, newest));
+    tokio::spawn(accept(listener, newest, lists));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, newest: watch::Receiver<Arc<Snapshot>>) {
+async fn accept(
+    listener: TcpListener,
+    newest: watch::Receiver<Arc<Snapshot>>,
+    lists: Option<Arc<Lists>>,
+) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::task::yield_now().await;
             continue;
         };
-        let bytes = newest.borrow().encode_to_vec();
+        let (newest, lists) = (newest.clone(), lists.clone());
         tokio::spawn(async move {
-            let send = async { frames(stream).send(Bytes::from(bytes)).await };
-            match timeout(ASK_TIMEOUT, send).await {
-                Ok(Ok(())) => {}
-                Ok(Err(e)) => tracing::debug!("send a snapshot to {peer}: {e}"),
-                Err(_) => tracing::debug!("send a snapshot to {peer}: not in time"),
+            if let Err(e) = answer(stream, &newest, lists.as_deref()).await {
+                tracing::debug!("tell {peer} what is known: {e:#}");
             }
         });
     }
 }
 
-/// Asks a peer for its snapshot.
-pub(crate) async fn ask(peer: SocketAddrV4) -> anyhow::Result<Snapshot> {
-    let ask = async {
-        let stream = TcpStream::connect(peer).await.context("connect")?;
-        let frame = frames(stream).next().await.ok_or_else(|| anyhow!("closed without answer"))?;
-        Snapshot::decode(frame.context("receive")?).context("decode")
+async fn answer(
+    stream: TcpStream,
+    newest: &watch::Receiver<Arc<Snapshot>>,
+    lists: Option<&Lists>,
+) -> anyhow::Result<()> {
+    let mut frames = frames(stream);
+    let question = timeout(ASK_TIMEOUT, frames.next()).await.context("no question")?;
+    let question = question.ok_or_else(|| anyhow!("closed without a question"))?;
+    let ask = Question::decode(question.context("receive")?).context("decode")?;
+    let newest = || Snapshot::clone(&newest.borrow()).with_parts_of(&ask);
+    let snapshot = match lists {
+        None => newest(),
+        Some(lists) => match decide(lists, &ask, &mut frames).await? {
+            Answer::Tell { met } => lists.complete(Snapshot { meets_need: met, ..newest() }),
+            Answer::Refer(others) => refer(lists.at(), others),
+        },
+    };
+    let bytes = Bytes::from(snapshot.encode_to_vec());
+    timeout(ASK_TIMEOUT, frames.send(bytes)).await.context("not taken in time")?.context("send")
+}
+
+/// Decides how to answer. An asker that has to wait is told so, as it can't tell a process at work from one that stands still.
+async fn decide(
+    lists: &Lists,
+    ask: &Question,
+    frames: &mut Frames<TcpStream>,
+) -> anyhow::Result<Answer> {
+    if let Some(answer) = lists.answer(ask) {
+        return Ok(answer);
+    }
+    let pending = Snapshot { pending: true, ..Snapshot::default() };
+    frames.send(Bytes::from(pending.encode_to_vec())).await.context("send")?;
+    Ok(lists.answer_later(ask).await)
+}
+
+fn refer(at: Revision, others: Vec<SocketAddrV4>) -> Snapshot {
+    let referred = others.into_iter().map(Into::into).collect();
+    Snapshot { list_era: at.era, list_revision: at.number, referred, ..Snapshot::default() }
+}
+
+/// Asks a peer; `patience` is for its first word.
+pub(crate) async fn ask(
+    peer: SocketAddrV4,
+    ask: &Question,
+    patience: Duration,
+) -> anyhow::Result<Snapshot> {
+    let exchange = async {
+        let mut frames = frames(TcpStream::connect(peer).await.context("connect")?);
+        frames.send(Bytes::from(ask.encode_to_vec())).await.context("send")?;
+        let first = receive(&mut frames).await?;
+        Ok((first, frames))
+    };
+    let answer = async {
+        let (first, mut frames) = within(patience, exchange).await?;
+        if !first.pending {
+            return Ok(first);
+        }
+        within(PENDING_TIMEOUT, receive(&mut frames)).await
     };
-    let result = timeout(ASK_TIMEOUT, ask).await;
-    result.map_err(|_| anyhow!("no answer")).flatten().with_context(|| format!("ask {peer}"))
+    answer.await.with_context(|| format!("ask {peer}"))
+}
+
+async fn receive(frames: &mut Frames<TcpStream>) -> anyhow::Result<Snapshot> {
+    let Some(frame) = frames.next().await else { bail!("closed without answer") };
+    Snapshot::decode(frame.context("receive")?).context("decode")
+}
+
+async fn within<T, F>(patience: Duration, step: F) -> anyhow::Result<T>
+where
+    F: Future<Output = anyhow::Result<T>>,
+{
+    timeout(patience, step).await.map_err(|_| anyhow!("no answer")).flatten()
 }
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -39,8 +39,10 @@
 /// A member with the revision of its object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// The member.
-    pub member: Member,
+    /// Name of the process and of its object.
+    pub name: String,
+    /// The member as decisions see it.
+    pub listed: Listed,
     /// Revision of its last change.
     pub revision: Revision,
 }
@@ -48,8 +50,8 @@
 /// All members as a call saw them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Members {
-    /// Era of the store that listed them.
-    pub era: u64,
+    /// The store's revision as of which they were read.
+    pub at: Revision,
     /// The members.
     pub records: Vec<Record>,
 }
@@ -57,10 +59,20 @@
 impl Members {
     /// Whether a process is listed as it is.
     pub fn lists(&self, member: &Member) -> bool {
-        self.records.iter().any(|it| it.member == *member)
+        let listed = member.listed();
+        self.records.iter().any(|it| it.name == member.name && it.listed == listed)
     }
 }
 
+/// A process's own object, after it was announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Announced {
+    /// Revision of the object, if the answer told it.
+    pub revision: Option<Revision>,
+    /// Whether there was none before.
+    pub created: bool,
+}
+
 /// The configuration as a call saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -172,7 +184,7 @@
         &self,
         member: &Member,
         patience: Duration,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    ) -> impl Future<Output = Result<Announced, StoreError>> + Send;
 
     /// Takes a member off the list; with a revision only if it has not changed since, and the store has not been reset.
     fn withdraw(
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -24,7 +24,7 @@
     route::Objective,
     walk::{MAX_SEATS, PoolLoad, Seat, Walk},
 };
-use prost::{Message, Oneof};
+use prost::{Enumeration, Message, Oneof};
 use thiserror::Error;
 
 const PACKET: u8 = 1;
@@ -521,6 +521,85 @@
     /// Era of the configuration's revision.
     #[prost(uint64, tag = "8")]
     pub era: u64,
+    /// Number of the store's revision as of which its list of members was read; 0 if the sender does not have the list.
+    #[prost(uint64, tag = "9")]
+    pub list_revision: u64,
+    /// Era of that revision.
+    #[prost(uint64, tag = "10")]
+    pub list_era: u64,
+    /// Processes that can tell the list in place of the sender, which has told it to many.
+    #[prost(message, repeated, tag = "11")]
+    pub referred: Vec<PeerEntry>,
+    /// Whether the list is as new as was asked for.
+    #[prost(bool, tag = "12")]
+    pub meets_need: bool,
+    /// Zones out of service whose entries the store lost when it came back from a copy.
+    #[prost(string, repeated, tag = "14")]
+    pub lost_zones: Vec<String>,
+    /// The answer follows in another frame, as the list has to be read first.
+    #[prost(bool, tag = "13")]
+    pub pending: bool,
+}
+
+/// Address of a process.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct PeerEntry {
+    /// Address as a number.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+}
+
+/// Asks a process for what it knows; the answer is a [`Snapshot`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Question {
+    /// Whether the configuration and the zones out of service are asked for.
+    #[prost(bool, tag = "1")]
+    pub config: bool,
+    /// Which members are asked for.
+    #[prost(enumeration = "Part", tag = "2")]
+    pub members: i32,
+    /// How new the list of members has to be.
+    #[prost(enumeration = "Age", tag = "3")]
+    pub age: i32,
+    /// Number of the revision that the list must not be older than.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    /// Its era.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
+    /// The asker, if it can tell the list on.
+    #[prost(message, optional, tag = "6")]
+    pub asker: Option<PeerEntry>,
+    /// Another process referred the asker here, as it has told the list to this one.
+    #[prost(bool, tag = "7")]
+    pub referred: bool,
+}
+
+/// Which members are asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub enum Part {
+    /// None.
+    None = 0,
+    /// The balancers.
+    Balancers = 1,
+    /// All.
+    All = 2,
+}
+
+/// How new a list has to be; `core::opaque::listing::Need` says what these mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub enum Age {
+    /// Any.
+    Any = 0,
+    /// Not older than a revision.
+    Since = 1,
+    /// Read after the question.
+    Fresh = 2,
 }
 
 /// What a cold upstream of a pool bears.
@@ -575,7 +654,7 @@
 }
 
 /// A member of a snapshot.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct MemberEntry {
     /// Address as a number.
     #[prost(fixed32, tag = "1")]
@@ -589,4 +668,10 @@
     /// Zone.
     #[prost(fixed64, tag = "4")]
     pub zone: u64,
+    /// Name of its object in the store; empty if the sender did not find it on the store's list.
+    #[prost(string, tag = "5")]
+    pub name: String,
+    /// Number of the revision of that object.
+    #[prost(uint64, tag = "6")]
+    pub revision: u64,
 }
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -5,14 +5,15 @@
 use camphorwinch_core::opaque::{
     PoolId,
     fleet::{Listed, ZoneId},
+    listing::Need,
     revision::Revision,
     route::{Objective, Route, Routes, Share, Stamp},
     zone::{RegionId, ZonesOut},
 };
 
 use crate::opaque::{
-    ColdRateEntry, DecodeError, Greeting, MemberEntry, Report, RouteEntry, ShareEntry, Snapshot,
-    ZonesEntry,
+    Age, ColdRateEntry, DecodeError, Greeting, MemberEntry, Part, PeerEntry, Question, Report,
+    RouteEntry, ShareEntry, Snapshot, ZonesEntry,
 };
 
 impl From<&ZonesOut> for ZonesEntry {
@@ -61,7 +62,82 @@
     }
 }
 
+impl Question {
+    /// Asks for the configuration and all members, whatever is known of them.
+    pub fn all() -> Question {
+        Question::default().with_config().with_members(Part::All)
+    }
+
+    /// The same with the configuration and the zones out of service.
+    pub fn with_config(self) -> Question {
+        Question { config: true, ..self }
+    }
+
+    /// The same with some members.
+    pub fn with_members(self, members: Part) -> Question {
+        Question { members: members.into(), ..self }
+    }
+
+    /// The same with a list of members that is new enough.
+    pub fn with_need(self, need: Need) -> Question {
+        let (age, revision) = match need {
+            Need::Any => (Age::Any, Revision::default()),
+            Need::Since(revision) => (Age::Since, revision),
+            Need::Fresh => (Age::Fresh, Revision::default()),
+        };
+        Question { age: age.into(), era: revision.era, revision: revision.number, ..self }
+    }
+
+    /// The same from a process that can tell the list on.
+    pub fn with_asker(self, asker: SocketAddrV4) -> Question {
+        Question { asker: Some(asker.into()), ..self }
+    }
+
+    /// How new the list of members has to be.
+    pub fn need(&self) -> Need {
+        match self.age() {
+            Age::Any => Need::Any,
+            Age::Since => Need::Since(Revision::new(self.era, self.revision)),
+            Age::Fresh => Need::Fresh,
+        }
+    }
+}
+
+impl From<SocketAddrV4> for PeerEntry {
+    fn from(it: SocketAddrV4) -> PeerEntry {
+        PeerEntry { ip: it.ip().to_bits(), port: u32::from(it.port()) }
+    }
+}
+
+impl TryFrom<PeerEntry> for SocketAddrV4 {
+    type Error = DecodeError;
+
+    fn try_from(it: PeerEntry) -> Result<SocketAddrV4, DecodeError> {
+        address(it.ip, it.port)
+    }
+}
+
 impl Snapshot {
+    /// The store's revision as of which its list of members was read, if the sender has the list.
+    pub fn listed_at(&self) -> Option<Revision> {
+        (self.list_revision > 0).then(|| Revision::new(self.list_era, self.list_revision))
+    }
+
+    /// What is asked for of a snapshot.
+    pub fn with_parts_of(mut self, ask: &Question) -> Snapshot {
+        if !ask.config {
+            let members = std::mem::take(&mut self.members);
+            let (list_era, list_revision) = (self.list_era, self.list_revision);
+            self = Snapshot { members, list_era, list_revision, ..Snapshot::default() };
+        }
+        match ask.members() {
+            Part::None => self.members.clear(),
+            Part::Balancers => self.members.retain(|it| it.pool.is_none()),
+            Part::All => {}
+        }
+        self
+    }
+
     /// The configuration in it, if there is one.
     pub fn config(&self) -> Option<Stamp> {
         stamp(self.version, self.era, self.revision)
@@ -74,7 +150,7 @@
 
     /// A snapshot of the routes in force, if any are, and the members.
     pub fn new(routes: Option<&Routes>, members: &[Listed]) -> Snapshot {
-        let members = members.iter().map(member_entry).collect();
+        let members = members.iter().map(MemberEntry::from).collect();
         let Some(routes) = routes else {
             return Snapshot { members, ..Snapshot::default() };
         };
@@ -87,8 +163,8 @@
             era,
             routes: routes.by_address.iter().map(|(&at, it)| route_entry(at, it)).collect(),
             members,
-            zones: None,
             cold_rates: cold_rates.collect(),
+            ..Snapshot::default()
         }
     }
 
@@ -117,14 +193,18 @@
 
     /// The members.
     pub fn members(&self) -> Result<Vec<Listed>, DecodeError> {
-        let member = |it: &MemberEntry| {
-            Ok(Listed {
-                address: address(it.ip, it.port)?,
-                pool: it.pool.map(PoolId),
-                zone: ZoneId(it.zone),
-            })
-        };
-        self.members.iter().map(member).collect()
+        self.members.iter().map(MemberEntry::listed).collect()
+    }
+}
+
+impl MemberEntry {
+    /// The member as decisions see it.
+    pub fn listed(&self) -> Result<Listed, DecodeError> {
+        Ok(Listed {
+            address: address(self.ip, self.port)?,
+            pool: self.pool.map(PoolId),
+            zone: ZoneId(self.zone),
+        })
     }
 }
 
@@ -137,12 +217,15 @@
     (number > 0).then(|| Stamp { version, revision: Revision::new(era, number) })
 }
 
-fn member_entry(it: &Listed) -> MemberEntry {
-    MemberEntry {
-        ip: it.address.ip().to_bits(),
-        port: u32::from(it.address.port()),
-        pool: it.pool.map(|it| it.0),
-        zone: it.zone.0,
+impl From<&Listed> for MemberEntry {
+    fn from(it: &Listed) -> MemberEntry {
+        MemberEntry {
+            ip: it.address.ip().to_bits(),
+            port: u32::from(it.address.port()),
+            pool: it.pool.map(|it| it.0),
+            zone: it.zone.0,
+            ..MemberEntry::default()
+        }
     }
 }
 
