A start does not wait for peers that are silent

Now a process that heard nobody for 60 ms reads the store itself, beside its questions; a peer says at once that it is at work; and the pause between two reads of a seed grows with the members (0.2 ms each), so that a small fleet does not wait.

--- a/crates/opaque/src/discovery/join.rs
+++ b/crates/opaque/src/discovery/join.rs
@@ -19,7 +19,8 @@
 use crate::{
     event::Id,
     lists::Lists,
-    metrics, snapshot,
+    metrics,
+    snapshot::Asked,
     store::{Announced, Member, Members, Record, Store, StoreError},
 };
 
@@ -32,10 +33,15 @@
 const LIST_MEMBERS: usize = 300;
 /// Time over which a fleet of [`LIST_MEMBERS`] spreads the lists that follow on a reset of the store.
 const RESET_SPREAD: Duration = Duration::from_millis(500);
-/// Shortest pause between the beginnings of two lists that others need: whoever asks meanwhile is served by the next one.
-const LIST_GAP: Duration = Duration::from_millis(200);
-/// Time for a peer's first word on the list. One that stands still must not hold up a start for longer.
+/// Shortest pause between the beginnings of two lists that others need, for each member: whoever asks meanwhile is served by the
+/// next one. So the pages that are read a second don't grow with the fleet, and a small one does not wait.
+const LIST_GAP_EACH: Duration = Duration::from_micros(200);
+/// Time for a peer's first word on the list.
 const TELL_PATIENCE: Duration = Duration::from_millis(200);
+/// Time after which a process reads the store itself if no peer was heard: one that stands still must not hold up a start.
+const ALONE_AFTER: Duration = Duration::from_millis(60);
+/// The same if one was heard and has not answered: the store may turn it away while it serves others.
+const ANSWER_AFTER: Duration = Duration::from_millis(400);
 /// Time for all peers, after which the process reads the store itself.
 const TELL_LIMIT: Duration = Duration::from_millis(1_600);
 /// The same at the first start of the whole system, when those who are asked start themselves and no caller waits.
@@ -45,10 +51,6 @@
 const FIRST_START_PAUSE: Duration = Duration::from_millis(150);
 /// Referrals that are followed one after the other before the store is read.
 const MAX_REFERRED: usize = 4;
-/// Time for which an agent waits to be greeted before it asks for the balancers: after a start of the whole fleet all balancers greet
-/// all agents, and who was greeted asks one of those and not a seed.
-const GREETED_WITHIN: Duration = Duration::from_millis(300);
-
 /// Where a process stands that has just started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Start {
@@ -207,7 +209,7 @@
             () = sleep(list_pause(known, self.is_agent()).mul_f64(spread())) => Reason::Due,
             () = self.again.notified() => Reason::Again,
             () = self.lists.wanted.notified() => {
-                tokio::time::sleep_until(begun + LIST_GAP).await;
+                tokio::time::sleep_until(begun + LIST_GAP_EACH * known as u32).await;
                 Reason::Wanted
             }
             () = reset_after(resets, at.era) => {
@@ -275,25 +277,53 @@
 
     /// The members, from processes that have the list or from the store. A process that others ask reads the store itself.
     async fn members(&self, need: Need, patience: Duration) -> Result<Got, StoreError> {
-        if self.is_agent() && self.greeted.borrow().is_empty() {
-            let mut greeted = self.greeted.clone();
-            let pause = GREETED_WITHIN.mul_f64(spread());
-            // Without a greeting the seeds are asked.
-            let _ = timeout(pause, greeted.wait_for(|it| !it.is_empty())).await;
-        }
         let seeds = self.seeds.borrow().clone();
-        if !seeds.contains(&self.own.address) {
-            let limit = if self.first_start { FIRST_START_LIMIT } else { TELL_LIMIT };
-            if let Ok(Some(got)) = timeout(limit, self.told(&seeds, need)).await {
-                return Ok(got);
-            }
+        if seeds.contains(&self.own.address) {
+            return self.read(patience).await;
+        }
+        let heard = watch::Sender::new(false);
+        let limit = if self.first_start { FIRST_START_LIMIT } else { TELL_LIMIT };
+        let told = timeout(limit, self.told(&seeds, need, &heard));
+        tokio::select! {
+            told = told => match told {
+                Ok(Some(got)) => Ok(got),
+                Ok(None) | Err(_) => self.read(patience).await,
+            },
+            read = self.read_alone(&heard, patience) => read,
         }
+    }
+
+    /// Reads the list in the store.
+    async fn read(&self, patience: Duration) -> Result<Got, StoreError> {
         let members = count("list", self.store.members(patience).await)?;
         Ok(Got { members, others: Vec::new() })
     }
 
+    /// Reads it if no peer was heard for some time, or none has answered for some more.
+    async fn read_alone(
+        &self,
+        heard: &watch::Sender<bool>,
+        patience: Duration,
+    ) -> Result<Got, StoreError> {
+        let (alone_after, answer_after) = if self.first_start {
+            (FIRST_START_LIMIT, FIRST_START_LIMIT)
+        } else {
+            (ALONE_AFTER, ANSWER_AFTER)
+        };
+        let mut peers = heard.subscribe();
+        if timeout(alone_after, peers.wait_for(|&it| it)).await.is_ok() {
+            sleep(answer_after).await;
+        }
+        self.read(patience).await
+    }
+
     /// The list as others tell it, if one of them has it as new as it is needed.
-    async fn told(&self, seeds: &[SocketAddrV4], need: Need) -> Option<Got> {
+    async fn told(
+        &self,
+        seeds: &[SocketAddrV4],
+        need: Need,
+        heard: &watch::Sender<bool>,
+    ) -> Option<Got> {
         let own = self.own.address;
         let part = if self.is_agent() { Part::Balancers } else { Part::All };
         let mut ask = Question::default().with_members(part).with_need(need);
@@ -310,7 +340,7 @@
         }
         loop {
             for &peer in &peers {
-                let Some(snapshot) = self.ask(peer, &ask).await else {
+                let Some(snapshot) = self.ask(peer, &ask, heard).await else {
                     continue;
                 };
                 let got = Got::from_peer(&snapshot).filter(|_| snapshot.meets_need);
@@ -327,11 +357,22 @@
     }
 
     /// Asks a peer, and those whom it names in its place.
-    async fn ask(&self, peer: SocketAddrV4, ask: &Question) -> Option<Snapshot> {
+    async fn ask(
+        &self,
+        peer: SocketAddrV4,
+        ask: &Question,
+        heard: &watch::Sender<bool>,
+    ) -> Option<Snapshot> {
         let patience = if self.first_start { FIRST_START_PATIENCE } else { TELL_PATIENCE };
         let (mut to, mut next) = (peer, ask.clone());
         for _ in 0..MAX_REFERRED {
-            let answer = snapshot::ask(to, &next, patience).await;
+            let answer = match Asked::new(to, &next, patience).await {
+                Ok(asked) => {
+                    heard.send_replace(true);
+                    asked.answer().await
+                }
+                Err(e) => Err(e),
+            };
             log_asked(to, &answer);
             let snapshot = match answer {
                 Ok(it) if it.referred.is_empty() && (it.meets_need || to == peer) => {
--- a/crates/opaque/src/snapshot.rs
+++ b/crates/opaque/src/snapshot.rs
@@ -25,7 +25,7 @@
 /// Time for the question and for the answer to pass: a round trip between regions, the transfer of a large configuration, and some.
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time for the rest of an answer whose sender has to read the list first.
+/// Time for an answer after the first word: its sender may have to read the list.
 const PENDING_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Tells the newest state to whoever asks.
@@ -79,18 +79,18 @@
     timeout(ASK_TIMEOUT, frames.send(bytes)).await.context("not taken in time")?.context("send")
 }
 
-/// Decides how to answer. An asker that has to wait is told so, as it can't tell a process at work from one that stands still.
+/// Decides how to answer. The asker hears at once that it is heard: it can't tell a process at work from one that stands still.
 async fn decide(
     lists: &Lists,
     ask: &Question,
     frames: &mut Frames<TcpStream>,
 ) -> anyhow::Result<Answer> {
-    if let Some(answer) = lists.answer(ask) {
-        return Ok(answer);
-    }
     let pending = Snapshot { pending: true, ..Snapshot::default() };
     frames.send(Bytes::from(pending.encode_to_vec())).await.context("send")?;
-    Ok(lists.answer_later(ask).await)
+    Ok(match lists.answer(ask) {
+        Some(answer) => answer,
+        None => lists.answer_later(ask).await,
+    })
 }
 
 fn refer(at: Revision, others: Vec<SocketAddrV4>) -> Snapshot {
@@ -98,26 +98,45 @@
     Snapshot { list_era: at.era, list_revision: at.number, referred, ..Snapshot::default() }
 }
 
+/// A question that a peer is at work on.
+pub(crate) struct Asked {
+    frames: Frames<TcpStream>,
+    first: Snapshot,
+}
+
+impl Asked {
+    /// Asks a peer and waits for its first word, for `patience` at the most.
+    pub(crate) async fn new(
+        peer: SocketAddrV4,
+        ask: &Question,
+        patience: Duration,
+    ) -> anyhow::Result<Asked> {
+        let exchange = async {
+            let mut frames = frames(TcpStream::connect(peer).await.context("connect")?);
+            frames.send(Bytes::from(ask.encode_to_vec())).await.context("send")?;
+            let first = receive(&mut frames).await?;
+            Ok(Asked { frames, first })
+        };
+        within(patience, exchange).await.with_context(|| format!("ask {peer}"))
+    }
+
+    /// The answer.
+    pub(crate) async fn answer(mut self) -> anyhow::Result<Snapshot> {
+        if !self.first.pending {
+            return Ok(self.first);
+        }
+        within(PENDING_TIMEOUT, receive(&mut self.frames)).await
+    }
+}
+
 /// Asks a peer; `patience` is for its first word.
 pub(crate) async fn ask(
     peer: SocketAddrV4,
     ask: &Question,
     patience: Duration,
 ) -> anyhow::Result<Snapshot> {
-    let exchange = async {
-        let mut frames = frames(TcpStream::connect(peer).await.context("connect")?);
-        frames.send(Bytes::from(ask.encode_to_vec())).await.context("send")?;
-        let first = receive(&mut frames).await?;
-        Ok((first, frames))
-    };
-    let answer = async {
-        let (first, mut frames) = within(patience, exchange).await?;
-        if !first.pending {
-            return Ok(first);
-        }
-        within(PENDING_TIMEOUT, receive(&mut frames)).await
-    };
-    answer.await.with_context(|| format!("ask {peer}"))
+    let asked = Asked::new(peer, ask, patience).await?;
+    asked.answer().await.with_context(|| format!("ask {peer}"))
 }
 
 async fn receive(frames: &mut Frames<TcpStream>) -> anyhow::Result<Snapshot> {
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -536,7 +536,7 @@
     /// Zones out of service whose entries the store lost when it came back from a copy.
     #[prost(string, repeated, tag = "14")]
     pub lost_zones: Vec<String>,
-    /// The answer follows in another frame, as the list has to be read first.
+    /// The answer follows in another frame.
     #[prost(bool, tag = "13")]
     pub pending: bool,
 }
