A told list holds all that the store lists

Cause (read while the change was gone over): a list was told as the teller's view with names of the list, so a listed agent whose late word that it leaves the teller had taken was missing, and the asker took the list for whole: it could call a flow of that agent held by nobody. Test: lists/tests.rs, the_list_is_told_whole.

--- a/crates/opaque/src/lists.rs
+++ b/crates/opaque/src/lists.rs
@@ -1,7 +1,10 @@
 //! The list of members as this process tells it to others, and what makes it read the store for them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
-    collections::BTreeMap,
+    collections::BTreeSet,
     net::SocketAddrV4,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -14,7 +17,7 @@
     listing::{Listing, Need, Reply},
     revision::Revision,
 };
-use camphorwinch_wire::opaque::{MemberEntry, Question, Snapshot};
+use camphorwinch_wire::opaque::{MemberEntry, Part, Question, Snapshot};
 use tokio::{
     sync::{Notify, watch},
     time::timeout,
@@ -127,25 +130,23 @@
         self.known.borrow().at.unwrap_or_default()
     }
 
-    /// What is told, with what the store's list says of its members.
-    pub(crate) fn complete(&self, mut snapshot: Snapshot) -> Snapshot {
+    /// What is told, with the members that the store lists. Those that left by what this process heard are among them: the asker must not
+    /// be surer of that than one that reads the store.
+    pub(crate) fn complete(&self, mut snapshot: Snapshot, part: Part) -> Snapshot {
         let known = self.known.borrow().clone();
-        let Some(at) = known.at.filter(|_| !snapshot.members.is_empty()) else {
+        let Some(at) = known.at.filter(|_| part != Part::None) else {
             return snapshot;
         };
         (snapshot.list_era, snapshot.list_revision) = (at.era, at.number);
-        let records: BTreeMap<_, _> =
-            known.records.iter().map(|it| (it.listed.address, it)).collect();
-        for entry in &mut snapshot.members {
-            let record = entry.listed().ok().and_then(|it| records.get(&it.address));
-            if let Some(record) = record {
-                *entry = MemberEntry {
-                    name: record.name.clone(),
-                    revision: record.revision.number,
-                    ..MemberEntry::from(&record.listed)
-                };
-            }
-        }
+        let listed: BTreeSet<_> = known.records.iter().map(|it| it.listed.address).collect();
+        let is_listed = |it: &MemberEntry| it.listed().is_ok_and(|it| listed.contains(&it.address));
+        snapshot.members.retain(|it| !is_listed(it));
+        let asked = known.records.iter().filter(|it| part == Part::All || it.listed.pool.is_none());
+        snapshot.members.extend(asked.map(|it| MemberEntry {
+            name: it.name.clone(),
+            revision: it.revision.number,
+            ..MemberEntry::from(&it.listed)
+        }));
         snapshot
     }
 
--- a/crates/opaque/src/snapshot.rs
+++ b/crates/opaque/src/snapshot.rs
@@ -82,7 +82,7 @@
     let snapshot = match (answer, lists) {
         (Answer::Tell { met }, Some(lists)) => {
             let told = newest.borrow().parts(&ask);
-            lists.complete(Snapshot { meets_need: met, ..told })
+            lists.complete(Snapshot { meets_need: met, ..told }, ask.members())
         }
         (Answer::Refer(others), Some(lists)) => refer(lists.at(), others),
         (Answer::Tell { .. } | Answer::Refer(_), None) => newest.borrow().parts(&ask),
