A reader that the store turns away waits for its next turn

Cause: in an outage, or when the store turns a third of the VMs away, each balancer that reads the configuration from time to time and fails tried again each half second, though others read and tell of changes; so the calls of an outage grew with the fleet. Test in paused time, red without.

--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -37,6 +37,8 @@
     forgets: bool,
     /// Turns calls about zones away.
     busy: bool,
+    /// Turns calls about the configuration away after so many.
+    serves: Option<usize>,
     calls: Arc<Mutex<Vec<Option<u64>>>>,
     reads: Arc<Mutex<Vec<Freshness>>>,
     era: watch::Sender<Option<u64>>,
@@ -78,6 +80,9 @@
     async fn routes(&self, it: Freshness, _: Duration) -> Result<Seen, StoreError> {
         self.note(None);
         self.reads.lock().expect("not poisoned").push(it);
+        if self.serves.is_some_and(|it| self.calls().len() > it) {
+            return Err(StoreError::Busy { step: "read the configuration", status: 503 });
+        }
         let routes =
             Routes { revision: Revision::new(0, CONFIG_AT), version: 1, ..Routes::default() };
         let era = self.era.borrow().unwrap_or_default();
@@ -597,6 +602,34 @@
     task.abort();
 }
 
+// Fleet, scale-1: the store turns a third of the VMs away for 9 s. A balancer whose turn to read fell into that tried again each half second,
+// though others read and tell of changes. Proof: one call for each of its turns.
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_is_turned_away_waits_for_its_next_turn() {
+    let store = Fake { serves: Some(1), ..Fake::default() };
+    let (_duty, reading) = watch::channel(Duty::Read(3));
+    let (out, mut found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, reading, Arc::default(), out));
+    assert!(matches!(found.recv().await, Some(Found::News(_))));
+    sleep(Duration::from_secs(100)).await;
+    // Turns are 6 to 10 s apart.
+    let calls = store.calls().len();
+    assert!((11..=18).contains(&calls), "{calls}");
+    task.abort();
+}
+
+// A process that knows no configuration yet can't wait.
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_knows_nothing_tries_again_at_once() {
+    let store = Fake { serves: Some(0), ..Fake::default() };
+    let (_duty, reading) = watch::channel(Duty::Read(3));
+    let (out, _found) = mpsc::channel::<Found>(16);
+    let task = tokio::spawn(follow(store.clone(), Topic::Routes, reading, Arc::default(), out));
+    sleep(Duration::from_secs(10)).await;
+    assert!(store.calls().len() > 15, "{:?}", store.calls());
+    task.abort();
+}
+
 // Balancers that read the configuration beside those that wait for its changes made more calls the more of them there were.
 #[test]
 fn reads_of_the_configuration_do_not_grow_with_the_fleet() {
--- a/crates/opaque/src/discovery/topic.rs
+++ b/crates/opaque/src/discovery/topic.rs
@@ -220,6 +220,7 @@
             return;
         };
         let mut informed = start == Start::Told;
+        let mut known = informed;
         if informed {
             era.known = *resets.borrow();
             freshness = era.freshness();
@@ -263,6 +264,7 @@
                         self.served.notify_waiters();
                     }
                     at = Some(seen_at);
+                    known = true;
                     let Some(news) = news else {
                         continue;
                     };
@@ -276,11 +278,24 @@
                     sleep(FIRST_PAUSE.mul_f64(spread())).await;
                 }
                 Err(e) => {
-                    topic.failed(&e, &mut backoff, &self.served).await;
                     // What came while the watch was broken may be in no history any more.
                     at = None;
+                    if known && self.waits_for_its_turn(&topic, &e) {
+                        backoff.note_lost(&e);
+                        informed = true;
+                        freshness = era.freshness();
+                        continue;
+                    }
+                    topic.failed(&e, &mut backoff, &self.served).await;
                 }
             }
         }
     }
+
+    /// Whether a call that failed is left at that until the next turn: others read the configuration as well, and tell of changes. When the
+    /// store turns many processes away, each try again would be one more call that brings nothing.
+    fn waits_for_its_turn(&self, topic: &Topic, error: &StoreError) -> bool {
+        let reads = matches!(*self.duty.borrow(), Duty::Read(_));
+        reads && error.is_passing() && matches!(topic, Topic::Routes)
+    }
 }
