Order waiting requests in a ranked queue

Each upstream packet scanned all waiting requests twice: for expired waits and for the next one to release. A queue in groups by class and priority and an index of deadlines make both logarithmic. Requests without an objective keep the lowest priority.

--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -5,11 +5,16 @@
 //! will miss their latency objective come last. No request waits longer than a share of its remaining timeout: then the
 //! upstream answers or refuses it.
 
-use std::{cmp::Reverse, net::SocketAddrV4};
+use std::net::SocketAddrV4;
 
 use rustc_hash::FxHashMap;
 
-use super::{FlowKey, candidate_list::PoolLoad, route::Objective};
+use super::{
+    FlowKey,
+    candidate_list::PoolLoad,
+    ranked_queue::{RankedQueue, Terms},
+    route::Objective,
+};
 
 /// Requests sent to an upstream beyond its slots, so that no slot idles until the agent releases the next request.
 const EXTRA_REQUESTS: u32 = 1;
@@ -35,26 +40,11 @@
 /// Longest wait of a request whose timeout is not known.
 const DEFAULT_MAX_WAIT_MS: u64 = 300;
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    key: FlowKey,
-    issued_ms: u64,
-}
-
-/// Order in which waiting requests are released, lowest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Rank {
-    /// The request can meet its latency objective; earliest deadline first.
-    InTime { priority: u8, due_ms: u64 },
-    /// The request will miss its objective; newest first, as it has the longest time to its timeout.
-    Late { priority: u8, issued_ms: Reverse<u64> },
-}
-
 /// The waiting requests of an agent, and counters of those at its upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Admission {
     running: u32,
-    waiting: Vec<Waiting>,
+    waiting: RankedQueue<FlowKey>,
     objectives: FxHashMap<SocketAddrV4, Objective>,
     /// Mean service time at this upstream.
     mean_ms: f64,
@@ -165,8 +155,9 @@
 
     /// Adds a waiting request that its caller issued at `issued_ms`. Returns the time at which its wait expires.
     pub(super) fn wait(&mut self, key: FlowKey, issued_ms: u64, now_ms: u64) -> u64 {
-        self.waiting.push(Waiting { key, issued_ms });
-        let Some(objective) = self.objectives.get(&key.service) else {
+        let objective = self.objectives.get(&key.service).copied();
+        self.waiting.insert(key, Terms::new(objective, issued_ms, false));
+        let Some(objective) = objective else {
             return now_ms + DEFAULT_MAX_WAIT_MS;
         };
         let left = (issued_ms + u64::from(objective.timeout_ms)).saturating_sub(now_ms);
@@ -174,26 +165,26 @@
     }
 
     /// The lowest ranked waiting request, if more wait than the upstream can serve within their timeouts.
-    pub(super) fn excess(&self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
+    pub(super) fn excess(&mut self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
         let timeout_ms = self.objectives.values().map(|it| it.timeout_ms).min()?;
         let rounds = f64::from(timeout_ms) * BACKLOG_SHARE / self.mean_ms.max(1.0);
         let most = (f64::from(slots?.max(1)) * rounds) as usize;
         if self.waiting.len() <= most {
             return None;
         }
-        self.waiting.iter().max_by_key(|it| self.rank(it, now_ms)).map(|it| it.key)
+        self.waiting.last(self.end_ms(now_ms)).map(|it| it.1)
     }
 
     pub(super) fn remove(&mut self, key: FlowKey) {
-        self.waiting.retain(|it| it.key != key);
+        self.waiting.remove(&key);
     }
 
     /// The next request to release: if the upstream has room, or the pool is no longer full.
-    pub(super) fn next(&self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
+    pub(super) fn next(&mut self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
         if self.is_pool_full(now_ms) && !self.has_room(slots) {
             return None;
         }
-        self.waiting.iter().min_by_key(|it| self.rank(it, now_ms)).map(|it| it.key)
+        self.waiting.first(self.end_ms(now_ms)).map(|it| it.1)
     }
 
     /// Whether the upstream can take another request. It can while its slots are not known.
@@ -201,18 +192,8 @@
         slots.is_none_or(|it| self.running < it.max(1) + EXTRA_REQUESTS)
     }
 
-    fn rank(&self, it: &Waiting, now_ms: u64) -> Rank {
-        let end_ms = now_ms + (self.mean_ms * SERVICE_TIME_MARGIN) as u64;
-        let issued_ms = Reverse(it.issued_ms);
-        let Some(objective) = self.objectives.get(&it.key.service) else {
-            return Rank::Late { priority: u8::MAX, issued_ms };
-        };
-        let priority = objective.priority;
-        let due_ms = it.issued_ms + u64::from(objective.latency_ms);
-        if end_ms <= due_ms {
-            Rank::InTime { priority, due_ms }
-        } else {
-            Rank::Late { priority, issued_ms }
-        }
+    /// Time at which a request that starts now is expected to end.
+    fn end_ms(&self, now_ms: u64) -> u64 {
+        now_ms + (self.mean_ms * SERVICE_TIME_MARGIN) as u64
     }
 }
--- a/crates/core/src/opaque/packet_buffer.rs
+++ b/crates/core/src/opaque/packet_buffer.rs
@@ -1,5 +1,7 @@
 //! Buffer for packets that wait for a slot, for the search of their flow's agent, or for its restart.
 
+use std::collections::BTreeSet;
+
 use rustc_hash::FxHashMap;
 
 use super::FlowKey;
@@ -18,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct PacketBuffer {
     flows: FxHashMap<FlowKey, BufferedFlow>,
+    /// Deadlines of the flows, so that finding those that have passed does not scan all flows.
+    deadlines: BTreeSet<(u64, FlowKey)>,
     bytes: usize,
 }
 
@@ -28,7 +32,10 @@
         if self.bytes + packet.len() > MAX_TOTAL_BYTES {
             return false;
         }
-        let flow = self.flows.entry(key).or_insert(BufferedFlow { packets: Vec::new(), until_ms });
+        let flow = self.flows.entry(key).or_insert_with(|| {
+            self.deadlines.insert((until_ms, key));
+            BufferedFlow { packets: Vec::new(), until_ms }
+        });
         if flow.packets.len() >= MAX_PACKETS_PER_FLOW {
             return false;
         }
@@ -44,22 +51,29 @@
 
     /// Sets a new deadline for the packets of a flow.
     pub fn extend(&mut self, key: &FlowKey, until_ms: u64) {
-        if let Some(flow) = self.flows.get_mut(key) {
-            flow.until_ms = until_ms;
-        }
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        self.deadlines.remove(&(flow.until_ms, *key));
+        self.deadlines.insert((until_ms, *key));
+        flow.until_ms = until_ms;
     }
 
     /// Removes and returns the packets of a flow, in order of arrival.
     pub fn take(&mut self, key: &FlowKey) -> Vec<Vec<u8>> {
-        let packets = self.flows.remove(key).map_or_else(Vec::new, |it| it.packets);
+        let Some(flow) = self.flows.remove(key) else {
+            return Vec::new();
+        };
+        self.deadlines.remove(&(flow.until_ms, *key));
+        let packets = flow.packets;
         self.bytes -= packets.iter().map(Vec::len).sum::<usize>();
         packets
     }
 
     /// Flows whose deadline has passed.
     pub fn expired(&self, now_ms: u64) -> Vec<FlowKey> {
-        let due = self.flows.iter().filter(|(_, it)| it.until_ms <= now_ms);
-        due.map(|(&key, _)| key).collect()
+        let due = self.deadlines.iter().take_while(|it| it.0 <= now_ms);
+        due.map(|it| it.1).collect()
     }
 
     /// Flows with buffered packets.
