Order waiting requests by the usual shares of their routes

An agent learns each route's mean rate of requests and marks those beyond the route's usual share, so that a burst on a route with a high priority no longer starves the other routes of a full pool.

--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -1,8 +1,9 @@
 //! Deadline-aware admission of requests to an upstream (compare Breakwater, OSDI 2020).
 //!
 //! Upstreams serve first come, first served, which makes every request late during overload. So while the pool is full
-//! the agent buffers requests that its upstream can't start, and releases them earliest deadline first. Requests that
-//! will miss their latency objective come last. No request waits longer than a share of its remaining timeout: then the
+//! the agent buffers requests that its upstream can't start, and releases them earliest deadline first. Requests beyond
+//! the usual share of their route come after those within it, and requests that will miss their latency objective come
+//! last. No request waits longer than a share of its remaining timeout: then the
 //! upstream answers or refuses it.
 
 use std::net::SocketAddrV4;
@@ -14,6 +15,7 @@
     candidate_list::PoolLoad,
     ranked_queue::{RankedQueue, Terms},
     route::Objective,
+    route_share::{BeyondShare, RouteShares, RouteUsage},
 };
 
 /// Requests sent to an upstream beyond its slots, so that no slot idles until the agent releases the next request.
@@ -46,6 +48,7 @@
     running: u32,
     waiting: RankedQueue<FlowKey>,
     objectives: FxHashMap<SocketAddrV4, Objective>,
+    shares: RouteShares,
     /// Mean service time at this upstream.
     mean_ms: f64,
     samples: u32,
@@ -153,10 +156,36 @@
         self.mean_ms += (sample as f64 - self.mean_ms) * weight;
     }
 
+    /// Counts a request of a route, whether it waits or not. Returns whether it is beyond the route's usual share.
+    pub(super) fn is_beyond_share(&mut self, service: SocketAddrV4, now_ms: u64) -> bool {
+        self.shares.is_beyond(service, now_ms)
+    }
+
+    /// Report on a route with a waiting request beyond its share, at a limited rate.
+    pub(super) fn share_report(
+        &mut self,
+        service: SocketAddrV4,
+        now_ms: u64,
+    ) -> Option<BeyondShare> {
+        self.shares.report(service, now_ms)
+    }
+
+    /// The known routes and their counters.
+    pub(super) fn route_usage(&self) -> impl Iterator<Item = (SocketAddrV4, RouteUsage)> {
+        self.shares.usage()
+    }
+
     /// Adds a waiting request that its caller issued at `issued_ms`. Returns the time at which its wait expires.
-    pub(super) fn wait(&mut self, key: FlowKey, issued_ms: u64, now_ms: u64) -> u64 {
+    pub(super) fn wait(
+        &mut self,
+        key: FlowKey,
+        issued_ms: u64,
+        beyond_share: bool,
+        now_ms: u64,
+    ) -> u64 {
         let objective = self.objectives.get(&key.service).copied();
-        self.waiting.insert(key, Terms::new(objective, issued_ms, false));
+        self.waiting.insert(key, Terms::new(objective, issued_ms, beyond_share));
+        self.shares.begin_wait(key.service);
         let Some(objective) = objective else {
             return now_ms + DEFAULT_MAX_WAIT_MS;
         };
@@ -176,7 +205,9 @@
     }
 
     pub(super) fn remove(&mut self, key: FlowKey) {
-        self.waiting.remove(&key);
+        if self.waiting.remove(&key).is_some() {
+            self.shares.end_wait(key.service);
+        }
     }
 
     /// The next request to release: if the upstream has room, or the pool is no longer full.
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -19,6 +19,7 @@
     effect::{Answer, Effect, FlowStatus, Payload, RelayAction, RelayHeader},
     fleet::{AgentPlan, REPORT_INTERVAL_MS, Report, UpstreamState, ZoneId},
     load::{FlowUsageTracker, Load},
+    route_share::RouteUsage,
     packet_buffer::PacketBuffer,
     upstream_tracker::{HeartbeatSource, UpstreamTracker},
     warmup::WarmupLimiter,
@@ -122,6 +123,11 @@
         self.admission.waiting()
     }
 
+    /// The routes that recently sent requests here, with their counters.
+    pub fn route_usage(&self) -> impl Iterator<Item = (SocketAddrV4, RouteUsage)> {
+        self.admission.route_usage()
+    }
+
     /// Flows that are open or opening.
     pub fn flows(&self) -> u32 {
         self.load.flows()
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -97,10 +97,15 @@
             flow.request = Request::Uncounted;
             return out.push(Effect::Deliver);
         }
+        let service = head.key.service;
+        let beyond_share = self.admission.is_beyond_share(service, now_ms);
         if !self.admission.admits(self.upstream_tracker.slots(), now_ms) {
-            let until_ms = self.admission.wait(head.key, issued_ms, now_ms);
+            let until_ms = self.admission.wait(head.key, issued_ms, beyond_share, now_ms);
             if self.buffer.push(head.key, bytes, until_ms) {
                 flow.request = Request::Waiting { since_ms: now_ms };
+                if beyond_share && let Some(report) = self.admission.share_report(service, now_ms) {
+                    note(head.key, Decision::BeyondShare { service, report }, out);
+                }
                 return self.release_excess(now_ms, out);
             }
             self.admission.remove(head.key);
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -5,6 +5,7 @@
 use super::{
     FlowKey, PoolId,
     candidate_list::{CandidateList, LastResort},
+    route_share::BeyondShare,
 };
 
 /// Bytes of the packet that an effect refers to.
@@ -202,6 +203,13 @@
         /// Requests that still wait.
         waiting: usize,
     },
+    /// A request beyond its route's usual share waits. Reported at most once per second for each route.
+    BeyondShare {
+        /// The route's address.
+        service: SocketAddrV4,
+        /// Requests beyond the share and the route's rate.
+        report: BeyondShare,
+    },
     /// An agent received a packet of a flow that it does not hold.
     Absent,
     /// Packets are buffered while the flow's agent restarts.
--- a/crates/opaque/src/decision_log.rs
+++ b/crates/opaque/src/decision_log.rs
@@ -1,6 +1,8 @@
 //! Log lines and counters for decisions on flows.
 
-use camphorwinch_core::opaque::{FlowKey, candidate_list::LastResort, effect::Decision};
+use camphorwinch_core::opaque::{
+    FlowKey, candidate_list::LastResort, effect::Decision, route_share::BeyondShare,
+};
 
 use crate::{event::Id, log::Limiter, metrics};
 
@@ -81,6 +83,7 @@
         Decision::Forwarded { .. } => Class::Detail,
         Decision::NoCandidate { .. }
         | Decision::Refused
+        | Decision::BeyondShare { .. }
         | Decision::NotFound { .. }
         | Decision::UpstreamReset { .. }
         | Decision::BreakerOpened
@@ -103,6 +106,7 @@
         Decision::NotFound { .. } => (Id::FlowNotFound, "not-found"),
         Decision::Absent => (Id::FlowAbsent, "absent"),
         Decision::Admitted { .. } => (Id::RequestAdmitted, "admitted"),
+        Decision::BeyondShare { .. } => (Id::RouteBeyondShare, "beyond-share"),
         Decision::Held { .. } => (Id::FlowHeld, "held"),
         Decision::UpstreamReset { .. } => (Id::UpstreamReset, "upstream-reset"),
         Decision::BreakerOpened => (Id::UpstreamSetAside, "set-aside"),
@@ -140,6 +144,9 @@
         Decision::Admitted { waited_ms, reason, waiting } => {
             tracing::info!(id, name, flow, waited_ms, cause = reason.as_str(), waiting);
         }
+        Decision::BeyondShare { service, report: BeyondShare { beyond, rate_per_s } } => {
+            tracing::info!(id, name, flow, service = %service, beyond, rate_per_s);
+        }
         Decision::Held { agent } => tracing::info!(id, name, flow, agent = %agent),
         Decision::UpstreamReset { passed } => tracing::warn!(id, name, flow, passed),
         Decision::Reset(reason) => tracing::warn!(id, name, flow, why = reason.as_str()),
