Count requests beyond a route's share by two buckets

One bucket is filled with time, the other by the arrivals of the other routes: a rise that all routes have in common leaves each within its share. The simulated fleet can give routes objectives and service times of their own.

--- a/crates/core/src/opaque/route_share.rs
+++ b/crates/core/src/opaque/route_share.rs
@@ -14,12 +14,15 @@
 /// History of a route before it can exceed its share; more than one period of ordinary waves, as the mean over a part
 /// of a wave is too low or too high.
 const MIN_HISTORY_MS: u64 = 20_000;
-/// Rate at which both buckets are filled, as a multiple of the usual one.
-const FILL_FACTOR: f64 = 1.5;
+/// Rate at which both buckets are filled while the route is within its share, as a multiple of the usual one; above the
+/// peak of ordinary waves (1.55).
+const FILL_FACTOR: f64 = 1.6;
+/// The same from the time at which both were empty until one is half full: a burst gets no more than the usual rate.
+const BEYOND_FILL_FACTOR: f64 = 1.0;
 /// Size of both buckets, in seconds of the mean rate.
-const BUCKET_S: f64 = 0.5;
-/// Minimum size of both buckets, in requests; random arrivals at low rates exceed smaller ones.
-const MIN_BUCKET: f64 = 10.0;
+const BUCKET_S: f64 = 0.25;
+/// Minimum size of both buckets, in requests; at 10 to 30 requests per second, random arrivals empty smaller ones.
+const MIN_BUCKET: f64 = 12.0;
 /// Weight of a request beyond its share in the mean rate: a burst raises the mean less than a lasting rise.
 const BEYOND_WEIGHT: f64 = 0.5;
 /// Arrivals of the other routes, by their weight in the mean, below which a route has no competitors.
@@ -171,6 +174,8 @@
     rate_tokens: f64,
     /// Tokens filled by the arrivals of other routes.
     share_tokens: f64,
+    /// Both buckets were empty, and neither has been half full since.
+    is_beyond: bool,
     own: u64,
     /// Arrivals of all routes before this one's first.
     before: u64,
@@ -187,6 +192,7 @@
             mean: DecayingCount { updated_ms: now_ms, ..DecayingCount::default() },
             rate_tokens: MIN_BUCKET,
             share_tokens: MIN_BUCKET,
+            is_beyond: false,
             own: 0,
             before: arrivals,
             others: 0,
@@ -207,8 +213,12 @@
         let size = (mean * BUCKET_S).max(MIN_BUCKET);
         let others_count = (all.at(now_ms) - self.mean.at(now_ms)).max(0.0);
         let share = mean * all.span_s(now_ms) / others_count.max(MIN_OTHERS);
-        self.rate_tokens = (self.rate_tokens + passed_s * mean * FILL_FACTOR).min(size);
-        self.share_tokens = (self.share_tokens + new_others * share * FILL_FACTOR).min(size);
+        let factor = if self.is_beyond { BEYOND_FILL_FACTOR } else { FILL_FACTOR };
+        self.rate_tokens = (self.rate_tokens + passed_s * mean * factor).min(size);
+        self.share_tokens = (self.share_tokens + new_others * share * factor).min(size);
+        if self.rate_tokens.max(self.share_tokens) >= size / 2.0 {
+            self.is_beyond = false;
+        }
         let has_history = self.mean.history_ms(now_ms) >= MIN_HISTORY_MS;
         let has_token = self.rate_tokens >= 1.0 || self.share_tokens >= 1.0;
         let within = has_token || !has_history || others_count < MIN_OTHERS;
@@ -216,6 +226,7 @@
             self.rate_tokens = (self.rate_tokens - 1.0).max(-size);
             self.share_tokens = (self.share_tokens - 1.0).max(-size);
         }
+        self.is_beyond |= !within;
         within
     }
 }
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -11,6 +11,7 @@
 mod ranked_queue;
 mod regions;
 mod route;
+mod route_share;
 mod support;
 mod survival;
 mod upstream_instances;
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -30,7 +30,7 @@
 /// Delays before a caller retransmits a packet.
 const RETRANSMIT_DELAYS_MS: [u64; 4] = [200, 400, 800, 1_600];
 
-/// Objective of all routes.
+/// Objective of all routes for which the test sets none.
 pub(crate) const OBJECTIVE: Objective =
     Objective { priority: 1, latency_ms: 250, timeout_ms: 2_500, idempotent: true };
 
@@ -140,6 +140,8 @@
     left: u32,
     pause_ms: u64,
     closing: bool,
+    /// The upstream refused the request in progress.
+    refused: bool,
 }
 
 /// Counters of outcomes at the callers.
@@ -156,6 +158,8 @@
     /// Flows sent to upstreams that were draining.
     pub(crate) late_work: u64,
     pub(crate) latencies_ms: Vec<u64>,
+    /// Time of issue and latency of requests that were served, by service address.
+    pub(crate) served: HashMap<SocketAddrV4, Vec<(u64, u64)>>,
 }
 
 pub(crate) struct World {
@@ -170,6 +174,8 @@
     flows: BTreeMap<u64, Flow>,
     by_key: HashMap<FlowKey, u64>,
     next_id: u64,
+    /// Objective and mean service time of routes that differ from the others.
+    route_params: BTreeMap<SocketAddrV4, (Objective, u64)>,
     pub(crate) tally: Tally,
 }
 
@@ -187,6 +193,7 @@
             flows: BTreeMap::new(),
             by_key: HashMap::new(),
             next_id: 1,
+            route_params: BTreeMap::new(),
             tally: Tally::default(),
         };
         for host in 1..=params.agents {
@@ -234,7 +241,7 @@
     /// Starts a balancer, or restarts it without its state.
     pub(crate) fn start_balancer(&mut self, number: u8) {
         let mut balancer = Balancer::new(address(number), ZoneId(self.zone_of(number)));
-        balancer.update_routes(with_objectives(routes(1)));
+        balancer.update_routes(self.routes());
         balancer.sync_members(&self.listed(), self.now);
         self.balancers.insert(number, balancer);
     }
@@ -311,13 +318,47 @@
         self.hosts.values().filter_map(|it| it.upstream.as_ref()).map(|it| it.open.len()).sum()
     }
 
+    /// Sets the objective and the mean service time of a route's requests.
+    pub(crate) fn set_route(&mut self, service: SocketAddrV4, objective: Objective, work_ms: u64) {
+        self.route_params.insert(service, (objective, work_ms));
+        let routes = self.routes();
+        for it in self.balancers.values_mut() {
+            it.update_routes(routes.clone());
+        }
+    }
+
+    /// The routes, at a revision that grows with each change.
+    fn routes(&self) -> Routes {
+        let mut routes = routes(1 + self.route_params.len() as u64);
+        for (service, route) in &mut routes.by_address {
+            let params = self.route_params.get(service);
+            *route = route.clone().with_objective(params.map_or(OBJECTIVE, |it| it.0));
+        }
+        routes
+    }
+
+    pub(crate) fn now(&self) -> u64 {
+        self.now
+    }
+
     /// Opens a flow in a zone for this many requests, with a mean pause of `pause_ms` between them.
     pub(crate) fn open_flow(&mut self, zone: u64, requests: u32, pause_ms: u64) {
+        let service = if requests == 1 { single_service() } else { service() };
+        self.open_flow_to(service, zone, requests, pause_ms);
+    }
+
+    /// Opens a flow to a service address.
+    pub(crate) fn open_flow_to(
+        &mut self,
+        service: SocketAddrV4,
+        zone: u64,
+        requests: u32,
+        pause_ms: u64,
+    ) {
         let id = self.next_id;
         self.next_id += 1;
         let ip = Ipv4Addr::from_bits(0x6440_0000 + (id / 20_000) as u32);
         let caller = SocketAddrV4::new(ip, 1_024 + (id % 20_000) as u16);
-        let service = if requests == 1 { single_service() } else { service() };
         let key = FlowKey { caller, service };
         let flow = Flow {
             key,
@@ -330,6 +371,7 @@
             left: requests,
             pause_ms,
             closing: false,
+            refused: false,
         };
         self.flows.insert(id, flow);
         self.by_key.insert(key, id);
@@ -643,11 +685,16 @@
             return;
         }
         self.tally.shed += 1;
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.refused = true;
+        }
         self.respond(host, id);
     }
 
     fn start_work(&mut self, host: u8, upstream: u64, id: u64) {
-        let mean = self.params.work_ms as f64;
+        let flow = self.flows.get(&id);
+        let params = flow.and_then(|it| self.route_params.get(&it.key.service));
+        let mean = params.map_or(self.params.work_ms, |it| it.1) as f64;
         let work = mean * -(1.0 - self.rng.random::<f64>()).ln();
         self.push(work.min(mean * 6.0) as u64 + 1, Event::Work(host, upstream, id));
     }
@@ -801,6 +848,10 @@
                 let (pause, waited) = (flow.pause_ms, now - flow.sent_ms);
                 self.tally.answered += 1;
                 self.tally.latencies_ms.push(waited);
+                if !std::mem::take(&mut flow.refused) {
+                    let served = self.tally.served.entry(flow.key.service).or_default();
+                    served.push((flow.sent_ms, waited));
+                }
                 let pause = self.rng.random_range(0..=2 * pause);
                 self.push(pause, Event::NextRequest(id));
             }
@@ -825,14 +876,6 @@
     }
 }
 
-/// Sets the objective on all routes.
-fn with_objectives(mut routes: Routes) -> Routes {
-    for route in routes.by_address.values_mut() {
-        *route = route.clone().with_objective(OBJECTIVE);
-    }
-    routes
-}
-
 fn packet_of(payload: &Payload, current: u64) -> u64 {
     match payload {
         Payload::Current => current,
