Keep a steady estimate of each upstream's speed

The relative speed had a step at 1.5 times the pool's mean, was capped at 1.0, needed 20 samples and started anew with each agent. It now follows a mean over the last 400 samples that starts from a prior, counts a difference from the pool only beyond its statistical error, and goes up to 2.0 for upstreams whose answers are as long as the pool's. Balancers remember the last values for 60 s and return them to a restarted agent.

A request that the upstream refuses because its queue is full was answered at once and sampled as a service time near zero; requests answered before their turn are no samples any more.

--- a/crates/core/benches/opaque.rs
+++ b/crates/core/benches/opaque.rs
@@ -57,6 +57,7 @@
             slots: 4,
             load: 100,
             service_ms: None,
+            answer_bytes: None,
             full: false,
             interval_ms: 1_000,
         };
--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -21,6 +21,7 @@
 pub mod packet_buffer;
 pub mod ranked_queue;
 pub mod route;
+pub mod service_rate;
 pub mod upstream_tracker;
 mod warmup;
 pub mod zone;
--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -10,18 +10,15 @@
 use rustc_hash::FxHashMap;
 
 use super::{
-    FlowKey,
+    FlowKey, PoolId,
     candidate_list::PoolLoad,
     ranked_queue::{RankedQueue, Terms},
     route::Objective,
+    service_rate::ServiceRate,
 };
 
 /// Requests sent to an upstream beyond its slots, so that no slot idles until the agent releases the next request.
 const EXTRA_REQUESTS: u32 = 1;
-/// Weight of the newest sample in the moving average of service times.
-const SERVICE_TIME_WEIGHT: f64 = 0.05;
-/// Samples needed before the mean service time is compared with other upstreams.
-const MIN_SAMPLES: u32 = 20;
 /// Multiple of the mean service time within which a request is expected to end.
 const SERVICE_TIME_MARGIN: f64 = 1.5;
 /// Share of the timeout within which the upstream must be able to serve the whole backlog. Excess requests are
@@ -46,11 +43,7 @@
     running: u32,
     waiting: RankedQueue<FlowKey>,
     objectives: FxHashMap<SocketAddrV4, Objective>,
-    /// Mean service time at this upstream.
-    mean_ms: f64,
-    samples: u32,
-    /// Mean service time of the pool, from the last opening packet that carried it.
-    pool_ms: Option<u32>,
+    rate: ServiceRate,
     /// Share of the pool's slots that are at full upstreams.
     full_share: f64,
     pool_load_received_ms: u64,
@@ -59,6 +52,29 @@
     full: bool,
     /// Time at which a request last ended while all slots were in use.
     last_end_ms: Option<u64>,
+    /// Requests that have left the upstream.
+    ended: u64,
+}
+
+/// When a request gets a slot of the upstream, which serves in order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Turn {
+    /// A slot was free on its arrival.
+    Now,
+    /// Once this many requests have ended.
+    After(u64),
+}
+
+/// A request that the upstream has answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AnsweredRequest {
+    /// Time at which it was sent to the upstream.
+    pub(super) since_ms: u64,
+    pub(super) turn: Turn,
+    /// Whether the upstream was cold when it began.
+    pub(super) cold: bool,
+    /// Length of the first packet of the answer.
+    pub(super) bytes: u32,
 }
 
 impl Admission {
@@ -66,15 +82,18 @@
         self.waiting.len()
     }
 
-    /// Mean service time of the upstream, once there are enough samples.
-    pub(super) fn mean_ms(&self) -> Option<f64> {
-        (self.samples >= MIN_SAMPLES).then_some(self.mean_ms)
+    /// Estimate of the upstream's service time.
+    pub(super) fn rate(&self) -> &ServiceRate {
+        &self.rate
+    }
+
+    pub(super) fn rate_mut(&mut self) -> &mut ServiceRate {
+        &mut self.rate
     }
 
-    /// Discards the service times of an upstream process that was replaced.
-    pub(super) fn reset_service_times(&mut self) {
-        self.mean_ms = 0.0;
-        self.samples = 0;
+    /// Discards the service times of an upstream process of `pool` that was replaced; they remain as the prior.
+    pub(super) fn reset_service_times(&mut self, pool: PoolId) {
+        self.rate.restart(pool);
         self.last_end_ms = None;
         self.mean_occupancy = f64::from(self.running) + self.waiting.len() as f64;
     }
@@ -90,7 +109,7 @@
 
     /// Stores the pool load that a balancer sent with an opening packet.
     pub(super) fn set_pool_load(&mut self, pool: PoolLoad, now_ms: u64) {
-        self.pool_ms = pool.service_ms.or(self.pool_ms);
+        self.rate.set_pool(pool.service_ms, pool.answer_bytes);
         self.full_share = f64::from(pool.full_percent) / 100.0;
         self.pool_load_received_ms = now_ms;
     }
@@ -110,11 +129,6 @@
         self.full
     }
 
-    /// Mean service time of the pool, if a balancer sent it.
-    pub(super) fn pool_ms(&self) -> Option<u32> {
-        self.pool_ms
-    }
-
     /// Whether a new request goes to the upstream without waiting.
     pub(super) fn admits(&self, slots: Option<u32>, now_ms: u64) -> bool {
         !self.is_pool_full(now_ms) || self.waiting.is_empty() && self.has_room(slots)
@@ -125,32 +139,52 @@
         fresh && self.full_share >= POOL_FULL_SHARE
     }
 
-    /// Counts a request sent to the upstream. Returns whether a slot was free for it.
-    pub(super) fn start(&mut self, slots: Option<u32>) -> bool {
+    /// Counts a request sent to the upstream. Returns when it gets a slot.
+    pub(super) fn start(&mut self, slots: Option<u32>) -> Turn {
         self.running += 1;
-        slots.is_some_and(|it| self.running <= it)
+        let Some(slots) = slots else {
+            return Turn::After(self.ended);
+        };
+        match self.running.saturating_sub(slots) {
+            0 => Turn::Now,
+            ahead => Turn::After(self.ended + u64::from(ahead)),
+        }
     }
 
     /// Frees the slot of a request that ended without an answer or is no longer counted.
     pub(super) fn end(&mut self) {
-        self.running = self.running.saturating_sub(1);
+        self.count_end();
         self.last_end_ms = None;
     }
 
-    /// Frees the slot of an answered request and samples the service time: `took_ms` if the request had a free slot on
-    /// arrival, else the time between two answers while all slots are in use.
-    pub(super) fn answered(&mut self, took_ms: Option<u64>, slots: Option<u32>, now_ms: u64) {
+    fn count_end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.ended += 1;
+    }
+
+    /// Frees the slot of an answered request and samples the service time: that of the request if it had a free slot on
+    /// arrival, else the time between two answers while all slots are in use. A request that is answered before its
+    /// turn was refused and is no sample.
+    pub(super) fn answered(&mut self, request: AnsweredRequest, slots: Option<u32>, now_ms: u64) {
+        let took_ms = match request.turn {
+            Turn::Now => Some(now_ms.saturating_sub(request.since_ms)),
+            Turn::After(ended) if self.ended < ended => return self.count_end(),
+            Turn::After(_) => None,
+        };
         let all = slots.filter(|&it| self.running >= it);
         let since_ms = self.last_end_ms.filter(|_| all.is_some());
         let between = since_ms.zip(all).map(|(it, slots)| (now_ms - it) * u64::from(slots));
-        self.running = self.running.saturating_sub(1);
+        self.count_end();
         self.last_end_ms = all.filter(|&it| self.running >= it).map(|_| now_ms);
-        let Some(sample) = took_ms.or(between) else {
-            return;
-        };
-        self.samples = self.samples.saturating_add(1);
-        let weight = SERVICE_TIME_WEIGHT.max(1.0 / f64::from(self.samples));
-        self.mean_ms += (sample as f64 - self.mean_ms) * weight;
+        self.rate.record_answer_bytes(request.bytes);
+        if let Some(sample) = took_ms.or(between) {
+            self.rate.record(sample, request.cold);
+        }
+    }
+
+    /// Estimated service time; zero if nothing is known.
+    fn mean_ms(&self) -> f64 {
+        self.rate.estimate().map_or(0.0, |it| it.ms)
     }
 
     /// Adds a waiting request that its caller issued at `issued_ms`. Returns the time at which its wait expires.
@@ -167,7 +201,7 @@
     /// The lowest ranked waiting request, if more wait than the upstream can serve within their timeouts.
     pub(super) fn excess(&mut self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
         let timeout_ms = self.objectives.values().map(|it| it.timeout_ms).min()?;
-        let rounds = f64::from(timeout_ms) * BACKLOG_SHARE / self.mean_ms.max(1.0);
+        let rounds = f64::from(timeout_ms) * BACKLOG_SHARE / self.mean_ms().max(1.0);
         let most = (f64::from(slots?.max(1)) * rounds) as usize;
         if self.waiting.len() <= most {
             return None;
@@ -194,6 +228,6 @@
 
     /// Time at which a request that starts now is expected to end.
     fn end_ms(&self, now_ms: u64) -> u64 {
-        now_ms + (self.mean_ms * SERVICE_TIME_MARGIN) as u64
+        now_ms + (self.mean_ms() * SERVICE_TIME_MARGIN) as u64
     }
 }
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -20,6 +20,7 @@
     fleet::{AgentPlan, REPORT_INTERVAL_MS, Report, UpstreamState, ZoneId},
     load::{FlowUsageTracker, Load},
     packet_buffer::PacketBuffer,
+    service_rate::MeasuredService,
     upstream_tracker::{HeartbeatSource, UpstreamTracker},
     warmup::WarmupLimiter,
 };
@@ -166,7 +167,8 @@
             plan: if self.had_upstream() { self.plan } else { AgentPlan::Leave },
             slots: self.upstream_tracker.capacity(now_ms).0,
             load: self.average_load(now_ms),
-            service_ms: self.admission.mean_ms().map(|it| it.max(1.0) as u32),
+            service_ms: self.admission.rate().reported_ms(),
+            answer_bytes: self.admission.rate().reported_answer_bytes(),
             full: self.admission.is_full() || self.upstream_tracker.capacity(now_ms).1,
             interval_ms: self.report_interval_ms,
         }
@@ -177,6 +179,17 @@
         self.report_interval_ms = interval_ms;
     }
 
+    /// Uses a value that a balancer remembered from before the agent's restart as the prior of the service time.
+    /// Returns whether it did.
+    pub fn learn_service_time(&mut self, service: MeasuredService) -> bool {
+        service.pool == self.identity.pool && self.admission.rate_mut().remember(service)
+    }
+
+    /// Estimated service time of the upstream in milliseconds, if known.
+    pub fn service_ms(&self) -> Option<f64> {
+        self.admission.rate().estimate().map(|it| it.ms)
+    }
+
     /// Processes a heartbeat of the upstream.
     pub fn heartbeat(
         &mut self,
@@ -185,7 +198,9 @@
         out: &mut Vec<Effect>,
     ) -> HeartbeatResult {
         let before = self.upstream(now_ms);
-        match self.upstream_tracker.handle_heartbeat(beat, now_ms) {
+        let source = self.upstream_tracker.handle_heartbeat(beat, now_ms);
+        self.update_cold(now_ms);
+        match source {
             HeartbeatSource::Outdated => return HeartbeatResult::Outdated,
             HeartbeatSource::Ambiguous => return HeartbeatResult::Ambiguous,
             HeartbeatSource::MissingStartTime => return HeartbeatResult::MissingStartTime,
@@ -227,7 +242,7 @@
     fn discard_upstream_state(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
         self.reset_flows(until_ms, now_ms, out);
         self.cancel_requests(until_ms, now_ms);
-        self.admission.reset_service_times();
+        self.admission.reset_service_times(self.identity.pool);
         self.breaker = Breaker::default();
     }
 
@@ -296,6 +311,7 @@
         if self.probing_flows > 0 {
             self.end_probes(now_ms, out);
         }
+        self.update_cold(now_ms);
         self.admit(now_ms, out);
         self.report_full(now_ms, out);
         if now_ms.saturating_sub(self.started_ms) > LEARNING_MS {
@@ -308,6 +324,11 @@
         }
     }
 
+    fn update_cold(&mut self, now_ms: u64) {
+        let cold = self.upstream_tracker.capacity(now_ms).1;
+        self.admission.rate_mut().set_cold(cold);
+    }
+
     /// Reports a change of the full state, at a limited rate.
     fn report_full(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         self.full_report_pending |= self.admission.update_full(self.upstream_tracker.slots());
--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -177,7 +177,13 @@
 
     fn effective_slots(&self, now_ms: u64) -> f64 {
         let (slots, cold) = self.upstream_tracker.capacity(now_ms);
-        effective_slots(slots, cold, self.admission.mean_ms(), self.admission.pool_ms())
+        effective_slots(slots, cold, self.admission.rate().speed(!self.breaker.is_open()))
+    }
+
+    /// Speed of the upstream by which new flows are placed; 1.0 is the pool's mean.
+    pub fn speed(&self, now_ms: u64) -> f64 {
+        let slots = self.upstream_tracker.capacity(now_ms).0;
+        self.effective_slots(now_ms) / f64::from(slots.max(1))
     }
 
     pub(super) fn average_load(&mut self, now_ms: u64) -> u16 {
@@ -197,7 +203,11 @@
     /// Whether the flow is accepted without trying further candidates.
     fn has_room(&self, key: &FlowKey, load: u16, limit: u16, now_ms: u64) -> bool {
         match self.flow_usage.of(key.service) {
-            FlowUsage::SingleRequest => self.load.has_room(self.effective_slots(now_ms)),
+            FlowUsage::SingleRequest => {
+                // Beyond its slots the request would wait even at a fast upstream.
+                let slots = f64::from(self.upstream_tracker.capacity(now_ms).0.max(1));
+                self.load.has_room(self.effective_slots(now_ms).min(slots))
+            }
             FlowUsage::Persistent => load <= limit,
         }
     }
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -3,6 +3,7 @@
 use super::{
     super::{
         FlowKey, PacketHeader, PacketKind,
+        admission::{AnsweredRequest, Turn},
         effect::{Decision, DropReason, Effect, ReleaseReason, note, note_drop},
         flow::seq_after,
     },
@@ -26,7 +27,7 @@
     /// The request waits at the agent.
     Waiting { since_ms: u64 },
     /// The request was delivered to the upstream.
-    Running { since_ms: u64, had_free_slot: bool },
+    Running { since_ms: u64, turn: Turn },
     /// The request is in progress but not counted against the slots: it is incomplete, timed out, or from before the
     /// agent's start.
     Uncounted,
@@ -35,8 +36,8 @@
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum End {
-    /// The upstream began to answer.
-    Answered,
+    /// The upstream began to answer, with a packet of this length.
+    Answered { bytes: u32 },
     /// The flow or the upstream ended first.
     Cancelled,
 }
@@ -105,8 +106,8 @@
             }
             self.admission.remove(head.key);
         }
-        let had_free_slot = self.admission.start(self.upstream_tracker.slots());
-        flow.request = Request::Running { since_ms: now_ms, had_free_slot };
+        let turn = self.admission.start(self.upstream_tracker.slots());
+        flow.request = Request::Running { since_ms: now_ms, turn };
         out.push(Effect::Deliver);
     }
 
@@ -141,11 +142,14 @@
         let request = std::mem::replace(&mut flow.request, Request::None);
         match request {
             Request::None => return,
-            Request::Running { since_ms, had_free_slot } if how == End::Answered => {
-                let took_ms = had_free_slot.then(|| now_ms.saturating_sub(since_ms));
-                self.admission.answered(took_ms, self.upstream_tracker.slots(), now_ms);
-            }
-            Request::Running { .. } => self.admission.end(),
+            Request::Running { since_ms, turn } => match how {
+                End::Answered { bytes } => {
+                    let cold = self.upstream_tracker.capacity(since_ms).1;
+                    let request = AnsweredRequest { since_ms, turn, cold, bytes };
+                    self.admission.answered(request, self.upstream_tracker.slots(), now_ms);
+                }
+                End::Cancelled => self.admission.end(),
+            },
             Request::Waiting { .. } => self.remove_waiting(key),
             Request::Uncounted => {}
         }
@@ -195,8 +199,8 @@
         if packets.len() > 1 {
             flow.request = Request::Uncounted;
         } else {
-            let had_free_slot = self.admission.start(self.upstream_tracker.slots());
-            flow.request = Request::Running { since_ms: now_ms, had_free_slot };
+            let turn = self.admission.start(self.upstream_tracker.slots());
+            flow.request = Request::Running { since_ms: now_ms, turn };
         }
         out.extend(packets.into_iter().map(|packet| Effect::Release { packet }));
         let (waited_ms, waiting) = (now_ms.saturating_sub(since_ms), self.admission.waiting());
--- a/crates/core/src/opaque/agent/upstream.rs
+++ b/crates/core/src/opaque/agent/upstream.rs
@@ -53,7 +53,7 @@
         }
         self.record_outcome(head, now_ms, out);
         if head.len > 0 {
-            self.end_request(head.key, End::Answered, now_ms);
+            self.end_request(head.key, End::Answered { bytes: u32::from(head.len) }, now_ms);
         }
         self.track_close(head, Side::Upstream, now_ms);
         self.admit(now_ms, out);
--- a/crates/core/src/opaque/agents.rs
+++ b/crates/core/src/opaque/agents.rs
@@ -68,14 +68,13 @@
         }
     }
 
-    pub(super) fn retain<F>(&mut self, keep: F)
+    /// Removes the agents that `keep` rejects, and returns them.
+    pub(super) fn retain<F>(&mut self, keep: F) -> Vec<(SocketAddrV4, AgentEntry)>
     where
         F: Fn(&AgentEntry) -> bool,
     {
         let gone: Vec<_> = self.iter().filter(|(_, it)| !keep(it)).map(|(it, _)| it).collect();
-        for agent in gone {
-            self.remove(agent);
-        }
+        gone.into_iter().filter_map(|it| Some((it, self.remove(it)?))).collect()
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = (SocketAddrV4, &AgentEntry)> {
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -38,6 +38,9 @@
 /// Time after which further balancers try to withdraw an entry; longer than the interval between two reads of the
 /// member list.
 const WITHDRAW_ESCALATION_MS: u64 = 50_000;
+/// Balancers that return to an agent its service time from before a restart. Each one costs a datagram, and in a large
+/// fleet all balancers remember it.
+const SERVICE_RETURN_COUNT: usize = 4;
 /// Bounds the sets of withdrawn and of leaving agents.
 pub(super) const MAX_WITHDRAWN: usize = 10_000;
 
@@ -152,6 +155,20 @@
         }
     }
 
+    /// Returns to an agent that has just reported no service time the one from before its restart, once per
+    /// incarnation, if this balancer is among the first few of the agent's order.
+    pub fn return_service<'a, I>(&mut self, to: SocketAddrV4, others: I, out: &mut Vec<Effect>)
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let Some(service) = self.fleet.service_to_return(to) else {
+            return;
+        };
+        if self.ranks_within(SERVICE_RETURN_COUNT, address_number(to), others) {
+            out.push(Effect::ReturnService { to, service });
+        }
+    }
+
     /// Records that an agent's entry was withdrawn from the store. The agent is notified if it reports again.
     pub fn mark_withdrawn(&mut self, agent: SocketAddrV4) {
         self.left_agents.remove(&agent);
--- a/crates/core/src/opaque/breaker.rs
+++ b/crates/core/src/opaque/breaker.rs
@@ -67,6 +67,10 @@
         Transition::Opened
     }
 
+    pub(super) fn is_open(&self) -> bool {
+        self.open
+    }
+
     /// Whether the upstream may get a new flow: the breaker is closed or a trial is due. `idempotent`: callers may
     /// retry the flow's requests.
     pub(super) fn allows(&self, idempotent: bool, now_ms: u64) -> bool {
--- a/crates/core/src/opaque/candidate_list.rs
+++ b/crates/core/src/opaque/candidate_list.rs
@@ -38,6 +38,8 @@
 pub struct PoolLoad {
     /// Mean service time of its upstreams, in milliseconds, if any reported one.
     pub service_ms: Option<u32>,
+    /// Mean length of the first answer packet of its upstreams, in bytes, if any reported one.
+    pub answer_bytes: Option<u32>,
     /// Share of its slots that are at full upstreams, in percent.
     pub full_percent: u8,
 }
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -5,6 +5,7 @@
 use super::{
     FlowKey, PoolId,
     candidate_list::{CandidateList, LastResort},
+    service_rate::MeasuredService,
 };
 
 /// Bytes of the packet that an effect refers to.
@@ -338,6 +339,13 @@
         /// The member.
         to: SocketAddrV4,
     },
+    /// Send an agent the service time that was measured before its restart.
+    ReturnService {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The values.
+        service: MeasuredService,
+    },
     /// Reload the list of members from the store.
     ReloadMembers,
     /// Notify an agent that its entry was withdrawn from the store, so that it registers again.
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -1,11 +1,13 @@
 //! A balancer's view of the agents, from the store's member list and from their reports.
 
 mod candidates;
+mod service_memory;
 mod zones;
 
-use std::net::SocketAddrV4;
+use std::{collections::BTreeMap, net::SocketAddrV4};
 
 pub use self::candidates::Candidates;
+use self::service_memory::RememberedService;
 pub use super::zone::ZoneId;
 use super::{
     PoolId,
@@ -90,6 +92,8 @@
     pub load: u16,
     /// Mean service time of a request in milliseconds, once some were answered.
     pub service_ms: Option<u32>,
+    /// Mean length of the first answer packet in bytes, once some requests were answered.
+    pub answer_bytes: Option<u32>,
     /// Whether the upstream has no free capacity, or is still cold.
     pub full: bool,
     /// Interval between two reports in milliseconds.
@@ -134,6 +138,7 @@
     draining: bool,
     last_seen_ms: u64,
     last_hello_ms: u64,
+    remembered: Option<RememberedService>,
 }
 
 impl AgentEntry {
@@ -145,6 +150,7 @@
             draining: false,
             last_seen_ms: now_ms,
             last_hello_ms: 0,
+            remembered: None,
         }
     }
 
@@ -191,6 +197,8 @@
     agents: Agents,
     zones: ZoneTable,
     regions: Regions,
+    /// Service times of agents whose entries were removed.
+    departed: BTreeMap<SocketAddrV4, RememberedService>,
 }
 
 impl Fleet {
@@ -205,7 +213,7 @@
                 entry.listed = true;
             }
         }
-        self.agents.retain(|it| it.listed || !it.is_silent(now_ms));
+        self.retain_agents(|it| it.listed || !it.is_silent(now_ms));
     }
 
     /// Adds members received from a peer.
@@ -237,10 +245,13 @@
         now_ms: u64,
     ) -> ReportChange {
         if report.plan == AgentPlan::Leave {
-            return if self.agents.remove(from).is_some() {
-                ReportChange::Left
-            } else {
-                ReportChange::None
+            return match self.agents.remove(from) {
+                Some(entry) => {
+                    // An agent that starts before its upstream reports this, too.
+                    self.departed.extend(entry.remembered.map(|it| (from, it)));
+                    ReportChange::Left
+                }
+                None => ReportChange::None,
             };
         }
         let new = || AgentEntry::new(report.zone, now_ms);
@@ -256,6 +267,10 @@
         if report.upstream != UpstreamState::Unknown {
             entry.draining = report.upstream == UpstreamState::Draining;
         }
+        if entry.remembered.is_none() {
+            entry.remembered = self.departed.remove(&from);
+        }
+        entry.remember_service(&report, now_ms);
         entry.report = Some(report);
         entry.last_seen_ms = now_ms;
         self.agents.set_pool(from, report.pool);
@@ -272,6 +287,7 @@
             return;
         };
         entry.report = None;
+        entry.remembered = None;
         entry.draining = false;
         entry.last_hello_ms = 0;
         self.agents.set_pool(agent, pool);
@@ -352,8 +368,10 @@
 
     /// Agents to send a hello to now. Also forgets unlisted agents after a long silence.
     pub fn hello_recipients(&mut self, now_ms: u64) -> Vec<SocketAddrV4> {
-        self.agents
-            .retain(|it| it.listed || now_ms.saturating_sub(it.last_seen_ms) < FORGET_AFTER_MS);
+        self.retain_agents(|it| {
+            it.listed || now_ms.saturating_sub(it.last_seen_ms) < FORGET_AFTER_MS
+        });
+        self.expire_departed(now_ms);
         let mut due = Vec::new();
         for (agent, entry) in self.agents.iter_mut() {
             let quiet = now_ms.saturating_sub(entry.last_seen_ms) > HELLO_AFTER_MS;
--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -7,6 +7,7 @@
         PoolId,
         candidate_list::{MAX_CANDIDATES, PoolLoad},
         flow::rendezvous_weight,
+        service_rate::is_short_answer,
         zone::RegionId,
     },
     Fleet, ZoneId,
@@ -30,6 +31,25 @@
     pub pool: PoolLoad,
 }
 
+/// Mean weighted by slots.
+#[derive(Clone, Copy, Debug, Default)]
+struct WeightedMean {
+    sum: u64,
+    weight: u64,
+}
+
+impl WeightedMean {
+    fn add(&mut self, value: u32, slots: u32) {
+        self.sum += u64::from(value) * u64::from(slots);
+        self.weight += u64::from(slots);
+    }
+
+    /// The rounded mean; none without values.
+    fn get(&self) -> Option<u32> {
+        (self.sum + self.weight / 2).checked_div(self.weight).map(|it| it as u32)
+    }
+}
+
 impl Fleet {
     /// Returns candidates for a new flow: the zone's own first, in rendezvous hashing order, with `avoid` and agents
     /// of unknown state last. Only agents in one of the `allowed` regions; an empty list allows all.
@@ -83,19 +103,34 @@
     }
 
     fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
-        let members = self.eligible_agents(pool, now_ms);
-        let (mut weighted_service_ms, mut measured_slots, mut slots, mut full_slots) = (0, 0, 0, 0);
-        for report in members.filter_map(|(_, it)| it.report) {
+        let members = || self.eligible_agents(pool, now_ms).map(|(_, it)| it);
+        let (mut slots, mut full_slots) = (0_u32, 0_u32);
+        let mut answer_bytes = WeightedMean::default();
+        for entry in members() {
+            let Some(report) = &entry.report else {
+                continue;
+            };
             slots += report.slots;
             full_slots += if report.full { report.slots } else { 0 };
-            if let Some(service_ms) = report.service_ms {
-                weighted_service_ms += service_ms * report.slots;
-                measured_slots += report.slots;
+            if let Some(bytes) = entry.service().and_then(|it| it.answer_bytes) {
+                answer_bytes.add(bytes, report.slots);
+            }
+        }
+        let answer_bytes = answer_bytes.get();
+        let mut service_ms = WeightedMean::default();
+        for entry in members() {
+            let Some((report, service)) = entry.report.zip(entry.service()) else {
+                continue;
+            };
+            // Errors and empty answers are quick. Their service time would make the others look slow.
+            let short = service.answer_bytes.zip(answer_bytes);
+            if !short.is_some_and(|(own, pool)| is_short_answer(own, pool)) {
+                service_ms.add(service.service_ms, report.slots);
             }
         }
-        let service_ms = weighted_service_ms.checked_div(measured_slots);
         PoolLoad {
-            service_ms,
+            service_ms: service_ms.get(),
+            answer_bytes,
             full_percent: (full_slots * 100).checked_div(slots).unwrap_or(0) as u8,
         }
     }
--- a/crates/core/src/opaque/load.rs
+++ b/crates/core/src/opaque/load.rs
@@ -10,16 +10,16 @@
 
 use rustc_hash::FxHashMap;
 
+use super::service_rate::COLD_SPEED;
+
 /// Time constant of the moving average of requests in progress; longer than pauses between a flow's requests.
 const AVERAGE_TIME_CONSTANT_MS: f64 = 1_500.0;
 /// Load of an open flow, in requests, for the requests that it will bring.
 const LOAD_PER_FLOW: f64 = 0.15;
-/// Relative speed of a cold upstream until its service times are known.
-const COLD_SPEED: f64 = 0.6;
-/// Ratio of the service time to the pool's mean above which an upstream counts as slow; above random variation.
-const SLOW_RATIO: f64 = 1.5;
 /// Lowest relative speed, so that a slow upstream still gets some requests and its recovery shows.
 const MIN_SPEED: f64 = 0.125;
+/// Highest relative speed, so that a wrong estimate attracts a limited share.
+const MAX_SPEED: f64 = 2.0;
 /// Highest load reported, in thousandths of the slots.
 const MAX_LOAD: f64 = 60_000.0;
 /// Weight of the newest flow in the moving average of requests per flow.
@@ -58,17 +58,11 @@
     }
 }
 
-/// Slots of an upstream scaled by its speed relative to the pool: with five times the pool's service time it has a
-/// fifth of its slots. `own_ms` and `pool_ms` are mean service times.
-pub fn effective_slots(slots: u32, cold: bool, own_ms: Option<f64>, pool_ms: Option<u32>) -> f64 {
-    let share = own_ms.zip(pool_ms).map(|(own_ms, pool_ms)| f64::from(pool_ms) / own_ms.max(1.0));
-    let speed = match share {
-        Some(share) if share * SLOW_RATIO < 1.0 => share.max(MIN_SPEED),
-        Some(_) => 1.0,
-        None if cold => COLD_SPEED,
-        None => 1.0,
-    };
-    f64::from(slots.max(1)) * speed
+/// Slots of an upstream scaled by its speed relative to the pool, if known: with five times the pool's service time it
+/// has a fifth of its slots.
+pub fn effective_slots(slots: u32, cold: bool, speed: Option<f64>) -> f64 {
+    let unmeasured = if cold { COLD_SPEED } else { 1.0 };
+    f64::from(slots.max(1)) * speed.unwrap_or(unmeasured).clamp(MIN_SPEED, MAX_SPEED)
 }
 
 /// Requests in progress, their moving average, and open flows.
--- a/crates/core/tests/opaque/support.rs
+++ b/crates/core/tests/opaque/support.rs
@@ -71,6 +71,7 @@
         slots: 4,
         load,
         service_ms: None,
+        answer_bytes: None,
         full: false,
         interval_ms: 1_000,
     }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -308,6 +308,8 @@
         metrics::FLOWS.set(i64::from(self.state.flows()));
         metrics::REQUESTS.set(i64::from(self.state.active_requests()));
         metrics::WAITING_REQUESTS.set(self.state.waiting() as i64);
+        metrics::SERVICE_MS.set(self.state.service_ms().map_or(0, |it| it.round() as i64));
+        metrics::SPEED_PERCENT.set((self.state.speed(now) * 100.0).round() as i64);
         metrics::PEERS.set(self.balancers.len() as i64);
     }
 
@@ -363,6 +365,7 @@
                 Effect::Hello { .. }
                 | Effect::Query { .. }
                 | Effect::FanOut { .. }
+                | Effect::ReturnService { .. }
                 | Effect::ReloadMembers
                 | Effect::Unlisted { .. } => {
                     unreachable!("only balancers do this")
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -6,6 +6,7 @@
     agent::{Heartbeat, HeartbeatResult},
     effect::RelayHeader,
     fleet::UpstreamState,
+    service_rate::MeasuredService,
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Hello, decode};
 
@@ -112,6 +113,14 @@
             self.relist.notify_one();
         }
         self.copy.handle_hello(from, &hello);
+        let returned = hello.service.map(MeasuredService::from);
+        if let Some(service) = returned
+            && self.state.learn_service_time(service)
+        {
+            let id = Id::ServiceTimeLearned;
+            let service_ms = service.service_ms;
+            tracing::info!(id = id as u16, name = id.name(), service_ms, peer = %from);
+        }
         if hello.leaving {
             self.balancers.remove(&from);
             self.hello_senders.send_if_modified(|it| it.remove(&from));
@@ -119,7 +128,10 @@
             self.balancers.insert(from);
             self.hello_senders
                 .send_if_modified(|it| it.len() < MAX_HELLO_SENDERS && it.insert(from));
-            self.report_to(from, now);
+            // Such a hello answers a report; another report would make the exchange endless.
+            if returned.is_none() {
+                self.report_to(from, now);
+            }
         }
         self.update_report_interval();
     }
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -350,6 +350,10 @@
                 }
                 Effect::Reset { key, seq } => self.reset(&key, seq),
                 Effect::Hello { to } => self.send_hello(to, false),
+                Effect::ReturnService { to, service } => {
+                    let hello = Hello { service: Some(service.into()), ..Hello::default() };
+                    self.peers.control(to, Body::Hello(hello));
+                }
                 Effect::ReloadMembers => self.relist.notify_one(),
                 Effect::Unlisted { to } => {
                     let hello = Hello { unlisted: true, ..self.hello() };
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -91,6 +91,7 @@
             return;
         };
         let change = self.state.handle_report(from, report, now, &mut self.effects);
+        self.state.return_service(from, &self.balancers, &mut self.effects);
         if !matches!(change, ReportChange::None | ReportChange::Old) {
             let id = Id::AgentChanged;
             tracing::info!(
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -56,6 +56,7 @@
     635 HeartbeatForeign "opaque-heartbeat-foreign" "a heartbeat without a start time was rejected";
     636 UpstreamSetAside "opaque-upstream-set-aside" "the circuit breaker opened: the upstream resets requests and gets new flows only as a trial or the last resort";
     637 UpstreamTakenBack "opaque-upstream-taken-back" "the circuit breaker closed: the upstream answers requests again";
+    638 ServiceTimeLearned "opaque-service-time-learned" "the agent received its upstream's service time from before a restart";
     641 FlowPlaced "opaque-flow-placed" "an opening packet was sent to its first candidate";
     642 FlowAccepted "opaque-flow-accepted" "an agent accepted the flow for its upstream";
     643 FlowPassed "opaque-flow-passed" "an agent forwarded an opening packet to the next candidate";
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -81,6 +81,19 @@
     ))
 });
 
+/// Estimated service time of the upstream, in milliseconds.
+pub static SERVICE_MS: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help = "Estimated service time of the upstream, in milliseconds; 0 if unknown.";
+    register!(IntGauge::new("camphorwinch_opaque_service_ms", help))
+});
+
+/// Speed of the upstream relative to its pool, in percent.
+pub static SPEED_PERCENT: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help =
+        "Speed of the upstream by which new flows are placed, in percent of the pool's mean.";
+    register!(IntGauge::new("camphorwinch_opaque_speed_percent", help))
+});
+
 /// Time requests waited at the agent, in seconds.
 pub static WAIT_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
     let help = "Time that requests waited at the agent for a slot, of those that did.";
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -6,7 +6,8 @@
 //! ```text
 //! 1 packet | action 1 | pool 8 | balancer 6 | candidates, for Open and Settle | packet
 //!   candidates: load limit 2, latency objective 4, timeout 4, priority 1, idempotent 1, service time 4,
-//!   full percent 1, index 1, count 1, then address 6 and load 2 of each, rate limit of a cold upstream 4
+//!   full percent 1, index 1, count 1, then address 6 and load 2 of each, rate limit of a cold upstream 4, mean answer
+//!   length of the pool 4
 //! 2 answer | result 1 | pool 8, for WrongPool | caller 6 | service 6 | returned packet, if any
 //! 3 control | Control
 //! 4 query | for each flow: caller 6, service 6
@@ -23,6 +24,7 @@
     effect::{Answer, FlowStatus, RelayAction, RelayHeader},
     fleet::{self, AgentPlan, UpstreamState, ZoneId},
     route::Objective,
+    service_rate::MeasuredService,
 };
 use prost::{Enumeration, Message, Oneof};
 use thiserror::Error;
@@ -278,6 +280,8 @@
     }
     // A rate of 0 encodes no limit.
     out.put_u32(list.cold_rate.unwrap_or(0));
+    // A length of 0 encodes an unknown one.
+    out.put_u32(list.pool.answer_bytes.unwrap_or(0));
 }
 
 fn take_candidates(bytes: &mut &[u8]) -> Result<CandidateList, DecodeError> {
@@ -289,7 +293,7 @@
         idempotent: take_u8(bytes)? != 0,
     };
     let service_ms = Some(take_u32(bytes)?).filter(|&it| it > 0);
-    let pool = PoolLoad { service_ms, full_percent: take_u8(bytes)? };
+    let full_percent = take_u8(bytes)?;
     let index = take_u8(bytes)?;
     let count = take_u8(bytes)?;
     let mut candidates = Vec::with_capacity(MAX_CANDIDATES);
@@ -304,6 +308,8 @@
     let list = CandidateList::from_parts(&candidates, index, limit)
         .ok_or(DecodeError::InvalidCandidates { count, index })?;
     let cold_rate = Some(take_u32(bytes)?).filter(|&it| it > 0);
+    let answer_bytes = Some(take_u32(bytes)?).filter(|&it| it > 0);
+    let pool = PoolLoad { service_ms, answer_bytes, full_percent };
     let list = list.with_pool(pool).with_cold_rate(cold_rate);
     Ok(list.with_objective(Some(objective).filter(|it| it.timeout_ms > 0)))
 }
@@ -377,6 +383,24 @@
     /// Store era of its revision.
     #[prost(uint64, tag = "7")]
     pub era: u64,
+    /// Service time that the receiver reported before its restart. The sender has just received the receiver's report,
+    /// so a hello with this field is not answered by another one.
+    #[prost(message, optional, tag = "8")]
+    pub service: Option<ServiceEntry>,
+}
+
+/// Service time of an upstream; encoded form of [`MeasuredService`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ServiceEntry {
+    /// ID of the upstream's pool.
+    #[prost(fixed64, tag = "1")]
+    pub pool: u64,
+    /// Mean service time, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub service_ms: u32,
+    /// Mean length of the first answer packet, in bytes; 0 if unknown.
+    #[prost(uint32, tag = "3")]
+    pub answer_bytes: u32,
 }
 
 /// Zones out of service. The list is short, so each announcement carries all of it.
@@ -438,6 +462,9 @@
     /// Store era of its revision.
     #[prost(uint64, tag = "15")]
     pub copy_era: u64,
+    /// Mean length of the first answer packet, in bytes; 0 if unknown.
+    #[prost(uint32, tag = "16")]
+    pub answer_bytes: u32,
 }
 
 impl From<fleet::Report> for Report {
@@ -467,6 +494,7 @@
             copy_revision: 0,
             copy_version: 0,
             copy_era: 0,
+            answer_bytes: it.answer_bytes.unwrap_or(0),
         }
     }
 }
@@ -498,11 +526,26 @@
             load: u16::try_from(it.load).map_err(|_| DecodeError::InvalidField("load"))?,
             interval_ms: it.interval_ms,
             service_ms: Some(it.service_ms).filter(|&it| it > 0),
+            answer_bytes: Some(it.answer_bytes).filter(|&it| it > 0),
             full: it.full,
         })
     }
 }
 
+impl From<MeasuredService> for ServiceEntry {
+    fn from(it: MeasuredService) -> ServiceEntry {
+        let MeasuredService { pool, service_ms, answer_bytes } = it;
+        ServiceEntry { pool: pool.0, service_ms, answer_bytes: answer_bytes.unwrap_or(0) }
+    }
+}
+
+impl From<ServiceEntry> for MeasuredService {
+    fn from(it: ServiceEntry) -> MeasuredService {
+        let answer_bytes = Some(it.answer_bytes).filter(|&it| it > 0);
+        MeasuredService { pool: PoolId(it.pool), service_ms: it.service_ms, answer_bytes }
+    }
+}
+
 /// Configuration and members as known by a balancer, for a process that can't reach the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct Snapshot {
