--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -22,6 +22,7 @@
 pub mod ranked_queue;
 pub mod route;
 pub mod route_share;
+pub mod service_rate;
 pub mod upstream_tracker;
 mod warmup;
 pub mod zone;
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -6,6 +6,7 @@
     FlowKey, PoolId,
     candidate_list::{CandidateList, LastResort},
     route_share::BeyondShare,
+    service_rate::MeasuredService,
 };
 
 /// Bytes of the packet that an effect refers to.
@@ -346,6 +347,13 @@
         /// The member.
         to: SocketAddrV4,
     },
+    /// Send an agent the service time that was measured before its restart.
+    ReturnService {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The values.
+        service: MeasuredService,
+    },
     /// Reload the list of members from the store.
     ReloadMembers,
     /// Notify an agent that its entry was withdrawn from the store, so that it registers again.
--- a/crates/core/tests/opaque/route_share.rs
+++ b/crates/core/tests/opaque/route_share.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use camphorwinch_core::opaque::{route::Objective, route_share::RouteShares};
+use camphorwinch_core::opaque::{route::Objective};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
