Buffer packets that reach a balancer before its first state

A balancer that has just started dropped the packets that arrived before its configuration, the zones out of service or a member was known, among them the last copies that callers send. It now buffers the newest packet of each flow (at most 10,000 packets, 4 MB, 1,000 ms each) and replays them by the state in force at the replay: opening packets first, newest attempt first, at most 200 per tick. In the first second, opening packets wait until half of the pool's agents have reported, at most 60 ms after the first report, so that the first known agent does not get all of them.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -4,6 +4,7 @@
 
 mod duties;
 mod search;
+mod startup;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,6 +16,7 @@
 use self::{
     duties::MAX_WITHDRAWN,
     search::{SEARCH_TIMEOUT_MS, Search},
+    startup::Startup,
 };
 use super::{
     FlowKey, PacketHeader, PacketKind, PoolId,
@@ -83,6 +85,8 @@
     last_event_ms: u64,
     last_hello_check_ms: u64,
     last_prune_ms: u64,
+    /// Packets that wait for the first state; none once the balancer has served.
+    startup: Option<Box<Startup>>,
 }
 
 impl Balancer {
@@ -104,6 +108,7 @@
             last_event_ms: 0,
             last_hello_check_ms: 0,
             last_prune_ms: 0,
+            startup: None,
         }
     }
 
@@ -134,7 +139,7 @@
 
     /// Bytes of buffered packets.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.bytes()
+        self.buffer.bytes() + self.startup.as_ref().map_or(0, |it| it.bytes())
     }
 
     /// Applies a configuration; false if one that is as new or newer is already in force.
@@ -160,11 +165,18 @@
     /// Syncs the agents with the member list read from the store.
     pub fn sync_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         self.member_list_ms.get_or_insert(now_ms);
+        if let Some(startup) = &mut self.startup {
+            startup.record_members(now_ms);
+        }
         self.fleet.sync_members(members, now_ms);
     }
 
     /// Adds members received from a peer, whose list may be partial.
     pub fn merge_members(&mut self, members: &[MemberEntry], now_ms: u64) {
+        let has_agent = members.iter().any(|it| it.pool.is_some());
+        if let Some(startup) = self.startup.as_mut().filter(|_| has_agent) {
+            startup.record_members(now_ms);
+        }
         self.fleet.merge_members(members, now_ms);
     }
 
@@ -177,6 +189,9 @@
         out: &mut Vec<Effect>,
     ) -> ReportChange {
         self.record_event_time(now_ms);
+        if let Some(startup) = &mut self.startup {
+            startup.record_report(report.pool, now_ms);
+        }
         let change = self.fleet.apply_report(from, report, now_ms);
         if change == ReportChange::Restarted {
             self.flush_buffered_packets(from, out);
@@ -203,6 +218,18 @@
         out: &mut Vec<Effect>,
     ) {
         self.record_event_time(now_ms);
+        if !self.buffer_at_startup(head, bytes, now_ms, out) {
+            self.dispatch_packet(head, bytes, now_ms, out);
+        }
+    }
+
+    fn dispatch_packet(
+        &mut self,
+        head: &PacketHeader,
+        bytes: &[u8],
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
         match head.kind {
             PacketKind::Open => self.handle_open(head, now_ms, out),
             PacketKind::Data | PacketKind::Finish | PacketKind::Reset => {
@@ -236,6 +263,7 @@
         self.record_event_time(now_ms);
         self.send_hellos(now_ms, out);
         self.refresh_member_list(now_ms, out);
+        self.replay_packets(now_ms, out);
         self.continue_searches(now_ms, out);
         for key in self.buffer.expired(now_ms) {
             self.handle_buffer_expiry(key, now_ms, out);
@@ -327,9 +355,7 @@
     }
 
     fn reject_open(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
-        let complete =
-            self.is_membership_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms);
-        if complete {
+        if self.is_pool_certain(pool, now_ms) {
             let reason = if self.fleet.has_agents_out_of_service(pool) {
                 ResetReason::ZonesOut
             } else {
@@ -388,6 +414,11 @@
         self.relay(agent, RelayAction::Deliver, pool, Payload::Current, out);
     }
 
+    /// Whether an agent of the pool that is not known to accept flows certainly does not.
+    fn is_pool_certain(&self, pool: PoolId, now_ms: u64) -> bool {
+        self.is_membership_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms)
+    }
+
     fn is_membership_settled(&self, now_ms: u64) -> bool {
         self.member_list_ms.is_some_and(|it| now_ms.saturating_sub(it) > MEMBERSHIP_SETTLE_MS)
     }
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -222,6 +222,23 @@
     Reset(ResetReason),
     /// A packet was dropped.
     Dropped(DropReason),
+    /// A balancer that has just started buffered a packet.
+    StartupHeld,
+    /// Such a packet was handled.
+    StartupReplayed,
+    /// Such a packet was dropped, as its time ended.
+    StartupExpired,
+    /// The startup of a balancer that buffered packets has ended.
+    PacketsReplayed {
+        /// Opening packets handled.
+        openings: usize,
+        /// Other packets handled.
+        others: usize,
+        /// Packets dropped, as their time ended.
+        expired: usize,
+        /// Longest time that a packet was buffered before it was handled.
+        waited_ms: u64,
+    },
 }
 
 /// Why a packet was dropped.
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -314,6 +314,16 @@
         self.agents.iter().filter(|(_, it)| it.listed && it.report.is_none()).count()
     }
 
+    /// Number of agents of a pool that have reported, and of all that are known.
+    pub fn report_counts(&self, pool: PoolId) -> (usize, usize) {
+        let (mut reported, mut known) = (0, 0);
+        for (_, entry) in self.agents.in_pool(pool) {
+            known += 1;
+            reported += usize::from(entry.report.is_some());
+        }
+        (reported, known)
+    }
+
     /// Number of agents that are not silent.
     pub fn live_count(&self, now_ms: u64) -> usize {
         self.agents.iter().filter(|(_, it)| !it.is_silent(now_ms)).count()
--- a/crates/core/src/opaque/fleet/zones.rs
+++ b/crates/core/src/opaque/fleet/zones.rs
@@ -77,6 +77,11 @@
         self.agents.in_pool(pool).any(|(_, it)| self.zones.is_out_of_service(it.zone))
     }
 
+    /// Whether any agent of the pool may get a new flow.
+    pub fn has_eligible_agent(&self, pool: PoolId, now_ms: u64) -> bool {
+        self.eligible_agents(pool, now_ms).next().is_some()
+    }
+
     /// Agents of a pool that accept new flows and are not in a zone out of service.
     pub(super) fn eligible_agents(
         &self,
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -11,6 +11,7 @@
 mod ranked_queue;
 mod regions;
 mod route;
+mod startup;
 mod support;
 mod survival;
 mod upstream_instances;
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -144,8 +144,10 @@
         out: updates.clone(),
     };
     tokio::spawn(routes.run(topic));
-    let mut state =
-        Balancer::new(own.address, ZoneId::of(&own.zone)).with_regions(settings.regions);
+    let now = now_ms();
+    let mut state = Balancer::new(own.address, ZoneId::of(&own.zone))
+        .with_regions(settings.regions)
+        .with_startup_buffer(now);
     if settings.zones_change {
         state = state.with_unknown_zones();
         let topic = Topic::zones();
@@ -155,7 +157,6 @@
     }
     let (gone, to_withdraw) = mpsc::channel(CHANNEL_CAPACITY);
     tokio::spawn(discovery::withdraw_gone_members(store, to_withdraw));
-    let now = now_ms();
     let process = Process {
         state,
         own: own.address,
--- a/crates/opaque/src/decision_log.rs
+++ b/crates/opaque/src/decision_log.rs
@@ -35,6 +35,10 @@
     /// Counts a decision and logs it, if the rate limit permits.
     pub(crate) fn write(&mut self, key: Option<FlowKey>, decision: &Decision, now_ms: u64) {
         let (id, label) = event_and_label(decision);
+        if let Decision::PacketsReplayed { .. } = decision {
+            // The packets were counted one by one.
+            return log_decision(id, None, decision);
+        }
         metrics::DECISIONS.with_label_values(&[label]).inc();
         if let Decision::Found { after_ms, .. } = decision {
             metrics::SEARCH_SECONDS.observe(*after_ms as f64 / 1_000.0);
@@ -79,6 +83,10 @@
         | Decision::Held { .. } => Class::Step,
         // The line of the accepting agent contains the whole candidate list.
         Decision::Forwarded { .. } => Class::Detail,
+        // The line at the end of the startup has their numbers.
+        Decision::StartupHeld | Decision::StartupReplayed | Decision::StartupExpired => {
+            Class::Detail
+        }
         Decision::NoCandidate { .. }
         | Decision::Refused
         | Decision::NotFound { .. }
@@ -86,6 +94,7 @@
         | Decision::BreakerOpened
         | Decision::BreakerClosed
         | Decision::Reset(_)
+        | Decision::PacketsReplayed { .. }
         | Decision::Dropped(_) => Class::Outcome,
     }
 }
@@ -109,6 +118,10 @@
         Decision::BreakerClosed => (Id::UpstreamTakenBack, "taken-back"),
         Decision::Reset(reason) => (Id::FlowReset, reason.as_str()),
         Decision::Dropped(reason) => (Id::PacketDropped, reason.as_str()),
+        Decision::StartupHeld => (Id::PacketsReplayed, "startup-held"),
+        Decision::StartupReplayed => (Id::PacketsReplayed, "startup-replayed"),
+        Decision::StartupExpired => (Id::PacketsReplayed, "startup-expired"),
+        Decision::PacketsReplayed { .. } => (Id::PacketsReplayed, "packets-replayed"),
     }
 }
 
@@ -144,6 +157,12 @@
         Decision::UpstreamReset { passed } => tracing::warn!(id, name, flow, passed),
         Decision::Reset(reason) => tracing::warn!(id, name, flow, why = reason.as_str()),
         Decision::Dropped(reason) => tracing::info!(id, name, flow, why = reason.as_str()),
+        Decision::StartupHeld => tracing::debug!(id, name, flow, step = "held"),
+        Decision::StartupReplayed => tracing::debug!(id, name, flow, step = "replayed"),
+        Decision::StartupExpired => tracing::debug!(id, name, flow, step = "expired"),
+        Decision::PacketsReplayed { openings, others, expired, waited_ms } => {
+            tracing::info!(id, name, openings, others, expired, waited_ms);
+        }
         Decision::BreakerOpened => tracing::warn!(id, name),
         Decision::BreakerClosed => tracing::info!(id, name),
         Decision::Refused | Decision::Absent => tracing::info!(id, name, flow),
