Read a seed's configuration beside its list of members

Cause: a starting process reads its configuration only after it has a list of members. A seed always reads both from the store, one after the other, and answers the processes that start with it only when it has the list; if its configuration is not there yet, each of them reads it as well. The configuration of a seed is now read as soon as its entry is written. The calls are the same.

--- a/crates/opaque/src/discovery/join.rs
+++ b/crates/opaque/src/discovery/join.rs
@@ -259,6 +259,8 @@
     ) -> Result<MemberList, StoreError> {
         let seeds = self.seeds.borrow().clone();
         if seeds.contains(&self.own.address) {
+            // No peer sends a seed the configuration at its start, and others wait for the seed's.
+            self.set_state(DiscoveryState::FromStore);
             return self.read(call_timeout).await;
         }
         let responded = watch::Sender::new(false);
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -376,6 +376,8 @@
     names: Arc<Mutex<Vec<String>>>,
     /// Number of successful reads of the list.
     lists: Arc<Mutex<u32>>,
+    /// Duration of a read of the list.
+    list_time: Duration,
     era: watch::Sender<Option<u64>>,
 }
 
@@ -391,12 +393,15 @@
     }
 
     async fn members(&self, _: Duration) -> Result<Members, StoreError> {
-        let mut busy = self.busy.lock().expect("not poisoned");
-        if *busy > 0 {
-            *busy -= 1;
-            return Err(StoreError::Busy { step: "list members", status: 503 });
+        {
+            let mut busy = self.busy.lock().expect("not poisoned");
+            if *busy > 0 {
+                *busy -= 1;
+                return Err(StoreError::Busy { step: "list members", status: 503 });
+            }
         }
         *self.lists.lock().expect("not poisoned") += 1;
+        sleep(self.list_time).await;
         let records = self.names().iter().map(|_| record()).collect();
         let at = Revision::new(self.era.borrow().unwrap_or_default(), STORE_AT);
         Ok(Members { at, records })
@@ -540,6 +545,35 @@
     (at, newest)
 }
 
+// Guards against a seed that has its configuration only after its list: the processes that start with it wait for both.
+#[tokio::test(start_paused = true)]
+async fn seed_reads_its_configuration_beside_its_list() {
+    let list_time = Duration::from_millis(300);
+    let store = MemberStore { list_time, ..MemberStore::default() };
+    let (start, mut state) = watch::channel(DiscoveryState::Requesting);
+    let (out, mut updates) = mpsc::channel(16);
+    let seed = Join {
+        store: store.clone(),
+        own: member(),
+        serves: watch::channel(true).1,
+        first_start: false,
+        seeds: watch::channel(vec![member().address]).1,
+        hello_senders: watch::Sender::default().subscribe(),
+        relist: Arc::default(),
+        lists: Arc::default(),
+        start,
+        out,
+    };
+    let task = tokio::spawn(seed.run());
+    let begun = tokio::time::Instant::now();
+    state.wait_for(|&it| it == DiscoveryState::FromStore).await.expect("the seed runs");
+    assert!(begun.elapsed() < list_time, "{:?}", begun.elapsed());
+    // Only a seed that could register reads: while the store is away it makes no more calls than before.
+    assert_eq!(store.names(), ["one"]);
+    assert!(matches!(updates.recv().await, Some(Update::Members(..))));
+    task.abort();
+}
+
 // Guards against a list read from the store by each starting process.
 #[tokio::test]
 async fn process_gets_list_from_seed() {
