--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -166,7 +166,7 @@
     pub fn sync_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         self.member_list_ms.get_or_insert(now_ms);
         if let Some(startup) = &mut self.startup {
-            startup.record_members(now_ms);
+            startup.record_members(members, now_ms);
         }
         self.fleet.sync_members(members, now_ms);
     }
@@ -175,7 +175,7 @@
     pub fn merge_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         let has_agent = members.iter().any(|it| it.pool.is_some());
         if let Some(startup) = self.startup.as_mut().filter(|_| has_agent) {
-            startup.record_members(now_ms);
+            startup.record_members(members, now_ms);
         }
         self.fleet.merge_members(members, now_ms);
     }
--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -13,6 +13,7 @@
     super::{
         FlowKey, PacketHeader, PacketKind, PoolId,
         effect::{Decision, DropReason, Effect, Payload, note, note_drop},
+        fleet::MemberEntry,
         route::Lookup,
     },
     Balancer, MEMBERSHIP_SETTLE_MS,
@@ -181,6 +182,8 @@
     started_ms: u64,
     /// Time of the first member list from the store or a peer.
     members_ms: Option<u64>,
+    /// Number of balancers in the largest member list.
+    balancers: usize,
     /// Time of the first report from each pool.
     first_reports_ms: FxHashMap<PoolId, u64>,
     /// Whether the configuration, the zones and a member have been known.
@@ -199,6 +202,7 @@
         Startup {
             started_ms,
             members_ms: None,
+            balancers: 1,
             first_reports_ms: FxHashMap::default(),
             has_state: false,
             ready: FxHashSet::default(),
@@ -210,9 +214,11 @@
         }
     }
 
-    /// Records that a member list was received.
-    pub(super) fn record_members(&mut self, now_ms: u64) {
+    /// Records a member list from the store or a peer.
+    pub(super) fn record_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         self.members_ms.get_or_insert(now_ms);
+        let balancers = members.iter().filter(|it| it.pool.is_none()).count();
+        self.balancers = self.balancers.max(balancers);
     }
 
     /// Records a report of an agent of `pool`.
@@ -346,11 +352,21 @@
     fn replay_ready(&mut self, startup: &mut Startup, now_ms: u64, out: &mut Vec<Effect>) {
         let mut groups: Vec<_> = startup.buffer.groups.keys().copied().collect();
         groups.retain(|&it| self.is_group_ready(startup, it, now_ms));
+        let mut openings_left: FxHashMap<Group, usize> = FxHashMap::default();
         let mut cost = 0;
         while cost < REPLAY_BUDGET {
             let Some(entry) = startup.buffer.take_first(&groups) else {
                 return;
             };
+            if let Group::Pool(pool, Class::Opening) = entry.group {
+                let left = openings_left
+                    .entry(entry.group)
+                    .or_insert_with(|| self.openings_per_tick(startup, pool, now_ms));
+                *left -= 1;
+                if *left == 0 {
+                    groups.retain(|&it| it != entry.group);
+                }
+            }
             cost += match entry.position.class {
                 Class::Opening => OPENING_COST,
                 Class::Other => OTHER_COST,
@@ -372,6 +388,13 @@
         }
     }
 
+    /// This balancer's part of the slots of a pool. All balancers may replay at once after a power loss, and the pool's
+    /// queues would overflow before its agents report that it is full.
+    fn openings_per_tick(&self, startup: &Startup, pool: PoolId, now_ms: u64) -> usize {
+        let slots = self.fleet.slot_count(pool, now_ms);
+        slots.div_ceil(startup.balancers).max(1)
+    }
+
     fn has_startup_state(&self, startup: &Startup) -> bool {
         let has_member = startup.members_ms.is_some() || !self.fleet.is_empty();
         self.has_config() && has_member
--- a/crates/core/src/opaque/fleet/zones.rs
+++ b/crates/core/src/opaque/fleet/zones.rs
@@ -82,6 +82,12 @@
         self.eligible_agents(pool, now_ms).next().is_some()
     }
 
+    /// Slots of the agents of the pool that may get new flows.
+    pub fn slot_count(&self, pool: PoolId, now_ms: u64) -> usize {
+        let reports = self.eligible_agents(pool, now_ms).filter_map(|(_, it)| it.report);
+        reports.map(|it| it.slots as usize).sum()
+    }
+
     /// Agents of a pool that accept new flows and are not in a zone out of service.
     pub(super) fn eligible_agents(
         &self,
