--- a/crates/core/tests/opaque/startup.rs
+++ b/crates/core/tests/opaque/startup.rs
@@ -375,3 +375,34 @@
     assert_eq!((tally.given_up, tally.reset, tally.broken), (0, 0, 0));
     assert_eq!(tally.answered, 300);
 }
+
+// Failure: the router sends a caller's copies to another balancer while the first one still buffers its packet, so that
+// both place the flow. Guards against a reset of the open flow when its packets arrive at the first balancer again.
+#[test]
+fn flow_that_two_balancers_placed_stays_open() {
+    let params = SimulationParams { balancers: 8, ..SITE };
+    let mut world = World::new(params, 9);
+    let all = world.balancers();
+    let (first, second) = all.split_at(4);
+    for &number in first {
+        world.start_unconfigured_balancer(number);
+    }
+    world.unrouted = second.iter().copied().collect();
+    for at in 0..100 {
+        world.open_flow(at % params.zones, 1_000, 100);
+    }
+    world.run(190);
+    world.unrouted = first.iter().copied().collect();
+    world.run(100);
+    assert_eq!(world.open_flows(), 100);
+    for &number in first {
+        world.configure_balancer(number);
+    }
+    world.run(500);
+    world.unrouted = second.iter().copied().collect();
+    let before = world.tally.answered;
+    world.run(2_000);
+    let tally = &world.tally;
+    assert_eq!((tally.broken, tally.reset, tally.failed, tally.given_up), (0, 0, 0, 0));
+    assert!(tally.answered > before + 1_000, "{before} {}", tally.answered);
+}
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -170,6 +170,8 @@
     flows: BTreeMap<u64, Flow>,
     by_key: HashMap<FlowKey, u64>,
     next_id: u64,
+    /// Balancers that get no packets from the router.
+    pub(crate) unrouted: BTreeSet<u8>,
     pub(crate) tally: Tally,
 }
 
@@ -187,6 +189,7 @@
             flows: BTreeMap::new(),
             by_key: HashMap::new(),
             next_id: 1,
+            unrouted: BTreeSet::new(),
             tally: Tally::default(),
         };
         for host in 1..=params.agents {
@@ -778,7 +781,8 @@
     }
 
     fn router(&self, zone: u64, hash: u64) -> Option<u8> {
-        let all = self.balancers();
+        let mut all = self.balancers();
+        all.retain(|it| !self.unrouted.contains(it));
         let near: Vec<u8> = all.iter().copied().filter(|&it| self.zone_of(it) == zone).collect();
         let some = if near.is_empty() { all } else { near };
         let at = (hash >> 16) as usize % some.len().max(1);
