Bound the cost of a replay tick by the size of the pool

Each replayed packet ranks all agents of its pool. A packet now costs more of the tick's budget in a large pool.

--- a/crates/core/src/opaque/agents.rs
+++ b/crates/core/src/opaque/agents.rs
@@ -86,6 +86,10 @@
         self.pools.values_mut().flatten().map(|(&agent, it)| (agent, it))
     }
 
+    pub(super) fn count_in_pool(&self, pool: PoolId) -> usize {
+        self.pools.get(&pool).map_or(0, BTreeMap::len)
+    }
+
     pub(super) fn in_pool(
         &self,
         pool: PoolId,
--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -38,6 +38,8 @@
 const OPENING_COST: usize = 1;
 /// Cost of a packet of a flow that may exist: its search sends a copy to each of the first four agents.
 const OTHER_COST: usize = 4;
+/// Agents of the pool that add one to the cost of a packet, as each packet ranks them all.
+const AGENTS_PER_COST: usize = 50;
 /// Packets assigned to their pool in one tick.
 const MAX_ASSIGNED_PER_TICK: usize = 1_000;
 /// Packets whose time ends that are removed in one tick.
@@ -367,10 +369,7 @@
                     groups.retain(|&it| it != entry.group);
                 }
             }
-            cost += match entry.position.class {
-                Class::Opening => OPENING_COST,
-                Class::Other => OTHER_COST,
-            };
+            cost += self.replay_cost(&entry);
             let key = entry.head.key;
             if entry.expires_ms <= now_ms {
                 self.expire_packet(startup, key, out);
@@ -388,6 +387,17 @@
         }
     }
 
+    fn replay_cost(&self, entry: &Entry) -> usize {
+        let Group::Pool(pool, class) = entry.group else {
+            return OPENING_COST;
+        };
+        let cost = match class {
+            Class::Opening => OPENING_COST,
+            Class::Other => OTHER_COST,
+        };
+        cost + self.fleet.agent_count(pool) / AGENTS_PER_COST
+    }
+
     /// This balancer's part of the slots of a pool. All balancers may replay at once after a power loss, and the pool's
     /// queues would overflow before its agents report that it is full.
     fn openings_per_tick(&self, startup: &Startup, pool: PoolId, now_ms: u64) -> usize {
@@ -443,9 +453,9 @@
             // It is reset, or waits where it would be dropped.
             return self.is_pool_certain(pool, now_ms);
         }
-        let (reported, known) = self.fleet.report_counts(pool);
+        let reported = self.fleet.reported_count(pool);
         // A peer's list may be partial.
-        if self.has_member_list() && reported > 0 && reported * 2 >= known {
+        if self.has_member_list() && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
             return true;
         }
         match class {
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -314,14 +314,14 @@
         self.agents.iter().filter(|(_, it)| it.listed && it.report.is_none()).count()
     }
 
-    /// Number of agents of a pool that have reported, and of all that are known.
-    pub fn report_counts(&self, pool: PoolId) -> (usize, usize) {
-        let (mut reported, mut known) = (0, 0);
-        for (_, entry) in self.agents.in_pool(pool) {
-            known += 1;
-            reported += usize::from(entry.report.is_some());
-        }
-        (reported, known)
+    /// Number of known agents of a pool.
+    pub fn agent_count(&self, pool: PoolId) -> usize {
+        self.agents.count_in_pool(pool)
+    }
+
+    /// Number of agents of a pool that have reported.
+    pub fn reported_count(&self, pool: PoolId) -> usize {
+        self.agents.in_pool(pool).filter(|(_, it)| it.report.is_some()).count()
     }
 
     /// Number of agents that are not silent.
