--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -330,6 +330,16 @@
         self.agents.iter().filter(|(_, it)| it.listed && it.report.is_none()).count()
     }
 
+    /// Number of known agents of a pool.
+    pub fn agent_count(&self, pool: PoolId) -> usize {
+        self.agents.count_in_pool(pool)
+    }
+
+    /// Number of agents of a pool that have reported.
+    pub fn reported_count(&self, pool: PoolId) -> usize {
+        self.agents.in_pool(pool).filter(|(_, it)| it.report.is_some()).count()
+    }
+
     /// Number of agents that are not silent.
     pub fn live_count(&self, now_ms: u64) -> usize {
         self.agents.iter().filter(|(_, it)| !it.is_silent(now_ms)).count()
--- a/crates/core/src/opaque/fleet/zones.rs
+++ b/crates/core/src/opaque/fleet/zones.rs
@@ -77,6 +77,17 @@
         self.agents.in_pool(pool).any(|(_, it)| self.zones.is_out_of_service(it.zone))
     }
 
+    /// Whether any agent of the pool may get a new flow.
+    pub fn has_eligible_agent(&self, pool: PoolId, now_ms: u64) -> bool {
+        self.eligible_agents(pool, now_ms).next().is_some()
+    }
+
+    /// Slots of the agents of the pool that may get new flows.
+    pub fn slot_count(&self, pool: PoolId, now_ms: u64) -> usize {
+        let reports = self.eligible_agents(pool, now_ms).filter_map(|(_, it)| it.report);
+        reports.map(|it| it.slots as usize).sum()
+    }
+
     /// Agents of a pool that accept new flows and are not in a zone out of service.
     pub(super) fn eligible_agents(
         &self,
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -12,6 +12,7 @@
 mod regions;
 mod route;
 mod route_share;
+mod startup;
 mod support;
 mod survival;
 mod upstream_instances;
--- a/crates/core/tests/opaque/route_share.rs
+++ b/crates/core/tests/opaque/route_share.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use camphorwinch_core::opaque::{route::Objective};
+use camphorwinch_core::opaque::route::Objective;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -74,26 +74,26 @@
     for (steady, other) in [(0.4, 0.4), (0.35, 0.3), (0.55, 0.2), (0.3, 0.45)] {
         for warm in [5_000, 30_000] {
             for seed in 0..1 {
-            let mut it = Competition::new(seed);
-            it.run(warm, steady, other);
-            let from = it.world.now();
-            it.run(5_000, steady, 2.5 * other);
-            let to = it.world.now();
-            it.run(4_000, steady, other);
-            let end = it.world.now();
-            println!(
-                "{steady} {other} warm {warm}: steady before {:.3} first s {:.3} burst {:.3} after {:.3}; other before {:.3} first {:.3} burst {:.3} after {:.3} shed {} given up {}",
-                it.in_time(service(), 200, from - 4_000, from),
-                it.in_time(service(), 200, from, from + 1_000),
-                it.in_time(service(), 200, from, to),
-                it.in_time(service(), 200, to, end - 1_000),
-                it.in_time(single_service(), 250, from - 4_000, from),
-                it.in_time(single_service(), 250, from, from + 1_000),
-                it.in_time(single_service(), 250, from, to),
-                it.in_time(single_service(), 250, to, end - 1_000),
-                it.world.tally.shed,
-                it.world.tally.given_up,
-            );
+                let mut it = Competition::new(seed);
+                it.run(warm, steady, other);
+                let from = it.world.now();
+                it.run(5_000, steady, 2.5 * other);
+                let to = it.world.now();
+                it.run(4_000, steady, other);
+                let end = it.world.now();
+                println!(
+                    "{steady} {other} warm {warm}: steady before {:.3} first s {:.3} burst {:.3} after {:.3}; other before {:.3} first {:.3} burst {:.3} after {:.3} shed {} given up {}",
+                    it.in_time(service(), 200, from - 4_000, from),
+                    it.in_time(service(), 200, from, from + 1_000),
+                    it.in_time(service(), 200, from, to),
+                    it.in_time(service(), 200, to, end - 1_000),
+                    it.in_time(single_service(), 250, from - 4_000, from),
+                    it.in_time(single_service(), 250, from, from + 1_000),
+                    it.in_time(single_service(), 250, from, to),
+                    it.in_time(single_service(), 250, to, end - 1_000),
+                    it.world.tally.shed,
+                    it.world.tally.given_up,
+                );
             }
         }
     }
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -176,6 +176,8 @@
     next_id: u64,
     /// Objective and mean service time of routes that differ from the others.
     route_params: BTreeMap<SocketAddrV4, (Objective, u64)>,
+    /// Balancers that get no packets from the router.
+    pub(crate) unrouted: BTreeSet<u8>,
     pub(crate) tally: Tally,
 }
 
@@ -194,6 +196,7 @@
             by_key: HashMap::new(),
             next_id: 1,
             route_params: BTreeMap::new(),
+            unrouted: BTreeSet::new(),
             tally: Tally::default(),
         };
         for host in 1..=params.agents {
@@ -240,10 +243,28 @@
 
     /// Starts a balancer, or restarts it without its state.
     pub(crate) fn start_balancer(&mut self, number: u8) {
-        let mut balancer = Balancer::new(address(number), ZoneId(self.zone_of(number)));
-        balancer.update_routes(self.routes());
-        balancer.sync_members(&self.listed(), self.now);
-        self.balancers.insert(number, balancer);
+        self.start_unconfigured_balancer(number);
+        self.configure_balancer(number);
+    }
+
+    /// Starts a balancer, or restarts it, without any state from the store or peers.
+    pub(crate) fn start_unconfigured_balancer(&mut self, number: u8) {
+        let balancer = Balancer::new(address(number), ZoneId(self.zone_of(number)));
+        self.balancers.insert(number, balancer.with_startup_buffer(self.now));
+    }
+
+    /// Gives a balancer the routes and the member list.
+    pub(crate) fn configure_balancer(&mut self, number: u8) {
+        let (routes, members) = (self.routes(), self.listed());
+        if let Some(balancer) = self.balancers.get_mut(&number) {
+            balancer.update_routes(routes);
+            balancer.sync_members(&members, self.now);
+        }
+    }
+
+    /// Kills a balancer with the packets that it buffers.
+    pub(crate) fn stop_balancer(&mut self, number: u8) {
+        self.balancers.remove(&number);
     }
 
     /// Starts an agent, or restarts it without its state.
@@ -807,7 +828,8 @@
     }
 
     fn router(&self, zone: u64, hash: u64) -> Option<u8> {
-        let all = self.balancers();
+        let mut all = self.balancers();
+        all.retain(|it| !self.unrouted.contains(it));
         let near: Vec<u8> = all.iter().copied().filter(|&it| self.zone_of(it) == zone).collect();
         let some = if near.is_empty() { all } else { near };
         let at = (hash >> 16) as usize % some.len().max(1);
