--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -11,8 +11,9 @@
 
 use super::{
     FlowKey,
-    candidate_list::PoolLoad,
-    ranked_queue::{RankedQueue, Terms},
+    agent::reservations::{ReservationKey, Reservations},
+    candidate_list::{POOL_FULL_PERCENT, PoolLoad},
+    ranked_queue::{Rank, RankedQueue, Terms},
     route::Objective,
 };
 
@@ -27,9 +28,8 @@
 /// Share of the timeout within which the upstream must be able to serve the whole backlog. Excess requests are
 /// released, so that the upstream refuses them without delay.
 const BACKLOG_SHARE: f64 = 0.8;
-/// Share of the pool's slots at full upstreams from which requests wait. Below it a caller that is refused can retry at
-/// an upstream with room.
-const POOL_FULL_SHARE: f64 = 0.6;
+/// Share of the pool's slots at full upstreams from which requests wait.
+const POOL_FULL_SHARE: f64 = POOL_FULL_PERCENT as f64 / 100.0;
 /// Time for which the pool load from a balancer is valid: one report interval.
 const POOL_LOAD_TTL_MS: u64 = 1_000;
 /// Weight of a sample, taken on each 20 ms tick, in the moving average of requests at the upstream: a time constant of
@@ -45,6 +45,8 @@
 pub(super) struct Admission {
     running: u32,
     waiting: RankedQueue<FlowKey>,
+    /// Reservations of balancers, and the slots offered for them.
+    pub(super) reservations: Reservations,
     objectives: FxHashMap<SocketAddrV4, Objective>,
     /// Mean service time at this upstream.
     mean_ms: f64,
@@ -54,7 +56,7 @@
     /// Share of the pool's slots that are at full upstreams.
     full_share: f64,
     pool_load_received_ms: u64,
-    /// Moving average of running and waiting requests.
+    /// Moving average of running and waiting requests and of the demand by reservations.
     mean_occupancy: f64,
     full: bool,
     /// Time at which a request last ended while all slots were in use.
@@ -98,7 +100,9 @@
     /// Samples the requests in progress. Returns whether the full state changed.
     pub(super) fn update_full(&mut self, slots: Option<u32>) -> bool {
         let (running, waiting) = (f64::from(self.running), self.waiting.len() as f64);
-        self.mean_occupancy += (running + waiting - self.mean_occupancy) * OCCUPANCY_WEIGHT;
+        let reserved = f64::from(self.reservations.demand());
+        self.mean_occupancy +=
+            (running + waiting + reserved - self.mean_occupancy) * OCCUPANCY_WEIGHT;
         let slots = slots.unwrap_or(u32::MAX);
         let least = if self.full { slots } else { slots.saturating_add(EXTRA_REQUESTS) };
         let before = std::mem::replace(&mut self.full, self.mean_occupancy >= f64::from(least));
@@ -180,20 +184,33 @@
     }
 
     /// The next request to release: if the upstream has room, or the pool is no longer full.
-    pub(super) fn next(&mut self, slots: Option<u32>, now_ms: u64) -> Option<FlowKey> {
+    pub(super) fn next(&mut self, slots: Option<u32>, now_ms: u64) -> Option<(Rank, FlowKey)> {
         if self.is_pool_full(now_ms) && !self.has_room(slots) {
             return None;
         }
-        self.waiting.first(self.end_ms(now_ms)).map(|it| it.1)
+        self.waiting.first(self.end_ms(now_ms))
+    }
+
+    /// The next reservation to offer a slot for, if the upstream has room.
+    pub(super) fn next_reservation(
+        &mut self,
+        slots: Option<u32>,
+        now_ms: u64,
+    ) -> Option<(Rank, ReservationKey)> {
+        if slots.is_none() || !self.has_room(slots) {
+            return None;
+        }
+        self.reservations.first(self.end_ms(now_ms))
     }
 
     /// Whether the upstream can take another request. It can while its slots are not known.
-    fn has_room(&self, slots: Option<u32>) -> bool {
-        slots.is_none_or(|it| self.running < it.max(1) + EXTRA_REQUESTS)
+    pub(super) fn has_room(&self, slots: Option<u32>) -> bool {
+        let taken = self.running + self.reservations.offered();
+        slots.is_none_or(|it| taken < it.max(1) + EXTRA_REQUESTS)
     }
 
     /// Time at which a request that starts now is expected to end.
-    fn end_ms(&self, now_ms: u64) -> u64 {
+    pub(super) fn end_ms(&self, now_ms: u64) -> u64 {
         now_ms + (self.mean_ms * SERVICE_TIME_MARGIN) as u64
     }
 }
--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -3,6 +3,7 @@
 mod flows;
 mod opening;
 mod requests;
+pub(super) mod reservations;
 mod upstream;
 
 use std::net::SocketAddrV4;
@@ -140,6 +141,9 @@
     /// Sets the plan and reports it. Releases all waiting requests if the agent stops.
     pub fn set_plan(&mut self, plan: AgentPlan, now_ms: u64, out: &mut Vec<Effect>) {
         self.plan = plan;
+        if plan != AgentPlan::Stay {
+            self.admission.reservations.clear();
+        }
         if matches!(plan, AgentPlan::Restart | AgentPlan::Leave) {
             self.admit_all(now_ms, out);
         }
@@ -227,6 +231,7 @@
     fn discard_upstream_state(&mut self, until_ms: u64, now_ms: u64, out: &mut Vec<Effect>) {
         self.reset_flows(until_ms, now_ms, out);
         self.cancel_requests(until_ms, now_ms);
+        self.admission.reservations.cancel_offers();
         self.admission.reset_service_times();
         self.breaker = Breaker::default();
     }
--- a/crates/core/src/opaque/agent/flows.rs
+++ b/crates/core/src/opaque/agent/flows.rs
@@ -127,6 +127,7 @@
             self.flow_usage.record(key.service, flow.requests);
         }
         flow.counted = false;
+        self.admission.reservations.take(&key);
         if !matches!(flow.phase, Phase::Probing { .. }) || phase == Phase::Absent {
             flow.phase = phase;
         }
--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -9,11 +9,11 @@
             note, note_drop, push_reset,
         },
         fleet::{AgentPlan, UpstreamState},
+        flow::opening_age_ms,
         load::{FlowUsage, effective_slots},
     },
     Agent, answer,
     flows::Phase,
-    requests::opening_age_ms,
 };
 use crate::invariant::{self, Invariant};
 
@@ -27,14 +27,22 @@
         now_ms: u64,
         out: &mut Vec<Effect>,
     ) {
+        // A balancer binds an opening packet to an agent that offered a slot, before any candidate recorded its load.
+        let bound = last == LastResort::Yes && candidates.is_current_unvisited();
         match self.flows.get_mut(&head.key) {
             // A retransmission: the upstream answers again.
             Some(flow) if matches!(flow.phase, Phase::Opening { .. }) => {
                 flow.seen_ms = now_ms;
+                if bound {
+                    self.admission.reservations.assign(relay.balancer, head.key, now_ms);
+                }
                 return out.push(Effect::Deliver);
             }
             // A delayed retransmission, for example from a stalled process: the upstream could open a second flow.
             Some(flow) if flow.phase == Phase::Open && flow.is_retransmission(head) => {
+                if bound {
+                    self.admission.reservations.release(relay.balancer);
+                }
                 return note_drop(head.key, DropReason::LateCopy, out);
             }
             _ => {}
@@ -64,10 +72,19 @@
                 state == UpstreamState::Ready
                     && self.has_room(&head.key, load, candidates.limit, now_ms)
             }
+            LastResort::Yes if bound => state == UpstreamState::Ready,
             LastResort::Yes => load != LOAD_CLOSED,
         };
         if accepts {
-            return self.accept(relay, head, candidates, load, last, now_ms, out);
+            self.accept(relay, head, candidates, load, last, now_ms, out);
+            if bound {
+                self.admission.reservations.assign(relay.balancer, head.key, now_ms);
+            }
+            return;
+        }
+        if bound {
+            self.admission.reservations.release(relay.balancer);
+            return self.forward(relay, head, candidates, load, now_ms, out);
         }
         if last == LastResort::Yes {
             candidates.record_load(LOAD_CLOSED);
@@ -159,6 +176,9 @@
             RelayAction::Open(mut candidates) => {
                 candidates.advance(LOAD_CLOSED).map(|to| (to, RelayAction::Open(candidates)))
             }
+            RelayAction::Assign(mut candidates) if candidates.is_current_unvisited() => {
+                candidates.advance(LOAD_CLOSED).map(|to| (to, RelayAction::Open(candidates)))
+            }
             RelayAction::Assign(_) | RelayAction::Deliver | RelayAction::Locate => None,
         };
         let Some((to, action)) = next else {
@@ -169,7 +189,7 @@
     }
 
     /// Whether the upstream is cold, or in an unknown state, and has reached its rate limit for new flows.
-    fn is_cold_and_full(&self, now_ms: u64) -> bool {
+    pub(super) fn is_cold_and_full(&self, now_ms: u64) -> bool {
         let known = self.upstream_tracker.state(now_ms) == Some(UpstreamState::Ready);
         let cold = !known || self.upstream_tracker.capacity(now_ms).1;
         cold && !self.warmup.has_room(now_ms)
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -10,8 +10,6 @@
     flows::{Flow, Side},
 };
 
-/// Age of a caller's opening attempt at its first packet and at each retransmission.
-const RETRANSMIT_AGES_MS: [u64; 3] = [0, 200, 600];
 /// Time after the opening packet within which a flow's first request counts as issued at the start of the opening
 /// attempt. Allows for a round trip to the caller and one lost packet; requests on preconnected flows come later.
 const FIRST_REQUEST_WINDOW_MS: u64 = 300;
@@ -41,12 +39,6 @@
     Cancelled,
 }
 
-/// Age of the caller's opening attempt after this many retransmissions.
-pub(super) fn opening_age_ms(retransmits: u32) -> u64 {
-    let last = RETRANSMIT_AGES_MS.len() - 1;
-    RETRANSMIT_AGES_MS[(retransmits as usize).min(last)]
-}
-
 impl Agent {
     /// Delivers a caller's packet of a known or probed flow, or buffers it while its request waits.
     pub(super) fn deliver(
@@ -97,7 +89,9 @@
             flow.request = Request::Uncounted;
             return out.push(Effect::Deliver);
         }
-        if !self.admission.admits(self.upstream_tracker.slots(), now_ms) {
+        let slots = self.upstream_tracker.slots();
+        let offered = self.admission.reservations.take(&head.key) && self.admission.has_room(slots);
+        if !offered && !self.admission.admits(slots, now_ms) {
             let until_ms = self.admission.wait(head.key, issued_ms, now_ms);
             if self.buffer.push(head.key, bytes, until_ms) {
                 flow.request = Request::Waiting { since_ms: now_ms };
@@ -105,7 +99,7 @@
             }
             self.admission.remove(head.key);
         }
-        let had_free_slot = self.admission.start(self.upstream_tracker.slots());
+        let had_free_slot = self.admission.start(slots);
         flow.request = Request::Running { since_ms: now_ms, had_free_slot };
         out.push(Effect::Deliver);
     }
@@ -157,16 +151,28 @@
         self.buffer.take(&key);
     }
 
-    /// Releases waiting requests for which the upstream has a free slot, and those whose wait has expired.
+    /// Gives the upstream's free slots to waiting requests and to reservations, in the order of their ranks, and
+    /// releases the requests whose wait has expired.
     pub(super) fn admit(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
-        if self.admission.waiting() == 0 {
+        if self.admission.waiting() == 0 && self.admission.reservations.is_empty() {
             return;
         }
         for key in self.buffer.expired(now_ms) {
             self.release(key, ReleaseReason::Overdue, now_ms, out);
         }
-        while let Some(key) = self.admission.next(self.upstream_tracker.slots(), now_ms) {
-            self.release(key, ReleaseReason::Slot, now_ms, out);
+        self.admission.reservations.expire(now_ms);
+        let may_offer = self.may_offer(now_ms);
+        let slots = self.upstream_tracker.slots();
+        loop {
+            let waiting = self.admission.next(slots, now_ms);
+            let reserved = self.admission.next_reservation(slots, now_ms).filter(|_| may_offer);
+            match (waiting, reserved) {
+                (Some((rank, key)), reserved) if reserved.is_none_or(|it| rank <= it.0) => {
+                    self.release(key, ReleaseReason::Slot, now_ms, out);
+                }
+                (_, Some((_, key))) => self.offer(key, now_ms, out),
+                _ => return,
+            }
         }
     }
 
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -2,6 +2,7 @@
 //!
 //! The flow table is a cache. If a flow's agent is not in it, the balancer queries the agents of the route's pools.
 
+mod deferred;
 mod duties;
 mod search;
 
@@ -13,6 +14,7 @@
 use rustc_hash::FxHashMap;
 
 use self::{
+    deferred::DeferredOpenings,
     duties::MAX_WITHDRAWN,
     search::{SEARCH_TIMEOUT_MS, Search},
 };
@@ -23,9 +25,9 @@
         Answer, Decision, DropReason, Effect, Payload, RelayAction, RelayHeader, ResetReason, note,
         note_drop, push_reset,
     },
-    fleet::{AgentPlan, Fleet, MemberEntry, Report, ReportChange, ZoneId},
+    fleet::{AgentPlan, Candidates, Fleet, MemberEntry, Report, ReportChange, ZoneId},
     packet_buffer::PacketBuffer,
-    route::{ConfigVersion, Lookup, RouteTable, Routes},
+    route::{ConfigVersion, Lookup, Objective, RouteTable, Routes},
     zone::{Regions, ZoneUpdateResult, ZonesOut},
 };
 
@@ -61,6 +63,24 @@
     ack: u32,
 }
 
+/// An opening packet to place.
+#[derive(Debug)]
+enum OpeningPacket<'a> {
+    /// The packet that is being processed.
+    Arrived(&'a [u8]),
+    /// A packet that was deferred.
+    Deferred(Vec<u8>),
+}
+
+impl OpeningPacket<'_> {
+    fn into_payload(self) -> Payload {
+        match self {
+            OpeningPacket::Arrived(_) => Payload::Current,
+            OpeningPacket::Deferred(packet) => Payload::Buffered(packet),
+        }
+    }
+}
+
 /// State of a balancer.
 #[derive(Debug)]
 pub struct Balancer {
@@ -70,6 +90,7 @@
     fleet: Fleet,
     flows: FxHashMap<FlowKey, Flow>,
     buffer: PacketBuffer,
+    deferred: DeferredOpenings,
     pending_queries: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     /// Agents whose entries this balancer withdrew from the store.
     withdrawn: BTreeSet<SocketAddrV4>,
@@ -95,6 +116,7 @@
             fleet: Fleet::default(),
             flows: FxHashMap::default(),
             buffer: PacketBuffer::default(),
+            deferred: DeferredOpenings::default(),
             pending_queries: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
             left_agents: BTreeMap::new(),
@@ -134,12 +156,19 @@
 
     /// Bytes of buffered packets.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.bytes()
+        self.buffer.bytes() + self.deferred.bytes()
+    }
+
+    /// Number of deferred opening packets.
+    pub fn deferred(&self) -> usize {
+        self.deferred.len()
     }
 
     /// Applies a configuration; false if one that is as new or newer is already in force.
     pub fn update_routes(&mut self, routes: Routes) -> bool {
-        self.routes.update(routes)
+        let updated = self.routes.update(routes);
+        self.deferred.routes_changed |= updated;
+        updated
     }
 
     /// Applies an update of the zones out of service.
@@ -177,7 +206,11 @@
         out: &mut Vec<Effect>,
     ) -> ReportChange {
         self.record_event_time(now_ms);
+        let was_ready = self.fleet.is_ready_for_flows(from, now_ms);
         let change = self.fleet.apply_report(from, report, now_ms);
+        if !was_ready && self.fleet.is_ready_for_flows(from, now_ms) {
+            self.reserve_at_new_agent(from, now_ms, out);
+        }
         if change == ReportChange::Restarted {
             self.flush_buffered_packets(from, out);
         }
@@ -204,7 +237,7 @@
     ) {
         self.record_event_time(now_ms);
         match head.kind {
-            PacketKind::Open => self.handle_open(head, now_ms, out),
+            PacketKind::Open => self.handle_open(head, bytes, now_ms, out),
             PacketKind::Data | PacketKind::Finish | PacketKind::Reset => {
                 self.handle_flow_packet(head, bytes, now_ms, out)
             }
@@ -237,6 +270,7 @@
         self.send_hellos(now_ms, out);
         self.refresh_member_list(now_ms, out);
         self.continue_searches(now_ms, out);
+        self.update_deferred(now_ms, out);
         for key in self.buffer.expired(now_ms) {
             self.handle_buffer_expiry(key, now_ms, out);
         }
@@ -282,7 +316,27 @@
         }
     }
 
-    fn handle_open(&mut self, head: &PacketHeader, now_ms: u64, out: &mut Vec<Effect>) {
+    fn handle_open(
+        &mut self,
+        head: &PacketHeader,
+        bytes: &[u8],
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.deferred.replace_copy(head, bytes) {
+            self.place(head, OpeningPacket::Arrived(bytes), now_ms, out);
+        }
+    }
+
+    /// Places an opening packet according to the routes, zones and members in force, or defers it if it has just
+    /// arrived and the pool is full.
+    fn place(
+        &mut self,
+        head: &PacketHeader,
+        packet: OpeningPacket<'_>,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
         let key = head.key;
         let copies = head.ack;
         let route = match self.routes.lookup(key.service) {
@@ -308,7 +362,7 @@
             };
             if let Some(agent) = flow.agent.filter(is_usable) {
                 let pool = flow.pool.unwrap_or(pool);
-                return self.relay(agent, RelayAction::Deliver, pool, Payload::Current, out);
+                return self.relay(agent, RelayAction::Deliver, pool, packet.into_payload(), out);
             }
         }
         let avoid = known.and_then(|it| it.agent);
@@ -316,14 +370,29 @@
         let Some(&first) = found.agents.first() else {
             return self.reject_open(key, pool, now_ms, out);
         };
+        if let OpeningPacket::Arrived(bytes) = packet
+            && found.pool.is_full()
+            && self.defer(head, bytes, pool, &found, avoid, now_ms, out)
+        {
+            return;
+        }
         let flow =
             Flow { agent: Some(first), pool: Some(pool), last_used_ms: now_ms, ..Flow::default() };
         self.flows.insert(key, flow);
         note(key, Decision::Placed { first, copies }, out);
+        let candidates = self.candidate_list(pool, found, objective);
+        self.relay(first, RelayAction::Open(candidates), pool, packet.into_payload(), out);
+    }
+
+    fn candidate_list(
+        &self,
+        pool: PoolId,
+        found: Candidates,
+        objective: Option<Objective>,
+    ) -> CandidateList {
         let candidates = CandidateList::new(found.agents, found.limit).with_objective(objective);
         let cold_rate = self.routes.cold_rate(pool);
-        let candidates = candidates.with_pool(found.pool).with_cold_rate(cold_rate);
-        self.relay(first, RelayAction::Open(candidates), pool, Payload::Current, out);
+        candidates.with_pool(found.pool).with_cold_rate(cold_rate)
     }
 
     fn reject_open(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
--- a/crates/core/src/opaque/balancer/search.rs
+++ b/crates/core/src/opaque/balancer/search.rs
@@ -250,6 +250,8 @@
             // Two upstreams may accept a flow; the caller uses the first answer.
             return;
         }
+        // A deferred copy of the opening packet would open the flow at a second upstream.
+        self.deferred.remove(&key);
         flow.agent = Some(from);
         flow.pool = self.fleet.pool_of(from).or(flow.pool);
         flow.confirmed = true;
--- a/crates/core/src/opaque/candidate_list.rs
+++ b/crates/core/src/opaque/candidate_list.rs
@@ -21,6 +21,10 @@
 /// Load of a candidate that the packet has not visited.
 const LOAD_UNVISITED: u16 = LOAD_CLOSED;
 
+/// Share of a pool's slots at full upstreams, in percent, from which the pool counts as full. Below it a caller that is
+/// refused can retry at an upstream with room.
+pub const POOL_FULL_PERCENT: u8 = 60;
+
 /// A candidate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -42,6 +46,13 @@
     pub full_percent: u8,
 }
 
+impl PoolLoad {
+    /// Whether the pool counts as full.
+    pub fn is_full(&self) -> bool {
+        self.full_percent >= POOL_FULL_PERCENT
+    }
+}
+
 /// Whether an agent accepts a flow as the last resort.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LastResort {
@@ -161,6 +172,12 @@
         }
     }
 
+    /// Whether the current candidate has recorded no load, or none with which it may get the flow.
+    pub fn is_current_unvisited(&self) -> bool {
+        let current = self.candidates().get(usize::from(self.position));
+        current.is_some_and(|it| it.load == LOAD_UNVISITED)
+    }
+
     /// Moves to the least loaded candidate that may get the flow. Returns it, or none if all are closed.
     pub fn select_least_loaded(&mut self) -> Option<SocketAddrV4> {
         let open = self.candidates().iter().enumerate().filter(|(_, it)| it.load != LOAD_CLOSED);
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -5,6 +5,7 @@
 use super::{
     FlowKey, PoolId,
     candidate_list::{CandidateList, LastResort},
+    route::Objective,
 };
 
 /// Bytes of the packet that an effect refers to.
@@ -136,6 +137,43 @@
     }
 }
 
+/// Why a deferred opening packet was placed without an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UndeferReason {
+    /// The caller's attempt has reached the age limit.
+    Aged,
+    /// No agent that may serve it offered a slot in time.
+    NoOffer,
+    /// The pool is no longer full.
+    Room,
+    /// Too many opening packets are deferred, and it ranks lowest.
+    BoundFull,
+}
+
+impl UndeferReason {
+    /// Name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            UndeferReason::Aged => "aged",
+            UndeferReason::NoOffer => "no-offer",
+            UndeferReason::Room => "room",
+            UndeferReason::BoundFull => "bound-full",
+        }
+    }
+}
+
+/// A balancer's reservation of a slot for a deferred opening packet. The balancer uses an offer for the highest-ranked
+/// of its deferred opening packets, which may be another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// Pool of the opening packet.
+    pub pool: PoolId,
+    /// Objective of its route, if configured. Whether the requests are idempotent is not sent.
+    pub objective: Option<Objective>,
+    /// Age of the caller's opening attempt.
+    pub age_ms: u16,
+}
+
 /// A decision that is logged and counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -146,6 +184,29 @@
         /// Retransmissions by the caller so far.
         copies: u32,
     },
+    /// A balancer deferred an opening packet, as the pool is full.
+    Deferred {
+        /// Agents at which slots were reserved.
+        agents: [Option<SocketAddrV4>; 2],
+        /// Deferred opening packets, including this one.
+        held: usize,
+    },
+    /// A balancer sent a deferred opening packet to an agent that offered a slot.
+    Bound {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// Time for which the packet was deferred, in milliseconds.
+        waited_ms: u64,
+        /// Opening packets that are still deferred.
+        held: usize,
+    },
+    /// A balancer placed a deferred opening packet without an offer.
+    Undeferred {
+        /// Reason for the placement.
+        reason: UndeferReason,
+        /// Time for which the packet was deferred, in milliseconds.
+        waited_ms: u64,
+    },
     /// An agent accepted the flow for its upstream.
     Accepted {
         /// Load in thousandths of the slots.
@@ -317,6 +378,29 @@
         /// The result for each flow.
         statuses: Vec<(FlowKey, FlowStatus)>,
     },
+    /// Reserve a slot at an agent for a deferred opening packet.
+    Reserve {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The reservation.
+        reservation: Reservation,
+    },
+    /// Offer slots for reservations to a balancer.
+    Offer {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// Pool of the upstream.
+        pool: PoolId,
+        /// Number of slots.
+        slots: u8,
+    },
+    /// Decline an agent's offer, as no opening packet is deferred for it.
+    Decline {
+        /// The agent.
+        to: SocketAddrV4,
+        /// Pool of the offer.
+        pool: PoolId,
+    },
     /// Deliver the current packet to the agent's upstream.
     Deliver,
     /// Deliver a buffered packet to the agent's upstream.
--- a/crates/core/src/opaque/flow.rs
+++ b/crates/core/src/opaque/flow.rs
@@ -4,6 +4,9 @@
 
 use crate::split_mix::mix;
 
+/// Age of a caller's opening attempt at its first packet and at each retransmission.
+const RETRANSMIT_AGES_MS: [u64; 3] = [0, 200, 600];
+
 /// Key of a flow: the addresses of its two ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct FlowKey {
@@ -68,6 +71,12 @@
     }
 }
 
+/// Age of the caller's opening attempt after this many retransmissions.
+pub(super) fn opening_age_ms(retransmits: u32) -> u64 {
+    let last = RETRANSMIT_AGES_MS.len() - 1;
+    RETRANSMIT_AGES_MS[(retransmits as usize).min(last)]
+}
+
 /// Whether sequence number `a` comes after `b`, with wraparound.
 pub(crate) fn seq_after(a: u32, b: u32) -> bool {
     a != b && a.wrapping_sub(b) < 1 << 31
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -9,10 +9,10 @@
 };
 
 use camphorwinch_core::opaque::{
-    FlowKey, PacketHeader, PacketKind,
+    FlowKey, PacketHeader, PacketKind, PoolId,
     agent::{Agent, Heartbeat, Identity, UpstreamInstance},
     balancer::Balancer,
-    effect::{Answer, Effect, FlowStatus, Payload, RelayHeader},
+    effect::{Answer, Effect, FlowStatus, Payload, RelayHeader, Reservation},
     fleet::{AgentPlan, MemberEntry, Report, ReportChange, ZoneId},
     route::{Objective, Routes},
 };
@@ -69,6 +69,9 @@
     FanOut(RelayHeader, Vec<SocketAddrV4>, u64),
     QueryResponse(Vec<(FlowKey, FlowStatus)>),
     Report(Report),
+    Reserve(Reservation),
+    Offer(PoolId, u8),
+    Decline,
     Subscribe,
 }
 
@@ -475,7 +478,15 @@
                     it.handle_answer(from, key, answer, returned, now, out);
                 });
             }
-            Message::Packet(..) | Message::FanOut(..) | Message::Query(_) | Message::Subscribe => {}
+            Message::Offer(pool, slots) => self.with_balancer(number, |it, now, out| {
+                it.handle_offer(from, pool, slots, now, out);
+            }),
+            Message::Packet(..)
+            | Message::FanOut(..)
+            | Message::Query(_)
+            | Message::Reserve(_)
+            | Message::Decline
+            | Message::Subscribe => {}
         }
     }
 
@@ -503,7 +514,14 @@
                 }
                 self.report(host);
             }
-            Message::Answer(..) | Message::QueryResponse(_) | Message::Report(_) => {}
+            Message::Reserve(reservation) => self.with_agent(host, |it, out| {
+                it.handle_reservation(from, &reservation, now, out);
+            }),
+            Message::Decline => self.with_agent(host, |it, out| it.handle_decline(from, now, out)),
+            Message::Answer(..)
+            | Message::QueryResponse(_)
+            | Message::Report(_)
+            | Message::Offer(..) => {}
         }
     }
 
@@ -533,6 +551,10 @@
                     self.send_message(from, to, Message::FanOut(relay, agents, packet));
                 }
                 Effect::Hello { to } => self.send_message(from, to, Message::Subscribe),
+                Effect::Reserve { to, reservation } => {
+                    self.send_message(from, to, Message::Reserve(reservation));
+                }
+                Effect::Decline { to, .. } => self.send_message(from, to, Message::Decline),
                 Effect::ReloadMembers => {
                     let members = self.listed();
                     if let Some(it) = self.balancers.get_mut(&number) {
@@ -581,6 +603,9 @@
                 }
                 Effect::Reply => self.reply(current),
                 Effect::Reset { key, .. } => self.reset(key),
+                Effect::Offer { to, pool, slots } => {
+                    self.send_message(from, to, Message::Offer(pool, slots));
+                }
                 Effect::Report => self.report(host),
                 _ => {}
             }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -360,7 +360,10 @@
                     self.decision_log.write(key, &decision, now)
                 }
                 Effect::QueryResponse { to, statuses } => self.peers.query_response(to, &statuses),
+                Effect::Offer { to, pool, slots } => self.peers.offer(to, pool, slots),
                 Effect::Hello { .. }
+                | Effect::Reserve { .. }
+                | Effect::Decline { .. }
                 | Effect::Query { .. }
                 | Effect::FanOut { .. }
                 | Effect::ReloadMembers
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -75,7 +75,15 @@
                 self.state.query(from, &keys, &mut self.effects);
                 self.apply(&[], now);
             }
-            Ok(Datagram::Answer { .. } | Datagram::QueryResponse(_)) => {
+            Ok(Datagram::Reserve(reservation)) => {
+                self.state.handle_reservation(from, &reservation, now, &mut self.effects);
+                self.apply(&[], now);
+            }
+            Ok(Datagram::Decline { .. }) => {
+                self.state.handle_decline(from, now, &mut self.effects);
+                self.apply(&[], now);
+            }
+            Ok(Datagram::Answer { .. } | Datagram::QueryResponse(_) | Datagram::Offer { .. }) => {
                 count_misdirected();
             }
             Err(e) => {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -313,6 +313,7 @@
             self.publish();
         }
         metrics::FLOWS.set(self.state.flows() as i64);
+        metrics::DEFERRED.set(self.state.deferred() as i64);
         metrics::HELD_BYTES.set(self.state.buffered_bytes() as i64);
         metrics::PEERS.set(self.state.fleet().live_count(now) as i64);
         if stopping {
@@ -359,11 +360,17 @@
                 Effect::FanOut { to, relay, agents, packet } => {
                     self.peers.fan_out(to, &relay, &agents, &packet);
                 }
+                Effect::Reserve { to, reservation } => self.peers.reserve(to, &reservation),
+                Effect::Decline { to, pool } => {
+                    metrics::DECISIONS.with_label_values(&["declined"]).inc();
+                    self.peers.decline(to, pool);
+                }
                 Effect::LogDecision { key, decision } => {
                     self.decision_log.write(key, &decision, now)
                 }
                 Effect::Answer { .. }
                 | Effect::QueryResponse { .. }
+                | Effect::Offer { .. }
                 | Effect::Deliver
                 | Effect::Release { .. }
                 | Effect::Reply
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -74,7 +74,18 @@
                 }
                 self.apply(&[], now);
             }
-            Ok(Datagram::Packet { .. } | Datagram::FanOut { .. } | Datagram::Query(_)) => {
+            Ok(Datagram::Offer { pool, slots }) => {
+                metrics::DECISIONS.with_label_values(&["offered"]).inc_by(u64::from(slots));
+                self.state.handle_offer(from, pool, slots, now, &mut self.effects);
+                self.apply(&[], now);
+            }
+            Ok(
+                Datagram::Packet { .. }
+                | Datagram::FanOut { .. }
+                | Datagram::Query(_)
+                | Datagram::Reserve(_)
+                | Datagram::Decline { .. },
+            ) => {
                 count_misdirected();
             }
             Err(e) => {
--- a/crates/opaque/src/decision_log.rs
+++ b/crates/opaque/src/decision_log.rs
@@ -42,6 +42,10 @@
         if let Decision::Admitted { waited_ms, .. } = decision {
             metrics::WAIT_SECONDS.observe(*waited_ms as f64 / 1_000.0);
         }
+        if let Decision::Bound { waited_ms, .. } | Decision::Undeferred { waited_ms, .. } = decision
+        {
+            metrics::DEFERRED_SECONDS.observe(*waited_ms as f64 / 1_000.0);
+        }
         let allowed = match class(decision) {
             Class::Step => self.steps.allow(now_ms),
             Class::Outcome => self.outcomes.allow(now_ms),
@@ -71,6 +75,9 @@
 fn class(decision: &Decision) -> Class {
     match decision {
         Decision::Placed { .. }
+        | Decision::Deferred { .. }
+        | Decision::Bound { .. }
+        | Decision::Undeferred { .. }
         | Decision::Accepted { .. }
         | Decision::Searched { .. }
         | Decision::Found { .. }
@@ -93,6 +100,9 @@
 fn event_and_label(decision: &Decision) -> (Id, &'static str) {
     match decision {
         Decision::Placed { .. } => (Id::FlowPlaced, "placed"),
+        Decision::Deferred { .. } => (Id::OpeningDeferred, "deferred"),
+        Decision::Bound { .. } => (Id::OpeningBound, "bound"),
+        Decision::Undeferred { .. } => (Id::OpeningUndeferred, "undeferred"),
         Decision::Accepted { last: LastResort::No, .. } => (Id::FlowAccepted, "accepted"),
         Decision::Accepted { last: LastResort::Yes, .. } => (Id::FlowAccepted, "accepted-last"),
         Decision::Forwarded { .. } => (Id::FlowPassed, "passed-on"),
@@ -119,6 +129,16 @@
         Decision::Placed { first, copies } => {
             tracing::info!(id, name, flow, agent = %first, copies);
         }
+        Decision::Deferred { agents, held } => {
+            let agents: Vec<_> = agents.iter().flatten().map(ToString::to_string).collect();
+            tracing::info!(id, name, flow, agents = agents.join(" "), held);
+        }
+        Decision::Bound { agent, waited_ms, held } => {
+            tracing::info!(id, name, flow, agent = %agent, waited_ms, held);
+        }
+        Decision::Undeferred { reason, waited_ms } => {
+            tracing::info!(id, name, flow, why = reason.as_str(), waited_ms);
+        }
         Decision::Accepted { load, last, candidates } => {
             let (last, limit) = (last == LastResort::Yes, candidates.limit);
             tracing::info!(id, name, flow, load, last, limit, walk = %candidates);
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -70,5 +70,8 @@
     652 UpstreamReset "opaque-upstream-reset" "the upstream reset a flow; the reset is not forwarded if the upstream does not hold the flow";
     653 FlowUnplaced "opaque-flow-unplaced" "no candidate accepted the flow; lists the candidates' loads";
     654 RequestAdmitted "opaque-request-admitted" "a waiting request was released to the upstream";
+    655 OpeningDeferred "opaque-opening-deferred" "the pool is full: an opening packet is buffered until an agent offers a slot";
+    656 OpeningBound "opaque-opening-bound" "a deferred opening packet was sent to an agent that offered a slot";
+    657 OpeningUndeferred "opaque-opening-undeferred" "a deferred opening packet was placed without an offer";
     661 LinesSuppressed "opaque-lines-suppressed" "log lines on single flows were suppressed by the rate limit";
 }
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -88,6 +88,21 @@
     register!(Histogram::with_opts(opts.buckets(LATENCY_BUCKETS_S.to_vec())))
 });
 
+/// Opening packets deferred until an agent offers a slot.
+pub static DEFERRED: LazyLock<IntGauge> = LazyLock::new(|| {
+    register!(IntGauge::new(
+        "camphorwinch_opaque_deferred",
+        "Opening packets that the balancer defers until an agent offers a slot."
+    ))
+});
+
+/// Time for which opening packets were deferred, in seconds.
+pub static DEFERRED_SECONDS: LazyLock<Histogram> = LazyLock::new(|| {
+    let help = "Time for which opening packets were deferred, of those that were.";
+    let opts = HistogramOpts::new("camphorwinch_opaque_deferred_seconds", help);
+    register!(Histogram::with_opts(opts.buckets(LATENCY_BUCKETS_S.to_vec())))
+});
+
 /// Agents or balancers heard from recently.
 pub static PEERS: LazyLock<IntGauge> = LazyLock::new(|| {
     register!(IntGauge::new("camphorwinch_opaque_peers", "Peers that were heard of lately."))
--- a/crates/opaque/src/peers.rs
+++ b/crates/opaque/src/peers.rs
@@ -3,8 +3,8 @@
 use std::net::{SocketAddr, SocketAddrV4};
 
 use camphorwinch_core::opaque::{
-    FlowKey,
-    effect::{Answer, FlowStatus, RelayHeader},
+    FlowKey, PoolId,
+    effect::{Answer, FlowStatus, RelayHeader, Reservation},
 };
 use camphorwinch_wire::opaque::{self, Body, Control};
 use tokio::net::UdpSocket;
@@ -90,6 +90,27 @@
         self.send_buffer(to, "verdicts");
     }
 
+    /// Reserves a slot at an agent.
+    pub(crate) fn reserve(&mut self, to: SocketAddrV4, reservation: &Reservation) {
+        self.buffer.clear();
+        opaque::encode_reserve(reservation, &mut self.buffer);
+        self.send_buffer(to, "reserve");
+    }
+
+    /// Offers slots to a balancer.
+    pub(crate) fn offer(&mut self, to: SocketAddrV4, pool: PoolId, slots: u8) {
+        self.buffer.clear();
+        opaque::encode_offer(pool, slots, &mut self.buffer);
+        self.send_buffer(to, "offer");
+    }
+
+    /// Declines an agent's offer.
+    pub(crate) fn decline(&mut self, to: SocketAddrV4, pool: PoolId) {
+        self.buffer.clear();
+        opaque::encode_decline(pool, &mut self.buffer);
+        self.send_buffer(to, "decline");
+    }
+
     /// Sends an unmodified packet to a caller.
     pub(crate) fn plain(&self, to: SocketAddrV4, packet: &[u8]) {
         send(&self.socket, to, packet, "to-caller");
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -12,6 +12,9 @@
 //! 4 query | for each flow: caller 6, service 6
 //! 5 query response | for each flow: status 1, caller 6, service 6
 //! 6 fan-out | pool 8 | balancer 6 | count 1 | agent 6 each | packet
+//! 7 reserve | pool 8 | priority 1 | latency objective 4 | timeout 4, 0 without an objective | age 2
+//! 8 offer | pool 8 | number of slots 1
+//! 9 decline | pool 8
 //! ```
 
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -20,7 +23,7 @@
 use camphorwinch_core::opaque::{
     FlowKey, PoolId,
     candidate_list::{Candidate, CandidateList, MAX_CANDIDATES, PoolLoad},
-    effect::{Answer, FlowStatus, RelayAction, RelayHeader},
+    effect::{Answer, FlowStatus, RelayAction, RelayHeader, Reservation},
     fleet::{self, AgentPlan, UpstreamState, ZoneId},
     route::Objective,
 };
@@ -33,6 +36,9 @@
 const TYPE_QUERY: u8 = 4;
 const TYPE_QUERY_RESPONSE: u8 = 5;
 const TYPE_FAN_OUT: u8 = 6;
+const TYPE_RESERVE: u8 = 7;
+const TYPE_OFFER: u8 = 8;
+const TYPE_DECLINE: u8 = 9;
 
 /// A decoded datagram.
 #[derive(Debug)]
@@ -68,6 +74,20 @@
     },
     /// An agent's reply to a query.
     QueryResponse(Vec<(FlowKey, FlowStatus)>),
+    /// A balancer's reservation of a slot.
+    Reserve(Reservation),
+    /// An agent's offer of slots.
+    Offer {
+        /// Pool of the agent's upstream.
+        pool: PoolId,
+        /// Number of slots.
+        slots: u8,
+    },
+    /// A balancer's refusal of an offer.
+    Decline {
+        /// Pool of the offer.
+        pool: PoolId,
+    },
 }
 
 /// Reason why a datagram or snapshot is rejected.
@@ -176,6 +196,31 @@
     }
 }
 
+/// Appends a reservation of a slot.
+pub fn encode_reserve(reservation: &Reservation, out: &mut Vec<u8>) {
+    // A timeout of 0 encodes an unknown objective.
+    let objective = reservation.objective;
+    out.put_u8(TYPE_RESERVE);
+    out.put_u64(reservation.pool.0);
+    out.put_u8(objective.map_or(0, |it| it.priority));
+    out.put_u32(objective.map_or(0, |it| it.latency_ms));
+    out.put_u32(objective.map_or(0, |it| it.timeout_ms));
+    out.put_u16(reservation.age_ms);
+}
+
+/// Appends an offer of slots.
+pub fn encode_offer(pool: PoolId, slots: u8, out: &mut Vec<u8>) {
+    out.put_u8(TYPE_OFFER);
+    out.put_u64(pool.0);
+    out.put_u8(slots);
+}
+
+/// Appends the refusal of an offer.
+pub fn encode_decline(pool: PoolId, out: &mut Vec<u8>) {
+    out.put_u8(TYPE_DECLINE);
+    out.put_u64(pool.0);
+}
+
 /// Decodes a datagram.
 pub fn decode(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
     match take_u8(&mut bytes)? {
@@ -188,10 +233,28 @@
         TYPE_QUERY => decode_query(bytes),
         TYPE_QUERY_RESPONSE => decode_query_response(bytes),
         TYPE_FAN_OUT => decode_fan_out(bytes),
+        TYPE_RESERVE => decode_reserve(bytes),
+        TYPE_OFFER => {
+            Ok(Datagram::Offer { pool: take_pool(&mut bytes)?, slots: take_u8(&mut bytes)? })
+        }
+        TYPE_DECLINE => Ok(Datagram::Decline { pool: take_pool(&mut bytes)? }),
         kind => Err(DecodeError::UnknownType(kind)),
     }
 }
 
+fn decode_reserve(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
+    let pool = take_pool(&mut bytes)?;
+    let objective = Objective {
+        priority: take_u8(&mut bytes)?,
+        latency_ms: take_u32(&mut bytes)?,
+        timeout_ms: take_u32(&mut bytes)?,
+        idempotent: false,
+    };
+    let age_ms = take_u16(&mut bytes)?;
+    let objective = Some(objective).filter(|it| it.timeout_ms > 0);
+    Ok(Datagram::Reserve(Reservation { pool, objective, age_ms }))
+}
+
 fn decode_query(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
     let mut keys = Vec::with_capacity(bytes.len() / 12);
     while !bytes.is_empty() {
