--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -28,6 +28,9 @@
     pub(super) const UPSTREAM_RESET: u16 = 652;
     pub(super) const FLOW_UNPLACED: u16 = 653;
     pub(super) const REQUEST_ADMITTED: u16 = 654;
+    pub(super) const OPENING_DEFERRED: u16 = 655;
+    pub(super) const OPENING_BOUND: u16 = 656;
+    pub(super) const OPENING_UNDEFERRED: u16 = 657;
     pub(super) const LINES_SUPPRESSED: u16 = 661;
 }
 
@@ -81,7 +84,9 @@
         let mut processes: BTreeSet<String> =
             flow_lines.iter().map(|it| it.process.clone()).collect();
         let agents = flow_lines.iter().flat_map(|it| [it.text("agent"), it.text("silent")]);
-        let addresses: BTreeSet<String> = agents.flatten().map(str::to_owned).collect();
+        let reserved = flow_lines.iter().filter_map(|it| it.text("agents"));
+        let agents = agents.flatten().chain(reserved.flat_map(str::split_whitespace));
+        let addresses: BTreeSet<String> = agents.map(str::to_owned).collect();
         for (address, process) in logs.addresses() {
             if addresses.contains(address) {
                 processes.insert(process.clone());
@@ -105,13 +110,14 @@
 }
 
 /// Converts lines to events in causal order: regardless of clock skew between VMs, no agent's line on a flow comes
-/// before the balancer's first placement of the flow.
+/// before the balancer's first placement or binding of the flow.
 fn causal_order<'a, I>(lines: I) -> Vec<Event>
 where
     I: Iterator<Item = &'a Line> + Clone,
 {
-    let first_placement =
-        lines.clone().filter(|it| it.id == event_id::FLOW_PLACED).min_by_key(|it| it.ms);
+    let is_placement =
+        |it: &&Line| matches!(it.id, event_id::FLOW_PLACED | event_id::OPENING_BOUND);
+    let first_placement = lines.clone().filter(is_placement).min_by_key(|it| it.ms);
     let placed_at = first_placement.map(|it| HlcTimestamp { ms: it.ms, counter: 0 });
     let processes: BTreeSet<&str> = lines.clone().map(|it| it.process.as_str()).collect();
     merge(processes.into_iter().map(|process| {
--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -85,6 +85,31 @@
         /// Why the request was admitted.
         cause: String,
     },
+    /// The pool was full, so the opening packet waited at the balancer until an agent offered a slot.
+    Deferred {
+        /// The balancer.
+        process: String,
+        /// Wait in milliseconds.
+        waited_ms: u64,
+        /// Address of the agent.
+        agent: String,
+    },
+    /// The pool was full, and the opening packet was placed without an offer.
+    Undeferred {
+        /// The balancer.
+        process: String,
+        /// Wait in milliseconds.
+        waited_ms: u64,
+        /// Why it was placed.
+        reason: String,
+    },
+    /// The pool was full, and the opening packet still waited at the balancer when the logs end.
+    StillDeferred {
+        /// The balancer.
+        process: String,
+        /// Addresses of the agents at which slots were reserved.
+        agents: String,
+    },
     /// The flow was accepted, and no fault was logged.
     Served {
         /// The agent that accepted it.
@@ -120,12 +145,23 @@
 fn cause_of_line(line: &Line, flow_lines: &[&Line], context: &[&Line]) -> Option<Cause> {
     let process = line.process.clone();
     match line.id {
-        event_id::FLOW_ACCEPTED if line.flag("last") == Some(true) => Some(Cause::AllAboveLimit {
-            process,
-            load: line.number("load").unwrap_or(0),
-            candidates: line.text("walk").unwrap_or("").to_owned(),
-        }),
-        event_id::FLOW_ACCEPTED => Some(Cause::Served { process }),
+        event_id::FLOW_ACCEPTED if line.flag("last") == Some(true) => {
+            Some(deferral_cause(flow_lines).unwrap_or(Cause::AllAboveLimit {
+                process,
+                load: line.number("load").unwrap_or(0),
+                candidates: line.text("walk").unwrap_or("").to_owned(),
+            }))
+        }
+        event_id::FLOW_ACCEPTED => {
+            Some(deferral_cause(flow_lines).unwrap_or(Cause::Served { process }))
+        }
+        event_id::OPENING_DEFERRED if last_deferral_end(flow_lines).is_none() => {
+            Some(Cause::StillDeferred {
+                process,
+                agents: line.text("agents").unwrap_or("").to_owned(),
+            })
+        }
+        event_id::OPENING_BOUND | event_id::OPENING_UNDEFERRED => deferral_cause(flow_lines),
         event_id::REQUEST_ADMITTED => queued_cause(line),
         event_id::FLOW_REFUSED => Some(Cause::Refused { process }),
         event_id::FLOW_NOT_FOUND => Some(match line.text("silent") {
@@ -146,6 +182,24 @@
     }
 }
 
+fn last_deferral_end<'a>(flow_lines: &[&'a Line]) -> Option<&'a Line> {
+    let ends = [event_id::OPENING_BOUND, event_id::OPENING_UNDEFERRED];
+    flow_lines.iter().rev().find(|it| ends.contains(&it.id)).copied()
+}
+
+/// Cause by the last binding or placement of a deferred opening packet of the flow, if it waited for long.
+fn deferral_cause(flow_lines: &[&Line]) -> Option<Cause> {
+    let line = last_deferral_end(flow_lines)?;
+    let waited_ms = line.number("waited_ms").filter(|&it| it >= MIN_QUEUED_MS)?;
+    let process = line.process.clone();
+    let text = |field| line.text(field).unwrap_or("").to_owned();
+    Some(if line.id == event_id::OPENING_BOUND {
+        Cause::Deferred { process, waited_ms, agent: text("agent") }
+    } else {
+        Cause::Undeferred { process, waited_ms, reason: text("why") }
+    })
+}
+
 /// Shorter waits are not distinguishable from normal service time.
 const MIN_QUEUED_MS: u64 = 50;
 
@@ -265,6 +319,18 @@
                 f,
                 "a request waited {waited_ms} ms at {process} because the pool was full; it was admitted with cause `{cause}`"
             ),
+            Cause::Deferred { process, waited_ms, agent } => write!(
+                f,
+                "the pool was full, so the opening packet waited {waited_ms} ms at {process} until {agent} offered a slot"
+            ),
+            Cause::Undeferred { process, waited_ms, reason } => write!(
+                f,
+                "the pool was full, and {process} placed the opening packet without an offer after {waited_ms} ms: `{reason}`"
+            ),
+            Cause::StillDeferred { process, agents } => write!(
+                f,
+                "the pool was full, and the opening packet waited at {process} for a slot of {agents} or another agent"
+            ),
             Cause::Served { process } => {
                 write!(
                     f,
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -87,6 +87,36 @@
     assert_eq!(cause_of(placed + &short), Cause::Served { process: "side-1".to_owned() });
 }
 
+// The agent's clock is behind the balancer's, and its line must still come after the binding.
+#[test]
+fn opening_that_waited_at_the_balancer_is_deferred() {
+    let deferred = flow_line(9.0, 655, r#""agents":"10.0.0.9:7720 10.0.0.8:7720","held":9"#);
+    let bound = |waited_ms: u64| {
+        let fields = format!(r#""agent":"10.0.0.9:7720","waited_ms":{waited_ms},"held":8"#);
+        flow_line(9.2, 656, &fields)
+    };
+    let placed = flow_line(9.3, 657, r#""why":"no-offer","waited_ms":300"#);
+    let accepted =
+        flow_line(9.1, 642, r#""load":5,"last":false,"limit":40,"walk":"10.0.0.9:7720=-""#);
+    let explain_after = |end: String| {
+        explain_sources(&[("front-1", deferred.clone() + &end), ("side-1", accepted.clone())])
+    };
+    let (process, agent) = ("front-1".to_owned(), "10.0.0.9:7720".to_owned());
+    let explanation = explain_after(bound(200));
+    let order: Vec<u16> = explanation.events.iter().map(|it| it.id).collect();
+    assert_eq!(order, [655, 656, 642]);
+    let expected = Cause::Deferred { process: process.clone(), waited_ms: 200, agent };
+    assert_eq!(explanation.cause, expected);
+    let served = Cause::Served { process: "side-1".to_owned() };
+    assert_eq!(explain_after(bound(3)).cause, served);
+    let reason = "no-offer".to_owned();
+    let expected = Cause::Undeferred { process: process.clone(), waited_ms: 300, reason };
+    assert_eq!(explain_after(placed).cause, expected);
+    let agents = "10.0.0.9:7720 10.0.0.8:7720".to_owned();
+    let waiting = explain_sources(&[("front-1", deferred)]);
+    assert_eq!(waiting.cause, Cause::StillDeferred { process, agents });
+}
+
 #[test]
 fn dropped_route_names_the_revision_in_force() {
     let balancer = log_line(8.5, 611, r#""revision":31,"version":7,"before":20,"routes":13"#)
--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -72,10 +72,14 @@
                 state == UpstreamState::Ready
                     && self.has_room(&head.key, load, candidates.limit, now_ms)
             }
-            LastResort::Yes if bound => state == UpstreamState::Ready,
+            LastResort::Yes if bound => {
+                state == UpstreamState::Ready
+                    && self.accepts_bound(&head.key, load, candidates.limit)
+            }
             LastResort::Yes => load != LOAD_CLOSED,
         };
         if accepts {
+            let last = if bound { LastResort::No } else { last };
             self.accept(relay, head, candidates, load, last, now_ms, out);
             if bound {
                 self.admission.reservations.assign(relay.balancer, head.key, now_ms);
@@ -214,6 +218,15 @@
         }
     }
 
+    /// Whether a flow is accepted for which a slot was offered. A persistent flow can't be moved later, so a slot that is
+    /// free now does not outweigh the load that it adds.
+    fn accepts_bound(&self, key: &FlowKey, load: u16, limit: u16) -> bool {
+        match self.flow_usage.of(key.service) {
+            FlowUsage::SingleRequest => true,
+            FlowUsage::Persistent => load <= limit,
+        }
+    }
+
     /// Whether the flow is accepted without trying further candidates.
     fn has_room(&self, key: &FlowKey, load: u16, limit: u16, now_ms: u64) -> bool {
         match self.flow_usage.of(key.service) {
--- a/crates/core/src/opaque/fleet/reservation.rs
+++ b/crates/core/src/opaque/fleet/reservation.rs
@@ -5,7 +5,7 @@
 use super::{super::PoolId, Fleet};
 
 /// Most reservations for an opening packet. Two choices give most of the benefit of many; the third covers a lost one.
-pub const MAX_RESERVATIONS: usize = 3;
+pub(super) const MAX_RESERVATIONS: usize = 3;
 
 impl Fleet {
     /// Whether the agent may get new flows of the pool.
