--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod candidate_list;
 mod fleet;
+mod late_binding;
 mod load;
 mod member_list;
 mod placement;
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -174,7 +174,6 @@
     by_key: HashMap<FlowKey, u64>,
     next_id: u64,
     pub(crate) tally: Tally,
-    pub(crate) counts: BTreeMap<String, u64>,
 }
 
 impl World {
@@ -192,7 +191,6 @@
             by_key: HashMap::new(),
             next_id: 1,
             tally: Tally::default(),
-            counts: BTreeMap::new(),
         };
         for host in 1..=params.agents {
             world.add_host(host);
@@ -311,9 +309,9 @@
         self.hosts.iter().filter_map(started).collect()
     }
 
-    /// Requests that wait at agents.
-    pub(crate) fn waiting_at_agents(&self) -> usize {
-        self.hosts.values().filter_map(|it| it.agent.as_ref()).map(Agent::waiting).sum()
+    /// Requests that wait at each agent.
+    pub(crate) fn waiting_at_agents(&self) -> Vec<usize> {
+        self.hosts.values().filter_map(|it| it.agent.as_ref()).map(Agent::waiting).collect()
     }
 
     /// Opening packets deferred by balancers.
@@ -574,24 +572,11 @@
                     }
                 }
                 Effect::Reset { key, .. } => self.reset(key),
-                Effect::LogDecision { decision, .. } => self.count(&decision),
                 _ => {}
             }
         }
     }
 
-    fn count(&mut self, decision: &camphorwinch_core::opaque::effect::Decision) {
-        use camphorwinch_core::opaque::effect::Decision;
-        let name = match decision {
-            Decision::Undeferred { reason, .. } => reason.as_str().to_owned(),
-            Decision::Bound { .. } => "bound".to_owned(),
-            Decision::Deferred { .. } => "deferred".to_owned(),
-            Decision::Placed { .. } => "placed".to_owned(),
-            _ => return,
-        };
-        *self.counts.entry(name).or_default() += 1;
-    }
-
     fn with_agent<F>(&mut self, host: u8, f: F)
     where
         F: FnOnce(&mut Agent, &mut Vec<Effect>),
