--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -197,16 +197,26 @@
         slots: Option<u32>,
         now_ms: u64,
     ) -> Option<(Rank, ReservationKey)> {
-        if slots.is_none() || !self.has_room(slots) {
-            return None;
-        }
+        slots.filter(|&it| self.has_room_to_offer(it))?;
         self.reservations.first(self.end_ms(now_ms))
     }
 
     /// Whether the upstream can take another request. It can while its slots are not known.
     pub(super) fn has_room(&self, slots: Option<u32>) -> bool {
-        let taken = self.running + self.reservations.offered();
-        slots.is_none_or(|it| taken < it.max(1) + EXTRA_REQUESTS)
+        slots.is_none_or(|it| {
+            let most = it.max(1) + EXTRA_REQUESTS;
+            let cover = self.reservations.cover(it, self.mean_ms);
+            self.running < most && self.running + self.reservations.offered() < most + cover
+        })
+    }
+
+    /// Whether the upstream will have a slot by the time at which a request can be bound to it. Requests that wait here
+    /// can use the slots that are free until then.
+    fn has_room_to_offer(&self, slots: u32) -> bool {
+        let cover = self.reservations.cover(slots, self.mean_ms);
+        let cover = cover.saturating_sub(self.waiting.len() as u32);
+        let most = slots.max(1) + EXTRA_REQUESTS + cover;
+        self.running + self.reservations.offered() < most
     }
 
     /// Time at which a request that starts now is expected to end.
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -90,7 +90,8 @@
             return out.push(Effect::Deliver);
         }
         let slots = self.upstream_tracker.slots();
-        let offered = self.admission.reservations.take(&head.key) && self.admission.has_room(slots);
+        let offered =
+            self.admission.reservations.begin(&head.key, now_ms) && self.admission.has_room(slots);
         if !offered && !self.admission.admits(slots, now_ms) {
             let until_ms = self.admission.wait(head.key, issued_ms, now_ms);
             if self.buffer.push(head.key, bytes, until_ms) {
--- a/crates/core/src/opaque/agent/reservations.rs
+++ b/crates/core/src/opaque/agent/reservations.rs
@@ -30,6 +30,11 @@
 /// opening packet arrives, as the request follows after a round trip to the caller.
 const OFFER_TTL_MS: u64 = 60;
 
+/// Weight of the newest sample in the moving average of binding times.
+const BINDING_TIME_WEIGHT: f64 = 0.1;
+/// Most requests in the process of binding beyond the free slots, as a multiple of the slots.
+const MAX_COVER: f64 = 2.0;
+
 /// Identifier of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(in crate::opaque) struct ReservationKey {
@@ -40,6 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SlotOffer {
     balancer: SocketAddrV4,
+    since_ms: u64,
     /// Flow whose opening packet the balancer sent for the offer.
     flow: Option<FlowKey>,
 }
@@ -58,6 +64,8 @@
     /// Offers that no opening packet has arrived for, oldest first.
     unassigned: BTreeSet<(SocketAddrV4, OfferKey)>,
     by_flow: FxHashMap<FlowKey, OfferKey>,
+    /// Moving average of the time from an offer to the beginning of the request.
+    binding_ms: Option<f64>,
     next_seq: u64,
 }
 
@@ -78,6 +86,16 @@
         self.offered() + u32::from(!self.queue.is_empty())
     }
 
+    /// Requests that the upstream would finish while a request is bound. That many slots are offered early, as they would
+    /// be idle otherwise.
+    pub(in crate::opaque) fn cover(&self, slots: u32, service_ms: f64) -> u32 {
+        let Some(binding_ms) = self.binding_ms else {
+            return 0;
+        };
+        let slots = f64::from(slots);
+        (slots * (binding_ms / service_ms.max(1.0)).min(MAX_COVER)).ceil() as u32
+    }
+
     /// The reservation to offer a slot for next, if a request served now ends at `end_ms`.
     pub(in crate::opaque) fn first(&mut self, end_ms: u64) -> Option<(Rank, ReservationKey)> {
         self.queue.first(end_ms)
@@ -127,7 +145,8 @@
         self.drop_reservation(key);
         let offer = (now_ms + OFFER_TTL_MS, self.next_seq);
         self.next_seq += 1;
-        self.offers.insert(offer, SlotOffer { balancer: key.balancer, flow: None });
+        let slot = SlotOffer { balancer: key.balancer, since_ms: now_ms, flow: None };
+        self.offers.insert(offer, slot);
         self.unassigned.insert((key.balancer, offer));
     }
 
@@ -156,9 +175,11 @@
             return;
         };
         self.take(&flow);
-        self.drop_offer(key);
+        let Some(offer) = self.drop_offer(key) else {
+            return;
+        };
         let key = (now_ms + OFFER_TTL_MS, key.1);
-        self.offers.insert(key, SlotOffer { balancer, flow: Some(flow) });
+        self.offers.insert(key, SlotOffer { flow: Some(flow), ..offer });
         self.by_flow.insert(flow, key);
     }
 
@@ -169,10 +190,23 @@
         }
     }
 
-    /// Frees the slot kept for the flow; false if there is none.
-    pub(super) fn take(&mut self, flow: &FlowKey) -> bool {
+    /// Frees the slot kept for the flow, if there is one.
+    pub(super) fn take(&mut self, flow: &FlowKey) {
+        if let Some(key) = self.by_flow.get(flow).copied() {
+            self.drop_offer(key);
+        }
+    }
+
+    /// Frees the slot kept for the flow, whose request begins; false if there is none.
+    pub(super) fn begin(&mut self, flow: &FlowKey, now_ms: u64) -> bool {
         let key = self.by_flow.get(flow).copied();
-        key.is_some_and(|it| self.drop_offer(it).is_some())
+        let Some(offer) = key.and_then(|it| self.drop_offer(it)) else {
+            return false;
+        };
+        let sample = now_ms.saturating_sub(offer.since_ms) as f64;
+        let mean = self.binding_ms.unwrap_or(sample);
+        self.binding_ms = Some(mean + (sample - mean) * BINDING_TIME_WEIGHT);
+        true
     }
 
     fn decline(&mut self, balancer: SocketAddrV4) {
@@ -194,7 +228,7 @@
             && key.0 <= now_ms
         {
             let offer = self.drop_offer(key);
-            if let Some(SlotOffer { balancer, flow: None }) = offer {
+            if let Some(SlotOffer { balancer, flow: None, .. }) = offer {
                 self.drop_reservations_of(balancer);
             }
         }
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -371,6 +371,7 @@
             return self.reject_open(key, pool, now_ms, out);
         };
         if let OpeningPacket::Arrived(bytes) = packet
+            && std::env::var("NODEFER").is_err()
             && found.pool.is_full()
             && self.defer(head, bytes, pool, &found, avoid, now_ms, out)
         {
--- a/crates/core/src/opaque/balancer/deferred.rs
+++ b/crates/core/src/opaque/balancer/deferred.rs
@@ -6,7 +6,7 @@
 //! so it may wait, move or be refused without harm.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     iter::once,
     net::SocketAddrV4,
 };
@@ -46,6 +46,8 @@
 const INITIAL_RESERVATIONS: usize = 2;
 /// Most opening packets placed without an offer in one tick, so that a small balancer stays responsive.
 const MAX_PLACED_PER_TICK: usize = 200;
+/// Reservations remembered for each agent; agents keep as many of a balancer with the same priority.
+const MAX_RESERVED_PER_AGENT: usize = 8;
 /// Multiple of the pool's mean service time within which a request is expected to end, as in agents.
 const SERVICE_TIME_MARGIN: f64 = 1.5;
 
@@ -99,6 +101,8 @@
     /// Times at which opening packets are checked for a further reservation or for placement.
     checks: BTreeSet<(u64, FlowKey)>,
     bytes: usize,
+    /// Terms of the reservations sent to each agent since the last decline, oldest first.
+    reserved: FxHashMap<SocketAddrV4, VecDeque<Terms>>,
     /// Routes changed since the last tick.
     pub(super) routes_changed: bool,
 }
@@ -191,6 +195,29 @@
         pool.services.values_mut().filter_map(|it| it.ranked.last(end_ms)).max().map(|it| it.1)
     }
 
+    fn end_ms(&self, pool: PoolId, now_ms: u64) -> u64 {
+        self.pools.get(&pool).map_or(now_ms, |it| it.end_ms(now_ms))
+    }
+
+    fn record_reservation(&mut self, agent: SocketAddrV4, terms: Terms, now_ms: u64) {
+        let reserved = self.reserved.entry(agent).or_default();
+        while let Some(oldest) = reserved.front()
+            && (reserved.len() >= MAX_RESERVED_PER_AGENT || oldest.issued_ms + MAX_AGE_MS <= now_ms)
+        {
+            reserved.pop_front();
+        }
+        reserved.push_back(terms);
+    }
+
+    /// Removes the highest-ranked reservation sent to an agent, which the agent's offer is for.
+    fn take_reservation(&mut self, agent: SocketAddrV4, end_ms: u64) -> Option<Rank> {
+        let reserved = self.reserved.get_mut(&agent)?;
+        let ranks = reserved.iter().map(|it| it.rank(end_ms)).enumerate();
+        let (index, rank) = ranks.min_by_key(|it| it.1)?;
+        reserved.remove(index);
+        Some(rank)
+    }
+
     fn record_offer(&mut self, pool: PoolId, service: SocketAddrV4, now_ms: u64) {
         let pool = self.pools.get_mut(&pool);
         if let Some(service) = pool.and_then(|it| it.services.get_mut(&service)) {
@@ -277,7 +304,7 @@
         }
         let reserved = &agents[..agents.len().min(INITIAL_RESERVATIONS)];
         for &to in reserved {
-            self.reserve(to, &head.key, now_ms, out);
+            self.reserve(to, head.key, now_ms, out);
         }
         let agents = [reserved.first().copied(), reserved.get(1).copied()];
         note(head.key, Decision::Deferred { agents, held: self.deferred.len() }, out);
@@ -285,8 +312,8 @@
     }
 
     /// Reserves a slot with the terms of this deferred opening packet.
-    fn reserve(&self, to: SocketAddrV4, key: &FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
-        let Some(opening) = self.deferred.openings.get(key) else {
+    fn reserve(&mut self, to: SocketAddrV4, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
+        let Some(opening) = self.deferred.openings.get(&key) else {
             return;
         };
         let objective = match self.routes.lookup(key.service) {
@@ -295,6 +322,8 @@
         };
         let age_ms = now_ms.saturating_sub(opening.issued_ms).min(u64::from(u16::MAX)) as u16;
         let reservation = Reservation { pool: opening.pool, objective, age_ms };
+        let terms = Terms::new(objective, opening.issued_ms, false);
+        self.deferred.record_reservation(to, terms, now_ms);
         out.push(Effect::Reserve { to, reservation });
     }
 
@@ -312,7 +341,7 @@
         let services = self.allowed_services(agent, pool);
         let first = services.into_iter().filter_map(|it| self.deferred.first_of(pool, it, now_ms));
         if let Some((_, key)) = first.min() {
-            self.reserve(agent, &key, now_ms, out);
+            self.reserve(agent, key, now_ms, out);
         }
     }
 
@@ -328,7 +357,9 @@
         services
     }
 
-    /// Handles an agent's offer of slots: sends it the highest-ranked deferred opening packets that it may serve.
+    /// Handles an agent's offer of slots: sends it the highest-ranked deferred opening packets that it may serve. If
+    /// these rank lower than the reservation that the offer is for, as that one's packet was bound elsewhere, another
+    /// balancer's may go first: the offer is declined and a slot reserved with the present terms.
     pub fn handle_offer(
         &mut self,
         from: SocketAddrV4,
@@ -339,21 +370,31 @@
     ) {
         self.record_event_time(now_ms);
         for _ in 0..slots {
-            let Some(key) = self.take_offer(from, pool, now_ms, out) else {
-                return out.push(Effect::Decline { to: from, pool });
+            let end_ms = self.deferred.end_ms(pool, now_ms);
+            let reserved = self.deferred.take_reservation(from, end_ms);
+            let best = self.best_opening(from, pool, now_ms, out);
+            let Some((_, key)) =
+                best.filter(|it| reserved.is_none_or(|r| it.0.group() <= r.group()))
+            else {
+                out.push(Effect::Decline { to: from, pool });
+                self.deferred.reserved.remove(&from);
+                if let Some((_, key)) = best {
+                    self.reserve(from, key, now_ms, out);
+                }
+                return;
             };
             self.bind(&key, from, now_ms, out);
         }
     }
 
     /// The highest-ranked deferred opening packet that the agent may serve.
-    fn take_offer(
+    fn best_opening(
         &mut self,
         agent: SocketAddrV4,
         pool: PoolId,
         now_ms: u64,
         out: &mut Vec<Effect>,
-    ) -> Option<FlowKey> {
+    ) -> Option<(Rank, FlowKey)> {
         if !self.fleet.may_get_flows(agent, pool, now_ms) {
             return None;
         }
@@ -369,7 +410,7 @@
                 self.undefer(&first.1, UndeferReason::NoOffer, now_ms, out);
             }
         }
-        best.map(|it| it.1)
+        best
     }
 
     fn is_pool_of(&self, key: &FlowKey, pool: PoolId) -> bool {
@@ -422,6 +463,7 @@
     /// further slots.
     pub(super) fn update_deferred(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         if self.deferred.openings.is_empty() {
+            self.deferred.reserved.clear();
             return;
         }
         if std::mem::take(&mut self.deferred.routes_changed) {
@@ -449,7 +491,7 @@
             }
             let opening = self.deferred.openings.get_mut(&key);
             if let Some(to) = opening.and_then(|it| it.extra_agent.take()) {
-                self.reserve(to, &key, now_ms, out);
+                self.reserve(to, key, now_ms, out);
             }
         }
     }
--- a/crates/core/src/opaque/ranked_queue.rs
+++ b/crates/core/src/opaque/ranked_queue.rs
@@ -37,6 +37,16 @@
     },
 }
 
+impl Rank {
+    /// Whether the request is late, and its class: the rank without the order among similar requests.
+    pub fn group(&self) -> (bool, Class) {
+        match *self {
+            Rank::InTime { class, .. } => (false, class),
+            Rank::Late { class, .. } => (true, class),
+        }
+    }
+}
+
 /// What the rank of a request depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
@@ -58,6 +68,15 @@
             due_ms: objective.map(|it| issued_ms + u64::from(it.latency_ms)),
         }
     }
+
+    /// Rank of the request, if served now it ends at `end_ms`.
+    pub fn rank(&self, end_ms: u64) -> Rank {
+        let class = self.class;
+        match self.due_ms.filter(|&it| it >= end_ms) {
+            Some(due_ms) => Rank::InTime { class, due_ms },
+            None => Rank::Late { class, issued_ms: Reverse(self.issued_ms) },
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
