--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -2,6 +2,7 @@
 //!
 //! The flow table is a cache. If a flow's agent is not in it, the balancer queries the agents of the route's pools.
 
+mod deferred;
 mod duties;
 mod search;
 mod startup;
@@ -14,6 +15,7 @@
 use rustc_hash::FxHashMap;
 
 use self::{
+    deferred::DeferredOpenings,
     duties::MAX_WITHDRAWN,
     search::{SEARCH_TIMEOUT_MS, Search},
     startup::Startup,
@@ -25,9 +27,9 @@
         Answer, Decision, DropReason, Effect, Payload, RelayAction, RelayHeader, ResetReason, note,
         note_drop, push_reset,
     },
-    fleet::{AgentPlan, Fleet, MemberEntry, Report, ReportChange, ZoneId},
+    fleet::{AgentPlan, Candidates, Fleet, MemberEntry, Report, ReportChange, ZoneId},
     packet_buffer::PacketBuffer,
-    route::{ConfigVersion, Lookup, RouteTable, Routes},
+    route::{ConfigVersion, Lookup, Objective, RouteTable, Routes},
     zone::{Regions, ZoneUpdateResult, ZonesOut},
 };
 
@@ -63,6 +65,24 @@
     ack: u32,
 }
 
+/// An opening packet to place.
+#[derive(Debug)]
+enum OpeningPacket<'a> {
+    /// The packet that is being processed.
+    Arrived(&'a [u8]),
+    /// A packet that was deferred.
+    Deferred(Vec<u8>),
+}
+
+impl OpeningPacket<'_> {
+    fn into_payload(self) -> Payload {
+        match self {
+            OpeningPacket::Arrived(_) => Payload::Current,
+            OpeningPacket::Deferred(packet) => Payload::Buffered(packet),
+        }
+    }
+}
+
 /// State of a balancer.
 #[derive(Debug)]
 pub struct Balancer {
@@ -72,6 +92,7 @@
     fleet: Fleet,
     flows: FxHashMap<FlowKey, Flow>,
     buffer: PacketBuffer,
+    deferred: DeferredOpenings,
     pending_queries: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     /// Agents whose entries this balancer withdrew from the store.
     withdrawn: BTreeSet<SocketAddrV4>,
@@ -99,6 +120,7 @@
             fleet: Fleet::default(),
             flows: FxHashMap::default(),
             buffer: PacketBuffer::default(),
+            deferred: DeferredOpenings::default(),
             pending_queries: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
             left_agents: BTreeMap::new(),
@@ -139,12 +161,20 @@
 
     /// Bytes of buffered packets.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.bytes() + self.startup.as_ref().map_or(0, |it| it.bytes())
+        let startup = self.startup.as_ref().map_or(0, |it| it.bytes());
+        self.buffer.bytes() + self.deferred.bytes() + startup
+    }
+
+    /// Number of deferred opening packets.
+    pub fn deferred(&self) -> usize {
+        self.deferred.len()
     }
 
     /// Applies a configuration; false if one that is as new or newer is already in force.
     pub fn update_routes(&mut self, routes: Routes) -> bool {
-        self.routes.update(routes)
+        let updated = self.routes.update(routes);
+        self.deferred.routes_changed |= updated;
+        updated
     }
 
     /// Applies an update of the zones out of service.
@@ -192,7 +222,11 @@
         if let Some(startup) = &mut self.startup {
             startup.record_report(report.pool, now_ms);
         }
+        let was_ready = self.fleet.is_ready_for_flows(from, now_ms);
         let change = self.fleet.apply_report(from, report, now_ms);
+        if !was_ready && self.fleet.is_ready_for_flows(from, now_ms) {
+            self.reserve_at_new_agent(from, now_ms, out);
+        }
         if change == ReportChange::Restarted {
             self.flush_buffered_packets(from, out);
         }
@@ -231,7 +265,7 @@
         out: &mut Vec<Effect>,
     ) {
         match head.kind {
-            PacketKind::Open => self.handle_open(head, now_ms, out),
+            PacketKind::Open => self.handle_open(head, bytes, now_ms, out),
             PacketKind::Data | PacketKind::Finish | PacketKind::Reset => {
                 self.handle_flow_packet(head, bytes, now_ms, out)
             }
@@ -265,6 +299,7 @@
         self.refresh_member_list(now_ms, out);
         self.replay_packets(now_ms, out);
         self.continue_searches(now_ms, out);
+        self.update_deferred(now_ms, out);
         for key in self.buffer.expired(now_ms) {
             self.handle_buffer_expiry(key, now_ms, out);
         }
@@ -310,7 +345,27 @@
         }
     }
 
-    fn handle_open(&mut self, head: &PacketHeader, now_ms: u64, out: &mut Vec<Effect>) {
+    fn handle_open(
+        &mut self,
+        head: &PacketHeader,
+        bytes: &[u8],
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.deferred.replace_copy(head, bytes) {
+            self.place(head, OpeningPacket::Arrived(bytes), now_ms, out);
+        }
+    }
+
+    /// Places an opening packet according to the routes, zones and members in force, or defers it if it has just
+    /// arrived and the pool is full.
+    fn place(
+        &mut self,
+        head: &PacketHeader,
+        packet: OpeningPacket<'_>,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
         let key = head.key;
         let copies = head.ack;
         let route = match self.routes.lookup(key.service) {
@@ -336,7 +391,7 @@
             };
             if let Some(agent) = flow.agent.filter(is_usable) {
                 let pool = flow.pool.unwrap_or(pool);
-                return self.relay(agent, RelayAction::Deliver, pool, Payload::Current, out);
+                return self.relay(agent, RelayAction::Deliver, pool, packet.into_payload(), out);
             }
         }
         let avoid = known.and_then(|it| it.agent);
@@ -344,14 +399,30 @@
         let Some(&first) = found.agents.first() else {
             return self.reject_open(key, pool, now_ms, out);
         };
+        if let OpeningPacket::Arrived(bytes) = packet
+            && std::env::var("NODEFER").is_err()
+            && found.pool.is_full()
+            && self.defer(head, bytes, pool, &found, avoid, now_ms, out)
+        {
+            return;
+        }
         let flow =
             Flow { agent: Some(first), pool: Some(pool), last_used_ms: now_ms, ..Flow::default() };
         self.flows.insert(key, flow);
         note(key, Decision::Placed { first, copies }, out);
+        let candidates = self.candidate_list(pool, found, objective);
+        self.relay(first, RelayAction::Open(candidates), pool, packet.into_payload(), out);
+    }
+
+    fn candidate_list(
+        &self,
+        pool: PoolId,
+        found: Candidates,
+        objective: Option<Objective>,
+    ) -> CandidateList {
         let candidates = CandidateList::new(found.agents, found.limit).with_objective(objective);
         let cold_rate = self.routes.cold_rate(pool);
-        let candidates = candidates.with_pool(found.pool).with_cold_rate(cold_rate);
-        self.relay(first, RelayAction::Open(candidates), pool, Payload::Current, out);
+        candidates.with_pool(found.pool).with_cold_rate(cold_rate)
     }
 
     fn reject_open(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -102,7 +102,7 @@
         ranked.into_iter().map(|it| it.2).collect()
     }
 
-    fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
+    pub(super) fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
         let members = || self.eligible_agents(pool, now_ms).map(|(_, it)| it);
         let (mut slots, mut full_slots) = (0_u32, 0_u32);
         let mut answer_bytes = WeightedMean::default();
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -9,10 +9,10 @@
 };
 
 use camphorwinch_core::opaque::{
-    FlowKey, PacketHeader, PacketKind,
+    FlowKey, PacketHeader, PacketKind, PoolId,
     agent::{Agent, Heartbeat, Identity, UpstreamInstance},
     balancer::Balancer,
-    effect::{Answer, Effect, FlowStatus, Payload, RelayHeader},
+    effect::{Answer, Effect, FlowStatus, Payload, RelayHeader, Reservation},
     fleet::{AgentPlan, MemberEntry, Report, ReportChange, ZoneId},
     route::{Objective, Routes},
 };
@@ -69,6 +69,9 @@
     FanOut(RelayHeader, Vec<SocketAddrV4>, u64),
     QueryResponse(Vec<(FlowKey, FlowStatus)>),
     Report(Report),
+    Reserve(Reservation),
+    Offer(PoolId, u8),
+    Decline,
     Subscribe,
 }
 
@@ -334,6 +337,16 @@
         self.hosts.iter().filter_map(started).collect()
     }
 
+    /// Requests that wait at each agent.
+    pub(crate) fn waiting_at_agents(&self) -> Vec<usize> {
+        self.hosts.values().filter_map(|it| it.agent.as_ref()).map(Agent::waiting).collect()
+    }
+
+    /// Opening packets deferred by balancers.
+    pub(crate) fn deferred(&self) -> usize {
+        self.balancers.values().map(Balancer::deferred).sum()
+    }
+
     /// Flows that the upstreams hold.
     pub(crate) fn open_flows(&self) -> usize {
         self.hosts.values().filter_map(|it| it.upstream.as_ref()).map(|it| it.open.len()).sum()
@@ -538,7 +551,15 @@
                     it.handle_answer(from, key, answer, returned, now, out);
                 });
             }
-            Message::Packet(..) | Message::FanOut(..) | Message::Query(_) | Message::Subscribe => {}
+            Message::Offer(pool, slots) => self.with_balancer(number, |it, now, out| {
+                it.handle_offer(from, pool, slots, now, out);
+            }),
+            Message::Packet(..)
+            | Message::FanOut(..)
+            | Message::Query(_)
+            | Message::Reserve(_)
+            | Message::Decline
+            | Message::Subscribe => {}
         }
     }
 
@@ -566,7 +587,14 @@
                 }
                 self.report(host);
             }
-            Message::Answer(..) | Message::QueryResponse(_) | Message::Report(_) => {}
+            Message::Reserve(reservation) => self.with_agent(host, |it, out| {
+                it.handle_reservation(from, &reservation, now, out);
+            }),
+            Message::Decline => self.with_agent(host, |it, out| it.handle_decline(from, now, out)),
+            Message::Answer(..)
+            | Message::QueryResponse(_)
+            | Message::Report(_)
+            | Message::Offer(..) => {}
         }
     }
 
@@ -596,6 +624,10 @@
                     self.send_message(from, to, Message::FanOut(relay, agents, packet));
                 }
                 Effect::Hello { to } => self.send_message(from, to, Message::Subscribe),
+                Effect::Reserve { to, reservation } => {
+                    self.send_message(from, to, Message::Reserve(reservation));
+                }
+                Effect::Decline { to, .. } => self.send_message(from, to, Message::Decline),
                 Effect::ReloadMembers => {
                     let members = self.listed();
                     if let Some(it) = self.balancers.get_mut(&number) {
@@ -644,6 +676,9 @@
                 }
                 Effect::Reply => self.reply(current),
                 Effect::Reset { key, .. } => self.reset(key),
+                Effect::Offer { to, pool, slots } => {
+                    self.send_message(from, to, Message::Offer(pool, slots));
+                }
                 Effect::Report => self.report(host),
                 _ => {}
             }
