Late binding: renew reservations with each binding, bind early enough to end in time

Reservations were consumed by offers, so a backlog at one balancer ran out of them; each binding now reserves again at its agent, in place of the third reservation after 60 ms. A balancer declines an offer for a reservation whose opening was bound elsewhere if only later ranks are left, and reserves with their terms.

Openings that are bound are expected to end within four mean service times, before 1.5: bound at the last moment they ended late.

--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -12,6 +12,7 @@
 use super::{
     FlowKey,
     agent::reservations::{ReservationKey, Reservations},
+    balancer::BOUND_SERVICE_TIME_MARGIN,
     candidate_list::{POOL_FULL_PERCENT, PoolLoad},
     ranked_queue::{Rank, RankedQueue, Terms},
     route::Objective,
@@ -198,7 +199,8 @@
         now_ms: u64,
     ) -> Option<(Rank, ReservationKey)> {
         slots.filter(|&it| self.has_room_to_offer(it))?;
-        self.reservations.first(self.end_ms(now_ms))
+        let end_ms = now_ms + (self.mean_ms * BOUND_SERVICE_TIME_MARGIN) as u64;
+        self.reservations.first(end_ms + self.reservations.binding_ms())
     }
 
     /// Whether the upstream can take another request. It can while its slots are not known.
--- a/crates/core/src/opaque/agent/reservations.rs
+++ b/crates/core/src/opaque/agent/reservations.rs
@@ -96,6 +96,11 @@
         (slots * (binding_ms / service_ms.max(1.0)).min(MAX_COVER)).ceil() as u32
     }
 
+    /// Mean time from an offer to the beginning of the request.
+    pub(in crate::opaque) fn binding_ms(&self) -> u64 {
+        self.binding_ms.unwrap_or(0.0) as u64
+    }
+
     /// The reservation to offer a slot for next, if a request served now ends at `end_ms`.
     pub(in crate::opaque) fn first(&mut self, end_ms: u64) -> Option<(Rank, ReservationKey)> {
         self.queue.first(end_ms)
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -13,6 +13,7 @@
 
 use rustc_hash::FxHashMap;
 
+pub(super) use self::deferred::BOUND_SERVICE_TIME_MARGIN;
 use self::{
     deferred::DeferredOpenings,
     duties::MAX_WITHDRAWN,
--- a/crates/core/src/opaque/balancer/deferred.rs
+++ b/crates/core/src/opaque/balancer/deferred.rs
@@ -40,16 +40,14 @@
 /// Time without an offer after which an opening packet is placed: reservations or offers are lost, or the agents are
 /// much slower than a service time.
 const NO_OFFER_MS: u64 = 300;
-/// Time after which a slot is reserved at one more agent.
-const EXTRA_RESERVATION_MS: u64 = 60;
-/// Agents at which slots are reserved at once.
-const INITIAL_RESERVATIONS: usize = 2;
 /// Most opening packets placed without an offer in one tick, so that a small balancer stays responsive.
 const MAX_PLACED_PER_TICK: usize = 200;
 /// Reservations remembered for each agent; agents keep as many of a balancer with the same priority.
 const MAX_RESERVED_PER_AGENT: usize = 8;
-/// Multiple of the pool's mean service time within which a request is expected to end, as in agents.
-const SERVICE_TIME_MARGIN: f64 = 1.5;
+/// Multiple of the mean service time within which the request of an opening packet that is bound now is expected to end:
+/// three times the mean include 95% of exponentially distributed service times, and the upstream may run one request
+/// before it. With half of this, openings were bound too late to be in time at a pool beyond its capacity.
+pub(in crate::opaque) const BOUND_SERVICE_TIME_MARGIN: f64 = 4.0;
 
 #[derive(Debug)]
 pub(super) struct Opening {
@@ -58,8 +56,6 @@
     pool: PoolId,
     arrived_ms: u64,
     issued_ms: u64,
-    /// Agent for one more reservation.
-    extra_agent: Option<SocketAddrV4>,
     /// Time of the next check, as in [`DeferredOpenings::checks`].
     check_ms: u64,
 }
@@ -89,7 +85,7 @@
 impl PoolQueue {
     /// Time at which a request that starts now is expected to end.
     fn end_ms(&self, now_ms: u64) -> u64 {
-        now_ms + (f64::from(self.service_ms.unwrap_or(0)) * SERVICE_TIME_MARGIN) as u64
+        now_ms + (f64::from(self.service_ms.unwrap_or(0)) * BOUND_SERVICE_TIME_MARGIN) as u64
     }
 }
 
@@ -98,7 +94,7 @@
 pub(super) struct DeferredOpenings {
     openings: FxHashMap<FlowKey, Opening>,
     pools: BTreeMap<PoolId, PoolQueue>,
-    /// Times at which opening packets are checked for a further reservation or for placement.
+    /// Times at which opening packets are checked for placement without an offer.
     checks: BTreeSet<(u64, FlowKey)>,
     bytes: usize,
     /// Terms of the reservations sent to each agent since the last decline, oldest first.
@@ -286,8 +282,7 @@
             pool,
             arrived_ms: now_ms,
             issued_ms,
-            extra_agent: agents.get(INITIAL_RESERVATIONS).copied(),
-            check_ms: now_ms + EXTRA_RESERVATION_MS,
+            check_ms: (now_ms + NO_OFFER_MS).min(issued_ms + MAX_AGE_MS),
         };
         self.deferred.insert(opening, Terms::new(terms_objective, issued_ms, false));
         if let Some(queue) = self.deferred.pools.get_mut(&pool) {
@@ -302,11 +297,10 @@
             }
             self.undefer(&last, UndeferReason::BoundFull, now_ms, out);
         }
-        let reserved = &agents[..agents.len().min(INITIAL_RESERVATIONS)];
-        for &to in reserved {
+        for &to in &agents {
             self.reserve(to, head.key, now_ms, out);
         }
-        let agents = [reserved.first().copied(), reserved.get(1).copied()];
+        let agents = [agents.first().copied(), agents.get(1).copied()];
         note(head.key, Decision::Deferred { agents, held: self.deferred.len() }, out);
         true
     }
@@ -369,7 +363,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.record_event_time(now_ms);
-        for _ in 0..slots {
+        for bound in 0..slots {
             let end_ms = self.deferred.end_ms(pool, now_ms);
             let reserved = self.deferred.take_reservation(from, end_ms);
             let best = self.best_opening(from, pool, now_ms, out);
@@ -378,13 +372,29 @@
             else {
                 out.push(Effect::Decline { to: from, pool });
                 self.deferred.reserved.remove(&from);
-                if let Some((_, key)) = best {
-                    self.reserve(from, key, now_ms, out);
-                }
-                return;
+                return self.renew_reservations(from, pool, bound.max(1), now_ms, out);
             };
             self.bind(&key, from, now_ms, out);
         }
+        self.renew_reservations(from, pool, slots, now_ms, out);
+    }
+
+    /// Reserves as many slots at the agent as it used reservations for its offer, if further opening packets are deferred
+    /// for it, so that reservations do not run out while any waits.
+    fn renew_reservations(
+        &mut self,
+        agent: SocketAddrV4,
+        pool: PoolId,
+        count: u8,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((_, key)) = self.best_opening(agent, pool, now_ms, out) else {
+            return;
+        };
+        for _ in 0..count {
+            self.reserve(agent, key, now_ms, out);
+        }
     }
 
     /// The highest-ranked deferred opening packet that the agent may serve.
@@ -459,8 +469,7 @@
         self.place(&opening.head, OpeningPacket::Deferred(opening.packet), now_ms, out);
     }
 
-    /// Places the deferred opening packets that have waited for long enough or whose pool has room, and reserves
-    /// further slots.
+    /// Places the deferred opening packets that have waited for long enough or whose pool has room.
     pub(super) fn update_deferred(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         if self.deferred.openings.is_empty() {
             self.deferred.reserved.clear();
@@ -487,11 +496,6 @@
             if let Some(reason) = self.deferred.check(&key, now_ms) {
                 left -= 1;
                 self.undefer(&key, reason, now_ms, out);
-                continue;
-            }
-            let opening = self.deferred.openings.get_mut(&key);
-            if let Some(to) = opening.and_then(|it| it.extra_agent.take()) {
-                self.reserve(to, key, now_ms, out);
             }
         }
     }
--- a/crates/core/src/opaque/fleet/reservation.rs
+++ b/crates/core/src/opaque/fleet/reservation.rs
@@ -4,8 +4,8 @@
 
 use super::{super::PoolId, Fleet};
 
-/// Most reservations for an opening packet. Two choices give most of the benefit of many; the third covers a lost one.
-pub(super) const MAX_RESERVATIONS: usize = 3;
+/// Agents at which slots are reserved for an opening packet; two choices give most of the benefit of many.
+const RESERVATION_AGENTS: usize = 2;
 
 impl Fleet {
     /// Whether the agent may get new flows of the pool.
@@ -32,8 +32,8 @@
         self.pool_load(pool, now_ms).is_full()
     }
 
-    /// The candidates at which to reserve slots, at most [`MAX_RESERVATIONS`]: ready ones, those not full first, and
-    /// the first two in different zones if possible.
+    /// The candidates at which to reserve slots, at most [`RESERVATION_AGENTS`]: ready ones, those not full first, and in
+    /// different zones if possible.
     pub(in crate::opaque) fn reservation_agents(
         &self,
         candidates: &[SocketAddrV4],
@@ -48,6 +48,6 @@
         if let Some(other) = ranked.iter().position(|it| Some(it.1.zone) != first_zone) {
             ranked[1..=other].rotate_right(1);
         }
-        ranked.into_iter().take(MAX_RESERVATIONS).map(|it| it.0).collect()
+        ranked.into_iter().take(RESERVATION_AGENTS).map(|it| it.0).collect()
     }
 }
