--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -454,8 +454,9 @@
             return self.is_pool_certain(pool, now_ms);
         }
         let reported = self.fleet.reported_count(pool);
-        // A peer's list may be partial.
-        if self.has_member_list() && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
+        // A peer's list may be partial. A search that misses the holder is repeated, a placement is final.
+        let counts = class == Class::Other || self.has_member_list();
+        if counts && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
             return true;
         }
         match class {
