--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -41,7 +41,7 @@
 /// Agents of the pool that add one to the cost of a packet, as each packet ranks them all.
 const AGENTS_PER_COST: usize = 50;
 /// Packets assigned to their pool in one tick.
-const MAX_ASSIGNED_PER_TICK: usize = 1_000;
+const MAX_ASSIGNED_PER_TICK: usize = 400;
 /// Packets whose time ends that are removed in one tick.
 const MAX_EXPIRED_PER_TICK: usize = 1_000;
 
