Service rate: fewer equal upstreams leave the noise band; tests under load

The long mean restarted by chance when service times vary as much as their mean: 2 to 17% of equal upstreams were outside the band, with speeds from 0.55 to 1.64. A restart now needs four standard errors, too, and few samples count as less certain. In the test at most 8% are outside with few samples, 1% with many.

Ruled out: a fixed band of a few percent, which equal upstreams with exponential service times leave most of the time.

World: speed of each VM, a tail of long requests, answer lengths, and service times returned by balancers. A hello with a service time is not answered by a report.

--- a/crates/core/src/opaque/service_rate.rs
+++ b/crates/core/src/opaque/service_rate.rs
@@ -16,21 +16,25 @@
 const MAX_SAMPLES: u32 = 400;
 /// Samples that the short mean covers.
 const RECENT_SAMPLES: u32 = 20;
-/// Ratio of the short mean to the long one that restarts the long one; above random variation.
+/// Ratio of the short mean to the long one, or the reverse, that restarts the long one.
 const CHANGE_RATIO: f64 = 1.5;
+/// Standard errors of the short mean by which the two must differ, in addition; fewer restart the mean by chance if
+/// service times vary as much as their mean.
+const CHANGE_ERRORS: f64 = 4.0;
 /// Most that a sample counts, as a multiple of the estimate: a tail of 3% at seven times adds 6% instead of 18%.
 const MAX_SAMPLE_RATIO: f64 = 3.0;
 /// Number of samples that the prior counts as at first.
 const PRIOR_SAMPLES: f64 = 5.0;
 /// Number of samples at which the prior has no effect any more, and the service time is reported to balancers.
 const MIN_SAMPLES: u32 = 20;
-/// Assumed squared coefficient of variation of service times, weighted as [`PRIOR_SAMPLES`].
-const PRIOR_VARIATION: f64 = 0.5;
+/// Assumed squared coefficient of variation of service times, that of an exponential distribution. It counts as
+/// [`PRIOR_SAMPLES`].
+const PRIOR_VARIATION: f64 = 1.0;
 /// Difference from the pool's mean that counts as equal even if the estimate is exact: routes need different work, and
 /// their mix varies between upstreams.
 const NOISE_BAND: f64 = 0.04;
 /// Standard errors of the estimate that count as equal, in addition.
-const ERROR_MARGIN: f64 = 1.5;
+const ERROR_MARGIN: f64 = 2.0;
 /// Error of a service time in whole milliseconds, as in reports.
 const RESOLUTION_MS: f64 = 0.5;
 /// Weight of the newest answer in the moving average of answer lengths.
@@ -74,6 +78,8 @@
 struct SampleMean {
     count: u32,
     mean_ms: f64,
+    /// Sum of the squared weights of the samples in the mean; its variance is that of a sample times this.
+    weight_squares: f64,
     variance: f64,
     recent_ms: f64,
 }
@@ -84,6 +90,8 @@
         let weight = 1.0 / f64::from(self.count);
         let deviation = sample_ms - self.mean_ms;
         self.mean_ms += deviation * weight;
+        self.weight_squares *= (1.0 - weight) * (1.0 - weight);
+        self.weight_squares += weight * weight;
         self.variance = (1.0 - weight) * (self.variance + weight * deviation * deviation);
         let recent_weight = weight.max(1.0 / f64::from(RECENT_SAMPLES));
         self.recent_ms += (sample_ms - self.recent_ms) * recent_weight;
@@ -92,12 +100,16 @@
 
     fn restart_after_change(&mut self) {
         let ratio = self.recent_ms / self.mean_ms;
-        let changed = ratio > CHANGE_RATIO || ratio * CHANGE_RATIO < 1.0;
-        if self.count <= RECENT_SAMPLES || !changed {
+        // Of a moving average with weight 1/n.
+        let weight_squares = 1.0 / f64::from(2 * RECENT_SAMPLES - 1);
+        let error = (self.variation() * weight_squares).sqrt();
+        let threshold = CHANGE_RATIO.ln().max(CHANGE_ERRORS * error);
+        if self.count <= RECENT_SAMPLES || ratio.ln().abs() <= threshold {
             return;
         }
         self.count = RECENT_SAMPLES;
         self.mean_ms = self.recent_ms;
+        self.weight_squares = weight_squares;
         self.variance *= ratio * ratio;
     }
 
@@ -249,12 +261,15 @@
         let weight = prior_weight(samples.count);
         let prior = self.prior(cold).filter(|_| weight > 0.0);
         let Some(prior) = prior else {
-            let error = (samples.variation() / count).sqrt();
+            let error = (samples.variation() * samples.weight_squares).sqrt() * few_factor(count);
             return (samples.count > 0).then_some(Estimate { ms: samples.mean_ms, error });
         };
         let ms = (prior.ms * weight + samples.mean_ms * count) / (weight + count);
-        let prior_error = prior.samples.map_or(0.0, |it| weight * weight / f64::from(it));
-        let error = (samples.variation() * (prior_error + count)).sqrt() / (weight + count);
+        let prior_squares = prior.samples.map_or(0.0, |it| weight * weight / f64::from(it));
+        // The prior has no weight long before the samples' weights differ from each other.
+        let error = (samples.variation() * (prior_squares + count)).sqrt() / (weight + count);
+        let prior_count = prior.samples.map_or(0.0, |it| f64::from(it) * weight / PRIOR_SAMPLES);
+        let error = error * few_factor(prior_count + count);
         Some(Estimate { ms, error })
     }
 
@@ -283,6 +298,12 @@
     PRIOR_SAMPLES * (1.0 - f64::from(count.min(MIN_SAMPLES)) / f64::from(MIN_SAMPLES))
 }
 
+/// Factor for the error of a mean of this many samples. Few samples show their variance as badly as their mean
+/// (compare Student's t), above all if a few are long.
+fn few_factor(count: f64) -> f64 {
+    1.0 + PRIOR_SAMPLES / (PRIOR_SAMPLES + count)
+}
+
 fn whole_ms(ms: f64) -> u32 {
     (ms.round() as u32).max(1)
 }
--- a/crates/core/tests/opaque/admission.rs
+++ b/crates/core/tests/opaque/admission.rs
@@ -123,6 +123,24 @@
     assert_eq!((agent.waiting(), agent.active_requests()), (0, 3));
 }
 
+// An upstream with a full queue refuses requests at once. Taken for service times, these answers make it look fast.
+#[test]
+fn refused_requests_are_no_samples_of_the_service_time() {
+    let mut agent = ready_agent();
+    for round in 0..20 {
+        let now = round * 200;
+        for number in [0, 1, 2, 3] {
+            let flow = round as u16 * 4 + number;
+            open_and_request(&mut agent, flow, now);
+        }
+        // The third request is refused, the fourth is released and refused, too.
+        for (number, took_ms) in [(2, 1), (3, 2), (0, 100), (1, 100)] {
+            answer(&mut agent, round as u16 * 4 + number, now + took_ms);
+        }
+    }
+    assert_eq!(agent.next_report(4_000).service_ms, Some(100));
+}
+
 // Guards against requests that wait at a slow upstream, while a refusal would send their callers to one with room.
 #[test]
 fn no_request_waits_while_the_pool_has_room() {
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -11,6 +11,7 @@
 mod ranked_queue;
 mod regions;
 mod route;
+mod service_rate;
 mod support;
 mod survival;
 mod upstream_instances;
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -15,6 +15,7 @@
     effect::{Answer, Effect, FlowStatus, Payload, RelayHeader},
     fleet::{AgentPlan, MemberEntry, Report, ReportChange, ZoneId},
     route::{Objective, Routes},
+    service_rate::MeasuredService,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -69,6 +70,7 @@
     FanOut(RelayHeader, Vec<SocketAddrV4>, u64),
     QueryResponse(Vec<(FlowKey, FlowStatus)>),
     Report(Report),
+    Service(MeasuredService),
     Subscribe,
 }
 
@@ -170,6 +172,14 @@
     flows: BTreeMap<u64, Flow>,
     by_key: HashMap<FlowKey, u64>,
     next_id: u64,
+    /// Speed of each VM; 1.0 if not set.
+    speeds: BTreeMap<u8, f64>,
+    /// Share of the requests that take longer, and how many times as long.
+    tail: (f64, f64),
+    /// Length of the answers of each VM's upstream; 100 if not set.
+    answer_bytes: BTreeMap<u8, u16>,
+    /// Service times that balancers returned to agents.
+    pub(crate) returned: usize,
     pub(crate) tally: Tally,
 }
 
@@ -187,6 +197,10 @@
             flows: BTreeMap::new(),
             by_key: HashMap::new(),
             next_id: 1,
+            speeds: BTreeMap::new(),
+            tail: (0.0, 1.0),
+            answer_bytes: BTreeMap::new(),
+            returned: 0,
             tally: Tally::default(),
         };
         for host in 1..=params.agents {
@@ -341,6 +355,37 @@
         self.params.work_ms = work_ms;
     }
 
+    /// Sets the speed of a VM, on which the service times of its upstreams depend.
+    pub(crate) fn set_speed(&mut self, host: u8, speed: f64) {
+        self.speeds.insert(host, speed);
+    }
+
+    /// Sets the share of the requests that take `times` as long as the others.
+    pub(crate) fn set_tail(&mut self, share: f64, times: f64) {
+        self.tail = (share, times);
+    }
+
+    /// Sets the length of the answers of a VM's upstream.
+    pub(crate) fn set_answer_bytes(&mut self, host: u8, bytes: u16) {
+        self.answer_bytes.insert(host, bytes);
+    }
+
+    /// Speed of each upstream as its agent estimates it.
+    pub(crate) fn estimated_speeds(&self) -> BTreeMap<u8, f64> {
+        let speed = |(&host, it): (&u8, &Host)| Some((host, it.agent.as_ref()?.speed(self.now)));
+        self.hosts.iter().filter_map(speed).collect()
+    }
+
+    /// Time in which each upstream serves all requests that its agent has now, in milliseconds.
+    pub(crate) fn backlogs_ms(&self) -> Vec<f64> {
+        let per_slot_ms = self.params.work_ms as f64 / f64::from(self.params.slots);
+        let backlog = |(host, it): (&u8, &Host)| {
+            let requests = f64::from(it.agent.as_ref()?.active_requests());
+            Some(requests * per_slot_ms / self.speeds.get(host).copied().unwrap_or(1.0))
+        };
+        self.hosts.iter().filter_map(backlog).collect()
+    }
+
     /// Share of the slots that are in use.
     pub(crate) fn utilization(&self) -> f64 {
         let running: usize = self
@@ -459,9 +504,14 @@
 
     fn balancer_receives(&mut self, number: u8, from: SocketAddrV4, message: Message) {
         match message {
-            Message::Report(report) => self.with_balancer(number, |it, now, out| {
-                let _: ReportChange = it.handle_report(from, report, now, out);
-            }),
+            Message::Report(report) => {
+                let others: Vec<_> =
+                    self.balancers().into_iter().filter(|&it| it != number).map(address).collect();
+                self.with_balancer(number, |it, now, out| {
+                    let _: ReportChange = it.handle_report(from, report, now, out);
+                    it.return_service(from, &others, out);
+                });
+            }
             Message::QueryResponse(statuses) => self.with_balancer(number, |it, now, out| {
                 for (key, status) in &statuses {
                     it.handle_query_result(from, *key, *status, now, out);
@@ -475,7 +525,11 @@
                     it.handle_answer(from, key, answer, returned, now, out);
                 });
             }
-            Message::Packet(..) | Message::FanOut(..) | Message::Query(_) | Message::Subscribe => {}
+            Message::Packet(..)
+            | Message::FanOut(..)
+            | Message::Query(_)
+            | Message::Service(_)
+            | Message::Subscribe => {}
         }
     }
 
@@ -497,6 +551,9 @@
                 });
             }
             Message::Query(keys) => self.with_agent(host, |it, out| it.query(from, &keys, out)),
+            Message::Service(service) => self.with_agent(host, |it, _| {
+                it.learn_service_time(service);
+            }),
             Message::Subscribe => {
                 if let Some(it) = self.hosts.get_mut(&host) {
                     it.balancers.insert(from);
@@ -533,6 +590,10 @@
                     self.send_message(from, to, Message::FanOut(relay, agents, packet));
                 }
                 Effect::Hello { to } => self.send_message(from, to, Message::Subscribe),
+                Effect::ReturnService { to, service } => {
+                    self.returned += 1;
+                    self.send_message(from, to, Message::Service(service));
+                }
                 Effect::ReloadMembers => {
                     let members = self.listed();
                     if let Some(it) = self.balancers.get_mut(&number) {
@@ -647,9 +708,11 @@
     }
 
     fn start_work(&mut self, host: u8, upstream: u64, id: u64) {
-        let mean = self.params.work_ms as f64;
+        let mean = self.params.work_ms as f64 / self.speeds.get(&host).copied().unwrap_or(1.0);
         let work = mean * -(1.0 - self.rng.random::<f64>()).ln();
-        self.push(work.min(mean * 6.0) as u64 + 1, Event::Work(host, upstream, id));
+        let (share, times) = self.tail;
+        let times = if share > 0.0 && self.rng.random_bool(share) { times } else { 1.0 };
+        self.push((work.min(mean * 6.0) * times) as u64 + 1, Event::Work(host, upstream, id));
     }
 
     fn work_done(&mut self, host: u8, upstream: u64, id: u64) {
@@ -674,7 +737,8 @@
         };
         let (key, ack) = (flow.key, flow.seq.wrapping_add(100));
         let seq = flow.next_ack.unwrap_or(0);
-        let head = PacketHeader { key, kind: PacketKind::Data, bounced: false, seq, ack, len: 100 };
+        let len = self.answer_bytes.get(&host).copied().unwrap_or(100);
+        let head = PacketHeader { key, kind: PacketKind::Data, bounced: false, seq, ack, len };
         self.emit(host, head);
     }
 
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -128,8 +128,7 @@
             self.balancers.insert(from);
             self.hello_senders
                 .send_if_modified(|it| it.len() < MAX_HELLO_SENDERS && it.insert(from));
-            // Such a hello answers a report; another report would make the exchange endless.
-            if returned.is_none() {
+            if hello.expects_report() {
                 self.report_to(from, now);
             }
         }
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -383,8 +383,7 @@
     /// Store era of its revision.
     #[prost(uint64, tag = "7")]
     pub era: u64,
-    /// Service time that the receiver reported before its restart. The sender has just received the receiver's report,
-    /// so a hello with this field is not answered by another one.
+    /// Service time that the receiver reported before its restart.
     #[prost(message, optional, tag = "8")]
     pub service: Option<ServiceEntry>,
 }
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -47,6 +47,12 @@
     pub fn config(&self) -> Option<ConfigVersion> {
         config_version(self.version, self.era, self.revision)
     }
+
+    /// Whether an agent answers with a report. A hello with a service time answers a report itself, and another report
+    /// would make the exchange endless.
+    pub fn expects_report(&self) -> bool {
+        !self.leaving && self.service.is_none()
+    }
 }
 
 impl Report {
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -136,6 +136,8 @@
     assert_eq!(Report::from(report()).with_config_copy(None).config_copy(), None);
     assert_eq!(Hello::new(Some(config)).config(), Some(config));
     assert_eq!(Hello::new(None).config(), None);
+    assert!(Hello::default().expects_report());
+    assert!(!Hello { service: Some(service.into()), ..Hello::default() }.expects_report());
     for body in [Body::Report(report().into()), Body::Report(with_copy), hello] {
         let mut bytes = Vec::new();
         encode_control(&Control { body: Some(body.clone()) }, &mut bytes);
