--- a/crates/core/tests/opaque/upstream_instances.rs
+++ b/crates/core/tests/opaque/upstream_instances.rs
@@ -101,6 +101,8 @@
     assert!(agent.next_report(40_500).service_ms.is_some());
     receive(&mut agent, &heartbeat(STARTED_MS + 42_000, 1), 42_000);
     assert_eq!(agent.next_report(42_000).service_ms, None);
+    // It runs on the same VM, so the estimate starts from there.
+    assert_eq!(agent.service_ms(), Some(500.0));
 }
 
 #[test]
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -176,8 +176,6 @@
     speeds: BTreeMap<u8, f64>,
     /// Share of the requests that take longer, and how many times as long.
     tail: (f64, f64),
-    /// Length of the answers of each VM's upstream; 100 if not set.
-    answer_bytes: BTreeMap<u8, u16>,
     /// Service times that balancers returned to agents.
     pub(crate) returned: usize,
     pub(crate) tally: Tally,
@@ -199,7 +197,6 @@
             next_id: 1,
             speeds: BTreeMap::new(),
             tail: (0.0, 1.0),
-            answer_bytes: BTreeMap::new(),
             returned: 0,
             tally: Tally::default(),
         };
@@ -365,11 +362,6 @@
         self.tail = (share, times);
     }
 
-    /// Sets the length of the answers of a VM's upstream.
-    pub(crate) fn set_answer_bytes(&mut self, host: u8, bytes: u16) {
-        self.answer_bytes.insert(host, bytes);
-    }
-
     /// Speed of each upstream as its agent estimates it.
     pub(crate) fn estimated_speeds(&self) -> BTreeMap<u8, f64> {
         let speed = |(&host, it): (&u8, &Host)| Some((host, it.agent.as_ref()?.speed(self.now)));
@@ -737,8 +729,7 @@
         };
         let (key, ack) = (flow.key, flow.seq.wrapping_add(100));
         let seq = flow.next_ack.unwrap_or(0);
-        let len = self.answer_bytes.get(&host).copied().unwrap_or(100);
-        let head = PacketHeader { key, kind: PacketKind::Data, bounced: false, seq, ack, len };
+        let head = PacketHeader { key, kind: PacketKind::Data, bounced: false, seq, ack, len: 100 };
         self.emit(host, head);
     }
 
