--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -264,7 +264,7 @@
         now_ms: u64,
     ) -> Option<(Rank, ReservationKey)> {
         slots.filter(|&it| self.has_room_to_offer(it))?;
-        let end_ms = now_ms + (self.mean_ms * BOUND_SERVICE_TIME_MARGIN) as u64;
+        let end_ms = now_ms + (self.mean_ms() * BOUND_SERVICE_TIME_MARGIN) as u64;
         self.reservations.first(end_ms + self.reservations.binding_ms())
     }
 
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -13,6 +13,7 @@
 mod regions;
 mod route;
 mod route_share;
+mod service_rate;
 mod startup;
 mod support;
 mod survival;
