--- a/crates/core/benches/opaque.rs
+++ b/crates/core/benches/opaque.rs
@@ -1,4 +1,5 @@
-//! Benchmarks of a balancer's packet handling for opaque flows, at several fleet sizes.
+//! Benchmarks of a balancer's packet handling for opaque flows, at several fleet sizes, and of the order in which an
+//! agent releases waiting requests.
 //!
 //! Pools have nine upstreams each; one more case has all upstreams in one pool.
 
@@ -12,8 +13,10 @@
     balancer::Balancer,
     effect::Answer,
     fleet::{AgentPlan, Report, UpstreamState, ZoneId},
+    ranked_queue::{RankedQueue, Terms},
     revision::Revision,
-    route::{Route, Routes, WeightedPool},
+    route::{Objective, Route, Routes, WeightedPool},
+    route_share::RouteShares,
 };
 use criterion::{BenchmarkId, Criterion};
 
@@ -114,9 +117,47 @@
     group.finish();
 }
 
+/// A request arrives and the highest-ranked one is released, with as many waiting as before.
+fn release(c: &mut Criterion) {
+    let mut group = c.benchmark_group("opaque-release");
+    for waiting in [10, 1_000] {
+        let mut shares = RouteShares::default();
+        let mut queue = RankedQueue::default();
+        let mut now_ms = 0;
+        let mut number = 0_u32;
+        let mut arrive = |queue: &mut RankedQueue<u32>, now_ms: u64| {
+            number += 1;
+            let mut service = service();
+            service.set_port((number % 2) as u16);
+            let objective = Objective {
+                priority: (number % 3) as u8,
+                latency_ms: 150 + number % 7 * 20,
+                timeout_ms: 2_000,
+                idempotent: true,
+            };
+            let beyond = shares.is_beyond(service, now_ms);
+            queue.insert(number, Terms::new(Some(objective), now_ms, beyond));
+        };
+        for _ in 0..waiting {
+            arrive(&mut queue, now_ms);
+        }
+        group.bench_function(BenchmarkId::new("waiting", waiting), |b| {
+            b.iter(|| {
+                now_ms += 1;
+                arrive(&mut queue, now_ms);
+                if let Some((_, key)) = queue.first(black_box(now_ms + 30)) {
+                    queue.remove(&key);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     place(&mut criterion);
     follow(&mut criterion);
+    release(&mut criterion);
     criterion.final_summary();
 }
--- a/crates/core/src/opaque/route_share.rs
+++ b/crates/core/src/opaque/route_share.rs
@@ -77,13 +77,14 @@
         let arrivals = self.arrivals;
         let new = || RouteArrivals::new(arrivals, now_ms);
         let route = self.routes.entry(service).or_insert_with(new);
+        self.all.advance(now_ms);
         let beyond = !route.take_token(&self.all, arrivals, now_ms);
         let weight = if beyond { BEYOND_WEIGHT } else { 1.0 };
-        route.mean.add(weight, now_ms);
+        route.mean.count += weight;
         route.own += 1;
         route.usage.within += u64::from(!beyond);
         route.usage.beyond += u64::from(beyond);
-        self.all.add(weight, now_ms);
+        self.all.count += weight;
         self.arrivals += 1;
         beyond
     }
@@ -109,6 +110,7 @@
             return None;
         }
         route.reported_ms = Some(now_ms);
+        route.mean.advance(now_ms);
         let beyond = route.usage.beyond - route.reported_beyond;
         route.reported_beyond = route.usage.beyond;
         let rate_per_s = route.mean.per_s(now_ms).round() as u32;
@@ -132,6 +134,8 @@
 }
 
 /// Count that decays exponentially.
+///
+/// Callers advance it before they read it.
 #[derive(Clone, Debug, Default)]
 struct DecayingCount {
     count: f64,
@@ -140,15 +144,15 @@
 }
 
 impl DecayingCount {
-    fn at(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.count * (-passed_ms / MEAN_TIME_CONSTANT_MS).exp()
-    }
-
-    fn add(&mut self, weight: f64, now_ms: u64) {
-        self.count = self.at(now_ms) + weight;
-        self.updated_ms = self.updated_ms.max(now_ms);
+    /// Lets the count decay until now. Returns the time since the last update, in seconds.
+    fn advance(&mut self, now_ms: u64) -> f64 {
         self.since_ms.get_or_insert(now_ms);
+        let passed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
+        if passed_ms > 0.0 {
+            self.count *= (-passed_ms / MEAN_TIME_CONSTANT_MS).exp();
+            self.updated_ms = now_ms;
+        }
+        passed_ms / 1_000.0
     }
 
     fn history_ms(&self, now_ms: u64) -> u64 {
@@ -157,12 +161,13 @@
 
     /// Seconds by which the count is divided for the mean rate: fewer than the time constant after a short history.
     fn span_s(&self, now_ms: u64) -> f64 {
-        let share = 1.0 - (-(self.history_ms(now_ms) as f64) / MEAN_TIME_CONSTANT_MS).exp();
+        let constants = self.history_ms(now_ms) as f64 / MEAN_TIME_CONSTANT_MS;
+        let share = if constants > 10.0 { 1.0 } else { 1.0 - (-constants).exp() };
         MEAN_TIME_CONSTANT_MS / 1_000.0 * share.max(1e-3)
     }
 
     fn per_s(&self, now_ms: u64) -> f64 {
-        self.at(now_ms) / self.span_s(now_ms)
+        self.count / self.span_s(now_ms)
     }
 }
 
@@ -205,13 +210,13 @@
     /// Fills both buckets. Takes a token from both if either has one, and returns whether it had. A bucket may go below
     /// zero, so that the two together admit no more than the larger one does.
     fn take_token(&mut self, all: &DecayingCount, arrivals: u64, now_ms: u64) -> bool {
-        let passed_s = now_ms.saturating_sub(self.mean.updated_ms) as f64 / 1_000.0;
+        let passed_s = self.mean.advance(now_ms);
         let others = arrivals - self.before - self.own;
         let new_others = (others - self.others) as f64;
         self.others = others;
         let mean = self.mean.per_s(now_ms);
         let size = (mean * BUCKET_S).max(MIN_BUCKET);
-        let others_count = (all.at(now_ms) - self.mean.at(now_ms)).max(0.0);
+        let others_count = (all.count - self.mean.count).max(0.0);
         let share = mean * all.span_s(now_ms) / others_count.max(MIN_OTHERS);
         let factor = if self.is_beyond { BEYOND_FILL_FACTOR } else { FILL_FACTOR };
         self.rate_tokens = (self.rate_tokens + passed_s * mean * factor).min(size);
