--- a/crates/opaque/src/route_metrics.rs
+++ b/crates/opaque/src/route_metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of an agent by route. Their number is bounded, and those of routes that send no more requests are removed.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
