--- a/crates/core/tests/opaque/support.rs
+++ b/crates/core/tests/opaque/support.rs
@@ -91,6 +91,16 @@
     routes
 }
 
+/// The effects that `f` appends.
+pub(crate) fn collect<F>(f: F) -> Vec<Effect>
+where
+    F: FnOnce(&mut Vec<Effect>),
+{
+    let mut out = Vec::new();
+    f(&mut out);
+    out
+}
+
 /// The decisions among effects.
 pub(crate) fn decisions(effects: &[Effect]) -> Vec<Decision> {
     let decision = |it: &Effect| match it {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -277,7 +277,8 @@
     fn is_quiet(&self, stopping_ms: u64) -> bool {
         let now = now_ms();
         let since = now.saturating_sub(stopping_ms);
-        let quiet = now.saturating_sub(self.packet_ms) > QUIET_PERIOD_MS;
+        let quiet =
+            now.saturating_sub(self.packet_ms) > QUIET_PERIOD_MS && self.state.deferred() == 0;
         since > MAX_STOP_MS || (since > MIN_STOP_MS && quiet)
     }
 
