--- a/crates/opaque/src/snapshot.rs
+++ b/crates/opaque/src/snapshot.rs
@@ -40,7 +40,7 @@
     lists: Option<Arc<Lists>>,
 ) -> anyhow::Result<()> {
     let listener = socket::tcp(address, "snapshots")?;
-    tokio::spawn(accept(listener, newest, lists));
+    tokio::spawn(accept(listener, newest, lists, REQUEST_TIMEOUT));
     Ok(())
 }
 
@@ -48,6 +48,7 @@
     listener: TcpListener,
     newest: watch::Receiver<Arc<Snapshot>>,
     lists: Option<Arc<Lists>>,
+    send_timeout: Duration,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_ANSWERS));
     loop {
@@ -57,7 +58,8 @@
         };
         let (newest, lists, permits) = (newest.clone(), lists.clone(), permits.clone());
         tokio::spawn(async move {
-            if let Err(e) = answer(stream, &newest, lists.as_deref(), &permits).await {
+            if let Err(e) = answer(stream, &newest, lists.as_deref(), &permits, send_timeout).await
+            {
                 tracing::debug!("failed to answer a snapshot request from {peer}: {e:#}");
             }
         });
@@ -69,6 +71,7 @@
     newest: &watch::Receiver<Arc<Snapshot>>,
     lists: Option<&Lists>,
     permits: &Semaphore,
+    send_timeout: Duration,
 ) -> anyhow::Result<()> {
     let mut frames = frames(stream);
     let request = timeout(REQUEST_TIMEOUT, frames.next()).await.context("no request received")?;
@@ -79,6 +82,8 @@
         Some(lists) => decide(lists, &request, &mut frames).await?,
     };
     let _permit = permits.acquire().await.context("process is shutting down")?;
+    // Dropped before the permit, as its write buffer holds the answer.
+    let mut frames = frames;
     let snapshot = match (answer, lists) {
         (Answer::Respond { met }, Some(lists)) => {
             let parts = newest.borrow().select(&request);
@@ -88,7 +93,7 @@
         (Answer::Respond { .. } | Answer::Refer(_), None) => newest.borrow().select(&request),
     };
     let bytes = Bytes::from(snapshot.encode_to_vec());
-    timeout(REQUEST_TIMEOUT, frames.send(bytes))
+    timeout(send_timeout, frames.send(bytes))
         .await
         .context("timed out sending the answer")?
         .context("send")
