--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -106,12 +106,13 @@
 
 async fn try_claim(context: &RequestContext, key: ClaimKey) -> ClaimOutcome {
     let node = &context.node;
+    let window_s = context.service.read_spec(&node.snapshot(), |it| it.key_window_s);
     let claim = Claim {
         request: context.head.id,
         digest: digest(&context.head),
         agent: node.settings.name.clone(),
         state: RequestState::Running,
-        window_ms: u64::from(context.service.entry().spec.key_window_s) * 1_000,
+        window_ms: u64::from(window_s) * 1_000,
     };
     let stable = node.rosters.lock().is_stable(&key, clock::now_ms());
     if stable {
--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -206,20 +206,25 @@
 
     /// Applies a snapshot to the agent and its services.
     pub(crate) fn apply(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
-        self.apply_keys(&snapshot);
-        // Must precede the snapshot: otherwise flows of a down agent are reset even if it is only paused.
-        self.down_agents.add(&snapshot);
-        self.snapshot.store(Arc::clone(&snapshot));
+        self.put_in_force(&snapshot);
         self.down_agents.retain(&snapshot);
         self.rosters.lock().apply(&snapshot, clock::now_ms());
         self.peer_loads.lock().retain(|it| snapshot.agents.contains_key(it));
         self.update_draining();
         for service in self.services() {
-            service.apply(&snapshot, self);
+            service.apply(self);
         }
         self.notify_changed();
     }
 
+    /// First part of [`Node::apply`]: from here on flows and requests are handled by this snapshot.
+    pub(crate) fn put_in_force(&self, snapshot: &Arc<Snapshot>) {
+        self.apply_keys(snapshot);
+        // Must precede the snapshot: otherwise flows of a down agent are reset even if it is only paused.
+        self.down_agents.add(snapshot);
+        self.snapshot.store(Arc::clone(snapshot));
+    }
+
     fn apply_keys(&self, snapshot: &Snapshot) {
         let Some(keys) = &snapshot.keys else {
             return;
@@ -246,9 +251,8 @@
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
         self.update_draining();
-        let snapshot = self.snapshot();
         for service in self.services() {
-            service.apply(&snapshot, self);
+            service.apply(self);
         }
     }
 
@@ -345,7 +349,7 @@
             Ok(it) => {
                 services.insert(id, Arc::clone(&it));
                 drop(services);
-                it.apply(&snapshot, self);
+                it.apply(self);
                 Some(it)
             }
             Err(e) => {
@@ -359,7 +363,8 @@
 
     /// Status for the operator API.
     pub(crate) fn status(&self) -> Value {
-        let service = |it: &Arc<Service>| json!({ "name": it.name, "flows": it.flows(), "here": it.is_local(self) });
+        let snapshot = self.snapshot();
+        let service = |it: &Arc<Service>| json!({ "name": it.name, "flows": it.flows(), "here": it.is_local(&snapshot, self) });
         let services: Vec<Value> = self.services().iter().map(service).collect();
         json!({
             "state": self.state(),
--- a/crates/daemon/src/agent/request.rs
+++ b/crates/daemon/src/agent/request.rs
@@ -194,17 +194,17 @@
     }
 
     fn decide(&mut self, report: Option<StepResult>) -> Step {
-        let local =
-            self.node.availability() == Availability::Open && self.service.is_local(&self.node);
+        let snapshot = self.node.snapshot();
+        let local = self.node.availability() == Availability::Open
+            && self.service.is_local(&snapshot, &self.node);
         let no_failure = matches!(
             report,
             None | Some(
                 StepResult::SlotAcquired | StepResult::ResponseStarted | StepResult::Cancelled
             )
         );
-        let snapshot = self.node.snapshot();
         let now = clock::now_ms();
-        let policy = self.service.entry().spec.policy;
+        let policy = self.service.read_spec(&snapshot, |it| it.policy);
         let peers = if no_failure && local {
             Vec::new()
         } else {
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -15,7 +15,7 @@
 use camphorwinch_core::{
     admit::{Admission, AgentLoad, admit},
     budget::RetryBudget,
-    object::{Certificate, ServiceId},
+    object::{self, Certificate, ServiceId},
     seal::{CID_LEN, FlowOwner, KeyRing, NONCE_LEN},
     snapshot::{ServiceEntry, Snapshot},
 };
@@ -94,7 +94,10 @@
     pub(crate) name: String,
     pub(crate) socket: Arc<ServiceSocket>,
     pub(crate) budget: Mutex<RetryBudget>,
-    entry: ArcSwap<ServiceEntry>,
+    /// Settings that were applied last; in use only while the current snapshot lacks the service.
+    last_entry: ArcSwap<ServiceEntry>,
+    /// Held while a snapshot is applied, so that the newest one is applied last.
+    applying: Mutex<()>,
     certificate: Arc<CertificateStore>,
     /// Last error of the certificate; empty if there is none.
     certificate_error: Mutex<String>,
@@ -131,7 +134,8 @@
             name: entry.name.clone(),
             socket,
             budget: Mutex::new(RetryBudget::new(entry.spec.retry_budget, clock::now_ms())),
-            entry: ArcSwap::from_pointee(entry.clone()),
+            last_entry: ArcSwap::from_pointee(entry.clone()),
+            applying: Mutex::default(),
             certificate,
             certificate_error: Mutex::default(),
             flows: Arc::default(),
@@ -143,16 +147,25 @@
         Ok(service)
     }
 
-    /// The service's current settings, or the last ones if it was deleted.
-    pub(crate) fn entry(&self) -> Arc<ServiceEntry> {
-        self.entry.load_full()
+    /// Reads the service's settings in `snapshot`, or the last ones if it was deleted. Decisions use this rather than
+    /// what [`Service::apply`] stored: a snapshot is in force before the services have applied it.
+    pub(crate) fn read_spec<T, F>(&self, snapshot: &Snapshot, read: F) -> T
+    where
+        F: FnOnce(&object::Service) -> T,
+    {
+        match snapshot.services.get(&self.id) {
+            Some(it) => read(&it.spec),
+            None => read(&self.last_entry.load().spec),
+        }
     }
 
-    /// Applies the service's settings and certificate of a snapshot.
-    pub(crate) fn apply(&self, snapshot: &Snapshot, node: &Node) {
+    /// Applies the service's settings and certificate of the node's current snapshot.
+    pub(crate) fn apply(&self, node: &Node) {
+        let _applying = self.applying.lock();
+        let snapshot = &node.snapshot();
         let entry = snapshot.services.get(&self.id);
         if let Some(entry) = entry {
-            self.entry.store(Arc::new(entry.clone()));
+            self.last_entry.store(Arc::new(entry.clone()));
             self.budget.lock().set_share(entry.spec.retry_budget);
             self.apply_certificate(entry, snapshot);
         }
@@ -192,8 +205,8 @@
     }
 
     /// Whether the agent's upstream belongs to the service's pool.
-    pub(crate) fn is_local(&self, node: &Node) -> bool {
-        self.entry.load().spec.pool == node.settings.pool
+    pub(crate) fn is_local(&self, snapshot: &Snapshot, node: &Node) -> bool {
+        self.read_spec(snapshot, |it| it.pool == node.settings.pool)
     }
 
     /// Decides on a flow's first packet. Retransmissions get the same decision.
@@ -219,18 +232,19 @@
     }
 
     fn admit(&self, node: &Node, next: Option<SocketAddrV4>) -> FlowDecision {
-        let entry = self.entry();
+        let snapshot = node.snapshot();
+        let (flow_limit, policy) = self.read_spec(&snapshot, |it| (it.connections, it.policy));
         let agent_load = AgentLoad {
             flows: self.flows(),
-            flow_limit: entry.spec.connections,
+            flow_limit,
             all_flows: node.flows(),
             all_limit: node.settings.connections,
             busy: node.slot_limiter.busy(),
             slots: node.slot_limiter.slots(),
         };
-        let can_accept = self.is_local(node) && self.certificate.is_set();
+        let can_accept = self.is_local(&snapshot, node) && self.certificate.is_set();
         let admission = match (can_accept, next) {
-            (true, _) => admit(entry.spec.policy, node.availability(), &agent_load, next.is_none()),
+            (true, _) => admit(policy, node.availability(), &agent_load, next.is_none()),
             (false, Some(_)) => Admission::Forward,
             (false, None) => Admission::Refuse,
         };
--- a/crates/daemon/src/agent/tests.rs
+++ b/crates/daemon/src/agent/tests.rs
@@ -307,6 +307,19 @@
     assert_eq!(harness.invariant_failures(), 0);
 }
 
+// Guards against requests in the former pool between the time at which a snapshot is in force and its use by the
+// services.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_runs_in_the_new_pool_before_services_apply_the_pool_change() {
+    let harness = Harness::with_pools(&["ledger", "other"]).await;
+    let flow = harness.open_flow().await;
+    harness.put_pool_in_force("other");
+    let response = flow.send(TestRequest::new(Method::POST, "/transfer")).await;
+    assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    assert_eq!(response.header("camphorwinch-upstream"), "agent-1", "{response:?}");
+    assert_eq!(harness.invariant_failures(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_of_a_down_agent_are_reset() {
     let mut harness = Harness::start(2).await;
--- a/crates/daemon/src/agent/tests/harness.rs
+++ b/crates/daemon/src/agent/tests/harness.rs
@@ -279,6 +279,18 @@
         }
     }
 
+    /// Changes the pool of the service at the agents, but not yet at their services.
+    pub(crate) fn put_pool_in_force(&self, pool: &str) {
+        let mut snapshot = Snapshot::clone(&self.snapshot.borrow());
+        snapshot.revision += 1;
+        let entry = snapshot.services.get_mut(&ServiceId::new(SERVICE)).expect("the service");
+        entry.spec.pool = pool.to_owned();
+        let snapshot = Arc::new(snapshot);
+        for agent in &self.agents {
+            agent.node.put_in_force(&snapshot);
+        }
+    }
+
     /// Configures a drain of an agent and waits until the agent has applied it.
     pub(crate) async fn drain(&self, index: usize) {
         let name = self.agents[index].member.name.clone();
