Report full pools at balancers

Operators saw that a pool was full only from the requests that waited at its agents.

The decision is in core::opaque::pool_monitor.

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod member_list;
 pub mod packet_buffer;
+pub mod pool_monitor;
 pub mod ranked_queue;
 pub mod route;
 pub mod upstream_tracker;
--- a/crates/core/src/opaque/agents.rs
+++ b/crates/core/src/opaque/agents.rs
@@ -1,6 +1,6 @@
 //! The agents of a fleet, indexed by pool, as placement needs the agents of one pool only.
 
-use std::{collections::BTreeMap, net::SocketAddrV4};
+use std::{collections::BTreeMap, net::SocketAddrV4, ops::Bound};
 
 use rustc_hash::FxHashMap;
 
@@ -93,6 +93,12 @@
         self.pools.get(&pool).into_iter().flatten().map(|(&agent, it)| (agent, it))
     }
 
+    /// The pools after `pool`, or all if there is none.
+    pub(super) fn pools_after(&self, pool: Option<PoolId>) -> impl Iterator<Item = PoolId> {
+        let start = pool.map_or(Bound::Unbounded, Bound::Excluded);
+        self.pools.range((start, Bound::Unbounded)).map(|(&pool, _)| pool)
+    }
+
     pub(super) fn in_pools<P>(&self, allows: P) -> impl Iterator<Item = (SocketAddrV4, &AgentEntry)>
     where
         P: Fn(PoolId) -> bool,
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -1,6 +1,7 @@
 //! A balancer's view of the agents, from the store's member list and from their reports.
 
 mod candidates;
+mod pools;
 mod zones;
 
 use std::net::SocketAddrV4;
--- a/crates/core/src/opaque/fleet/candidates.rs
+++ b/crates/core/src/opaque/fleet/candidates.rs
@@ -82,7 +82,7 @@
         ranked.into_iter().map(|it| it.2).collect()
     }
 
-    fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
+    pub(super) fn pool_load(&self, pool: PoolId, now_ms: u64) -> PoolLoad {
         let members = self.eligible_agents(pool, now_ms);
         let (mut weighted_service_ms, mut measured_slots, mut slots, mut full_slots) = (0, 0, 0, 0);
         for report in members.filter_map(|(_, it)| it.report) {
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -1,6 +1,6 @@
 //! Routes from service addresses to pools. An older configuration never replaces a newer one.
 
-use std::{hash::Hasher, net::SocketAddrV4};
+use std::{fmt, hash::Hasher, net::SocketAddrV4};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use siphasher::sip::SipHasher13;
@@ -24,6 +24,13 @@
     }
 }
 
+/// The form in logs and metrics, as balancers know no names of pools.
+impl fmt::Display for PoolId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A pool of a route, with its weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WeightedPool {
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod member_list;
 mod placement;
+mod pool_monitor;
 mod ranked_queue;
 mod regions;
 mod route;
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -2,6 +2,7 @@
 
 mod input;
 mod maintenance;
+mod pool_status;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,6 +19,7 @@
     balancer::Balancer,
     effect::{Effect, Payload},
     fleet::{MemberEntry, ZoneId},
+    pool_monitor::PoolMonitor,
     zone::Regions,
 };
 use camphorwinch_wire::opaque::{Body, Hello, Snapshot};
@@ -180,6 +182,7 @@
         effects: Vec::new(),
         scratch: Vec::new(),
         decision_log: DecisionLog::new(now),
+        pool_monitor: PoolMonitor::default(),
         started_ms: now,
         gossip_ms: now,
         withdraw_check_ms: now,
@@ -223,6 +226,7 @@
     effects: Vec<Effect>,
     scratch: Vec<u8>,
     decision_log: DecisionLog,
+    pool_monitor: PoolMonitor,
     started_ms: u64,
     gossip_ms: u64,
     withdraw_check_ms: u64,
@@ -300,6 +304,7 @@
         self.state.tick(now, &mut self.effects);
         self.apply(&[], now);
         self.decision_log.tick(now);
+        self.report_pools(now);
         self.gossip(now);
         self.resend_hellos(now);
         self.expire_lost_zones(now);
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -70,5 +70,7 @@
     652 UpstreamReset "opaque-upstream-reset" "the upstream reset a flow; the reset is not forwarded if the upstream does not hold the flow";
     653 FlowUnplaced "opaque-flow-unplaced" "no candidate accepted the flow; lists the candidates' loads";
     654 RequestAdmitted "opaque-request-admitted" "a waiting request was released to the upstream";
+    659 PoolFull "opaque-pool-full" "a pool became full: requests wait for a slot";
+    660 PoolHasRoom "opaque-pool-has-room" "a full pool has room again";
     661 LinesSuppressed "opaque-lines-suppressed" "log lines on single flows were suppressed by the rate limit";
 }
--- a/crates/opaque/src/metrics.rs
+++ b/crates/opaque/src/metrics.rs
@@ -88,6 +88,13 @@
     register!(Histogram::with_opts(opts.buckets(LATENCY_BUCKETS_S.to_vec())))
 });
 
+/// Share of each pool's slots that are at full upstreams, in percent.
+pub static POOL_FULL_PERCENT: LazyLock<IntGaugeVec> = LazyLock::new(|| {
+    let help = "Share of the pool's slots that are at full upstreams, in percent.";
+    let opts = Opts::new("camphorwinch_opaque_pool_full_percent", help);
+    register!(IntGaugeVec::new(opts, &["pool"]))
+});
+
 /// Agents or balancers heard from recently.
 pub static PEERS: LazyLock<IntGauge> = LazyLock::new(|| {
     register!(IntGauge::new("camphorwinch_opaque_peers", "Peers that were heard of lately."))
