Explain deferred openings, replays and routes beyond their share

explain reads the lines 639 and 655 to 658, with the fields of docs/hard-load.md, and shows 659 and 660 as context. A fault that is logged remains the cause; otherwise the longest delay of 50 ms or more is, as such a flow was explained as served without a fault. Other delays are listed besides. Lines of other routes and replays of other balancers or times are left out.

--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -52,11 +52,15 @@
                 "flow": self.flow,
                 "events": explanation.events,
                 "cause": explanation.cause.to_string(),
+                "delays": explanation.delays.iter().map(ToString::to_string).collect::<Vec<_>>(),
                 "unreadable": logs.unreadable(),
             }))?,
             Format::Table => {
                 print(events_table(&explanation.events))?;
                 print(format!("cause: {}\n", explanation.cause))?;
+                for delay in &explanation.delays {
+                    print(format!("besides: {delay}\n"))?;
+                }
                 print(format!("lines that could not be parsed: {}\n", logs.unreadable()))?;
             }
         }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,6 +1,7 @@
 //! Diagnosis of a flow's outcome from the logs of all processes.
 
 mod cause;
+mod delay;
 mod log;
 
 use std::{collections::BTreeSet, time::Duration};
@@ -9,6 +10,7 @@
 
 pub use self::{
     cause::Cause,
+    delay::{DeferralEnd, Delay},
     log::{Line, Logs},
 };
 
@@ -19,6 +21,7 @@
     pub(super) const AGENT_CHANGED: u16 = 621;
     /// Events up to this ID concern a process, later ones a flow.
     pub(super) const LAST_OF_PROCESS: u16 = 639;
+    pub(super) const ROUTE_BEYOND_SHARE: u16 = 639;
     pub(super) const FLOW_PLACED: u16 = 641;
     pub(super) const FLOW_ACCEPTED: u16 = 642;
     pub(super) const FLOW_REFUSED: u16 = 644;
@@ -28,6 +31,12 @@
     pub(super) const UPSTREAM_RESET: u16 = 652;
     pub(super) const FLOW_UNPLACED: u16 = 653;
     pub(super) const REQUEST_ADMITTED: u16 = 654;
+    pub(super) const OPENING_DEFERRED: u16 = 655;
+    pub(super) const OPENING_BOUND: u16 = 656;
+    pub(super) const OPENING_UNDEFERRED: u16 = 657;
+    pub(super) const PACKETS_REPLAYED: u16 = 658;
+    pub(super) const POOL_FULL: u16 = 659;
+    pub(super) const POOL_HAS_ROOM: u16 = 660;
     pub(super) const LINES_SUPPRESSED: u16 = 661;
 }
 
@@ -47,6 +56,8 @@
     pub events: Vec<Event>,
     /// Cause of the outcome.
     pub cause: Cause,
+    /// What delayed the flow or its requests, in the order in which it occurred, as far as `cause` does not say so.
+    pub delays: Vec<Delay>,
 }
 
 /// Finds the events of a flow and the cause of its outcome.
@@ -60,7 +71,20 @@
     let is_context = |it: &&Line| (from_ms..=until_ms).contains(&it.ms) && related.includes(it);
     let context: Vec<&Line> = logs.lines().iter().filter(is_context).collect();
     let events = causal_order(flow_lines.iter().chain(&context).copied());
-    Explanation { events, cause: Cause::find(&flow_lines, &context) }
+    let mut delays = Delay::find(&flow_lines, &context);
+    let mut cause = Cause::find(&flow_lines, &context);
+    // Without a fault, the longest delay explains why the flow was late, or how far it came.
+    let is_decisive = |it: &Delay| match cause {
+        Cause::Served { .. } => it.is_long(),
+        Cause::NotLogged => true,
+        _ => false,
+    };
+    let longest = delays.iter().enumerate().max_by_key(|(_, it)| it.waited_ms());
+    let longest = longest.filter(|(_, it)| is_decisive(it)).map(|(index, _)| index);
+    if let Some(index) = longest {
+        cause = Cause::Delayed(delays.remove(index));
+    }
+    Explanation { events, cause, delays }
 }
 
 fn concerns_flow(line: &Line, flow: &str) -> bool {
@@ -74,6 +98,7 @@
 struct RelatedProcesses {
     processes: BTreeSet<String>,
     addresses: BTreeSet<String>,
+    services: BTreeSet<String>,
 }
 
 impl RelatedProcesses {
@@ -87,31 +112,49 @@
                 processes.insert(process.clone());
             }
         }
-        RelatedProcesses { processes, addresses }
+        let services = flow_lines.iter().filter_map(|it| it.service()).map(str::to_owned).collect();
+        RelatedProcesses { processes, addresses, services }
     }
 
     /// Whether a line is an event of a related process.
     fn includes(&self, line: &Line) -> bool {
         let is_process_event = (1..=event_id::LAST_OF_PROCESS).contains(&line.id)
-            || line.id == event_id::LINES_SUPPRESSED;
+            || matches!(
+                line.id,
+                event_id::PACKETS_REPLAYED
+                    | event_id::POOL_FULL
+                    | event_id::POOL_HAS_ROOM
+                    | event_id::LINES_SUPPRESSED
+            );
         if line.flow().is_some() || !is_process_event {
             return false;
         }
         if line.id == event_id::AGENT_CHANGED {
             return line.text("agent").is_some_and(|it| self.addresses.contains(it));
         }
+        // An agent logs this for each route of its pool.
+        if line.id == event_id::ROUTE_BEYOND_SHARE
+            && line.text("service").is_none_or(|it| !self.services.contains(it))
+        {
+            return false;
+        }
         self.processes.contains(&line.process)
     }
 }
 
 /// Converts lines to events in causal order: regardless of clock skew between VMs, no agent's line on a flow comes
-/// before the balancer's first placement of the flow.
+/// before the balancer's first line on placing the flow.
 fn causal_order<'a, I>(lines: I) -> Vec<Event>
 where
     I: Iterator<Item = &'a Line> + Clone,
 {
-    let first_placement =
-        lines.clone().filter(|it| it.id == event_id::FLOW_PLACED).min_by_key(|it| it.ms);
+    let places = |it: &&Line| {
+        matches!(
+            it.id,
+            event_id::FLOW_PLACED | event_id::OPENING_DEFERRED | event_id::OPENING_BOUND
+        )
+    };
+    let first_placement = lines.clone().filter(places).min_by_key(|it| it.ms);
     let placed_at = first_placement.map(|it| HlcTimestamp { ms: it.ms, counter: 0 });
     let processes: BTreeSet<&str> = lines.clone().map(|it| it.process.as_str()).collect();
     merge(processes.into_iter().map(|process| {
--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::{Line, event_id};
+use super::{Delay, Line, event_id};
 
 /// Cause of a flow's outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +85,8 @@
         /// Why the request was admitted.
         cause: String,
     },
+    /// No fault was logged, but a delay.
+    Delayed(Delay),
     /// The flow was accepted, and no fault was logged.
     Served {
         /// The agent that accepted it.
@@ -147,7 +149,7 @@
 }
 
 /// Shorter waits are not distinguishable from normal service time.
-const MIN_QUEUED_MS: u64 = 50;
+pub(super) const MIN_QUEUED_MS: u64 = 50;
 
 fn queued_cause(line: &Line) -> Option<Cause> {
     let waited_ms = line.number("waited_ms").filter(|&it| it >= MIN_QUEUED_MS)?;
@@ -265,6 +267,7 @@
                 f,
                 "a request waited {waited_ms} ms at {process} because the pool was full; it was admitted with cause `{cause}`"
             ),
+            Cause::Delayed(delay) => write!(f, "{delay}"),
             Cause::Served { process } => {
                 write!(
                     f,
--- a/crates/cli/src/explain/log.rs
+++ b/crates/cli/src/explain/log.rs
@@ -35,6 +35,11 @@
         self.text("flow")
     }
 
+    /// Address and port of the service of the line's flow.
+    pub fn service(&self) -> Option<&str> {
+        Some(self.flow()?.split_once('>')?.1)
+    }
+
     /// Value of a string field.
     pub fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field)?.as_str()
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use camphorwinch_cli::explain::{Cause, Explanation, FlowQuery, Logs, explain};
+use camphorwinch_cli::explain::{Cause, DeferralEnd, Delay, Explanation, FlowQuery, Logs, explain};
 
 const FLOW: &str = "100.64.0.7:1041>198.18.0.1:8443";
 
@@ -87,6 +87,108 @@
     assert_eq!(cause_of(placed + &short), Cause::Served { process: "side-1".to_owned() });
 }
 
+fn accepted(second: f64) -> String {
+    flow_line(second, 642, r#""load":5,"last":false,"limit":40,"walk":"10.0.0.9:7720=-""#)
+}
+
+fn deferred(waited_ms: u64, end: DeferralEnd) -> Delay {
+    Delay::Deferred { process: "front-1".to_owned(), waited_ms: Some(waited_ms), end }
+}
+
+// Guards against a late flow that is explained as served without a fault, though its opening packet waited.
+#[test]
+fn deferred_opening_tells_how_long_it_waited_and_what_ended_it() {
+    let opening = flow_line(10.0, 655, r#""agents":3,"held":210"#);
+    let cause_of = |end: String, at: f64| {
+        let balancer = opening.clone() + &end;
+        explain_sources(&[("front-1", balancer), ("side-1", accepted(at))]).cause
+    };
+    let bound = r#""agent":"10.0.0.9:7720","waited_ms":640,"held":180"#;
+    let end = DeferralEnd::Bound { agent: "10.0.0.9:7720".to_owned() };
+    assert_eq!(cause_of(flow_line(10.64, 656, bound), 10.7), Cause::Delayed(deferred(640, end)));
+    let undeferred = r#""why":"no-offer","waited_ms":300"#;
+    let end = DeferralEnd::Placed { why: "no-offer".to_owned() };
+    let cause = cause_of(flow_line(10.3, 657, undeferred), 10.4);
+    assert_eq!(cause, Cause::Delayed(deferred(300, end)));
+    assert!(cause.to_string().ends_with("with cause `no-offer`"), "{cause}");
+    // A short deferral did not make the flow late.
+    let short = flow_line(10.02, 656, r#""agent":"10.0.0.9:7720","waited_ms":20,"held":0"#);
+    assert_eq!(cause_of(short, 10.1), Cause::Served { process: "side-1".to_owned() });
+}
+
+// Guards against a deferral that hides a graver cause, and against one whose balancer stopped that is not told.
+#[test]
+fn deferral_is_told_besides_a_fault_and_its_missing_end_as_such() {
+    let balancer = flow_line(9.0, 655, r#""agents":2,"held":9"#)
+        + &flow_line(9.4, 657, r#""why":"room","waited_ms":400"#)
+        + &flow_line(9.5, 650, r#""why":"no-upstream""#);
+    let explanation = explain_sources(&[("front-1", balancer)]);
+    assert_eq!(explanation.cause, Cause::NoUpstream { process: "front-1".to_owned() });
+    let end = DeferralEnd::Placed { why: "room".to_owned() };
+    assert_eq!(explanation.delays, [deferred(400, end)]);
+    let explanation =
+        explain_sources(&[("front-1", flow_line(9.0, 655, r#""agents":2,"held":9"#))]);
+    let end = DeferralEnd::NotLogged;
+    let expected = Delay::Deferred { process: "front-1".to_owned(), waited_ms: None, end };
+    assert_eq!(explanation.cause, Cause::Delayed(expected));
+}
+
+// Guards against a deferred flow whose agent's clock is behind and that therefore seems accepted before it arrived.
+#[test]
+fn deferral_precedes_the_agents_lines_despite_clock_skew() {
+    let balancer = flow_line(9.0, 655, r#""agents":2,"held":9"#)
+        + &flow_line(9.2, 656, r#""agent":"10.0.0.9:7720","waited_ms":200,"held":8"#);
+    let explanation = explain_sources(&[("side-1", accepted(8.0)), ("front-1", balancer)]);
+    assert_eq!(event_order(&explanation)[0], ("front-1".to_owned(), 655));
+}
+
+// Guards against a replay that is missing from the explanation because its line names no flow.
+#[test]
+fn replay_after_a_start_is_told_for_flows_of_that_moment() {
+    let replayed = r#""openings":31,"others":4,"expired":2,"waited_ms":410"#;
+    let placed = |at: f64| flow_line(at, 641, r#""agent":"10.0.0.9:7720","copies":0"#);
+    let explanation_at = |at: f64| {
+        let balancer = log_line(8.0, 658, replayed) + &placed(at);
+        explain_sources(&[("front-1", balancer), ("side-1", accepted(at + 0.01))])
+    };
+    let delay = Delay::Replayed { process: "front-1".to_owned(), waited_ms: 410, expired: 2 };
+    assert_eq!(explanation_at(8.1).cause, Cause::Delayed(delay));
+    let later = explanation_at(9.5);
+    assert_eq!(later.cause, Cause::Served { process: "side-1".to_owned() });
+    assert!(later.events.iter().any(|it| it.id == 658), "the line is context");
+    // Another balancer's replay does not concern the flow.
+    let other = log_line(8.0, 658, replayed);
+    let sources = [("front-1", placed(8.1)), ("side-1", accepted(8.2)), ("front-2", other)];
+    assert!(explain_sources(&sources).delays.is_empty());
+}
+
+// Guards against a burst on the caller's route that is not named, and against blaming one on another route.
+#[test]
+fn request_beyond_its_routes_share_names_the_route() {
+    let explanation_of = |service: &str| {
+        let share = format!(r#""service":"{service}","beyond":57,"rate_per_s":41"#);
+        let agent = accepted(10.0)
+            + &log_line(10.2, 639, &share)
+            + &flow_line(10.5, 654, r#""waited_ms":400,"cause":"backlog","waiting":7"#);
+        explain_sources(&[("side-1", agent)])
+    };
+    let queued =
+        Cause::Queued { process: "side-1".to_owned(), waited_ms: 400, cause: "backlog".to_owned() };
+    let own = explanation_of("198.18.0.1:8443");
+    assert_eq!(own.cause, queued);
+    let expected = Delay::BeyondShare {
+        process: "side-1".to_owned(),
+        service: "198.18.0.1:8443".to_owned(),
+        beyond: 57,
+        rate_per_s: 41,
+    };
+    assert_eq!(own.delays, [expected]);
+    let other = explanation_of("198.18.0.2:8443");
+    assert_eq!(other.cause, queued);
+    assert!(other.delays.is_empty());
+    assert!(other.events.iter().all(|it| it.id != 639));
+}
+
 #[test]
 fn dropped_route_names_the_revision_in_force() {
     let balancer = log_line(8.5, 611, r#""revision":31,"version":7,"before":20,"routes":13"#)
