--- a/crates/daemon/src/agent/node.rs
+++ b/crates/daemon/src/agent/node.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of the agent.
 //!
-//! Lock order: `services` before a service's own locks; `claims` before `keyed_requests`; otherwise no two
-//! locks are held together.
+//! Lock order: `services` before a service's own locks, of those `applying` first; `claims` before `keyed_requests`;
+//! otherwise no two locks are held together.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
