--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod member_list;
 mod placement;
+mod pool_monitor;
 mod ranked_queue;
 mod regions;
 mod route;
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -76,5 +76,7 @@
     656 OpeningBound "opaque-opening-bound" "a deferred opening packet was sent to an agent that offered a slot";
     657 OpeningUndeferred "opaque-opening-undeferred" "a deferred opening packet was placed without an offer";
     658 PacketsReplayed "opaque-packets-replayed" "the packets that a balancer buffered at its start were handled";
+    659 PoolFull "opaque-pool-full" "a pool became full: requests wait for a slot";
+    660 PoolHasRoom "opaque-pool-has-room" "a full pool has room again";
     661 LinesSuppressed "opaque-lines-suppressed" "log lines on single flows were suppressed by the rate limit";
 }
