--- a/crates/core/tests/opaque/service_rate.rs
+++ b/crates/core/tests/opaque/service_rate.rs
@@ -99,6 +99,7 @@
     assert!(rate.speed(true).is_some_and(|it| it > 1.8));
     assert_eq!(rate.speed(false), Some(1.0), "the circuit breaker is open");
     (0..100).for_each(|_| rate.record(100, true));
+    assert_eq!(rate.estimate().map(|it| it.ms), Some(10.0));
     for number in 0..2_000 {
         rate.record(if number % 33 == 19 { 140 } else { 20 }, false);
         rate.record_answer_bytes(if number < 1_000 { 100 } else { 10 });
