--- a/crates/core/tests/opaque/service_rate.rs
+++ b/crates/core/tests/opaque/service_rate.rs
@@ -1,15 +1,20 @@
 //! Service times of upstreams: equal and unequal pools under load, restarts, and upstreams that are falsely fast.
 
 use camphorwinch_core::opaque::{
+    PacketHeader, PacketKind,
+    agent::{Agent, Heartbeat},
     balancer::Balancer,
-    effect::Effect,
+    candidate_list::{CandidateList, PoolLoad},
+    effect::{Effect, RelayAction},
     fleet::Report,
     service_rate::{MeasuredService, ServiceRate},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    support::{OTHER_POOL, POOL, ZONE, address, report},
+    support::{
+        OTHER_POOL, POOL, ZONE, address, data, head, identity, instance, relay, relays, report,
+    },
     world::{SimulationParams, World},
 };
 
@@ -196,3 +201,33 @@
     let pool = balancer.fleet().candidates(POOL, 0, ZONE, None, &[], 0).pool;
     assert_eq!((pool.service_ms, pool.answer_bytes), (Some(21), Some(67)));
 }
+
+// Guards against a wait at a fast upstream while another one has a free slot.
+#[test]
+fn a_fast_upstream_accepts_no_request_beyond_its_slots_before_others_are_asked() {
+    let mut agent = Agent::new(identity(1, 1), 1_000, false, 0);
+    let beat = Heartbeat { instance: instance("a"), seq: 1, draining: false, slots: 2, cold_ms: 0 };
+    agent.heartbeat(&beat, 0, &mut Vec::new());
+    let pool = PoolLoad { service_ms: Some(40), answer_bytes: Some(100), full_percent: 0 };
+    let candidates = CandidateList::new([address(1), address(2)], 60_000).with_pool(pool);
+    let opening = relay(RelayAction::Open(candidates));
+    let mut open_and_request = |port, answered| {
+        let out = &mut Vec::new();
+        agent.handle_relayed_packet(&opening, &head(port, PacketKind::Open), &[], 100, out);
+        let reply = PacketHeader { seq: 1_000, ..head(port, PacketKind::Open) };
+        agent.handle_upstream_packet(&reply, 100, &mut Vec::new());
+        let deliver = relay(RelayAction::Deliver);
+        agent.handle_relayed_packet(&deliver, &data(port, 1, 1_001), &[], 100, &mut Vec::new());
+        if answered {
+            agent.handle_upstream_packet(&data(port, 1_001, 101), 110, &mut Vec::new());
+            let reset = head(port, PacketKind::Reset);
+            agent.handle_relayed_packet(&deliver, &reset, &[], 110, &mut Vec::new());
+        }
+        (relays(out).len(), agent.speed(110))
+    };
+    let forwarded: usize = (1..=30).map(|port| open_and_request(port, true).0).sum();
+    assert_eq!(forwarded, 0);
+    assert_eq!(open_and_request(31, false), (0, 2.0));
+    assert_eq!(open_and_request(32, false), (0, 2.0));
+    assert_eq!(open_and_request(33, false), (1, 2.0));
+}
