--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -42,6 +42,10 @@
 /// Longest wait of a request whose timeout is not known.
 const DEFAULT_MAX_WAIT_MS: u64 = 300;
 
+/// Number of objectives from which those of routes without recent requests are removed; more than the addresses of a
+/// large deployment with its idle routes (2,320).
+const MAX_OBJECTIVES: usize = 4_096;
+
 /// The waiting requests of an agent, and counters of those at its upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Admission {
@@ -83,6 +87,9 @@
     }
 
     pub(super) fn set_objective(&mut self, service: SocketAddrV4, objective: Objective) {
+        if self.objectives.len() >= MAX_OBJECTIVES && !self.objectives.contains_key(&service) {
+            self.objectives.retain(|it, _| self.shares.is_known(*it));
+        }
         self.objectives.insert(service, objective);
     }
 
--- a/crates/core/src/opaque/route_share.rs
+++ b/crates/core/src/opaque/route_share.rs
@@ -117,6 +117,11 @@
         Some(BeyondShare { beyond, rate_per_s })
     }
 
+    /// Whether a route sent requests recently.
+    pub fn is_known(&self, service: SocketAddrV4) -> bool {
+        self.routes.contains_key(&service)
+    }
+
     /// The known routes and their counters.
     pub fn usage(&self) -> impl Iterator<Item = (SocketAddrV4, RouteUsage)> {
         self.routes.iter().map(|(&service, it)| (service, it.usage))
