--- a/crates/core/src/opaque/agent/reservations.rs
+++ b/crates/core/src/opaque/agent/reservations.rs
@@ -15,15 +15,15 @@
         FlowKey,
         effect::{Effect, Reservation},
         fleet::{AgentPlan, UpstreamState},
-        ranked_queue::{Rank, RankedQueue, Terms},
+        ranked_queue::{Class, Rank, RankedQueue, Terms},
     },
     Agent,
 };
 
 /// Most reservations of all balancers.
 const MAX_TOTAL: usize = 4_096;
-/// Most reservations of a balancer with the same priority; more would not change the order of balancers.
-const MAX_PER_BALANCER_AND_PRIORITY: usize = 8;
+/// Most reservations of a balancer with the same class; more would not change the order of balancers.
+const MAX_PER_BALANCER_AND_CLASS: usize = 8;
 /// Age of a caller's attempt at which its reservation expires: its balancer has placed it by then.
 const RESERVATION_TTL_MS: u64 = 1_000;
 /// Time for which an offered slot is kept free, for a round trip between regions and a margin. It starts anew when the
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, Default)]
 pub(in crate::opaque) struct Reservations {
     queue: RankedQueue<ReservationKey>,
-    /// Sequence numbers by balancer and priority, oldest first.
-    by_balancer: BTreeMap<(SocketAddrV4, u8), BTreeSet<u64>>,
+    /// Sequence numbers by balancer and class, oldest first.
+    by_balancer: BTreeMap<(SocketAddrV4, Class), BTreeSet<u64>>,
     expiries: BTreeSet<(u64, ReservationKey)>,
     offers: BTreeMap<OfferKey, SlotOffer>,
     /// Offers that no opening packet has arrived for, oldest first.
@@ -111,9 +111,9 @@
         self.next_seq += 1;
         self.queue.insert(key, terms);
         self.expiries.insert((terms.issued_ms + RESERVATION_TTL_MS, key));
-        let same = self.by_balancer.entry((balancer, terms.class.priority)).or_default();
+        let same = self.by_balancer.entry((balancer, terms.class)).or_default();
         same.insert(key.seq);
-        let oldest = same.first().filter(|_| same.len() > MAX_PER_BALANCER_AND_PRIORITY);
+        let oldest = same.first().filter(|_| same.len() > MAX_PER_BALANCER_AND_CLASS);
         if let Some(&seq) = oldest {
             self.drop_reservation(ReservationKey { balancer, seq });
         } else if self.queue.len() > MAX_TOTAL
@@ -128,7 +128,7 @@
             return;
         };
         self.expiries.remove(&(terms.issued_ms + RESERVATION_TTL_MS, key));
-        let group = (key.balancer, terms.class.priority);
+        let group = (key.balancer, terms.class);
         if let Some(same) = self.by_balancer.get_mut(&group) {
             same.remove(&key.seq);
             if same.is_empty() {
@@ -138,7 +138,7 @@
     }
 
     fn drop_reservations_of(&mut self, balancer: SocketAddrV4) {
-        let groups = self.by_balancer.range((balancer, 0)..=(balancer, u8::MAX));
+        let groups = self.by_balancer.range((balancer, Class::FIRST)..=(balancer, Class::LAST));
         let seqs: Vec<u64> = groups.flat_map(|it| it.1).copied().collect();
         for seq in seqs {
             self.drop_reservation(ReservationKey { balancer, seq });
@@ -267,7 +267,7 @@
             return;
         }
         let issued_ms = now_ms.saturating_sub(u64::from(reservation.age_ms));
-        let terms = Terms::new(reservation.objective, issued_ms, false);
+        let terms = Terms::new(reservation.objective, issued_ms, reservation.beyond_share);
         let end_ms = self.admission.end_ms(now_ms);
         self.admission.reservations.insert(balancer, terms, end_ms);
         self.admit(now_ms, out);
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -385,6 +385,9 @@
             return note_drop(key, DropReason::NoConfig, out);
         }
         let known = self.flows.get(&key).filter(|_| copies > 0);
+        // A copy of an opening packet that this balancer has placed was counted before.
+        let is_new = known.is_none() && matches!(packet, OpeningPacket::Arrived(_));
+        let beyond_share = is_new && self.deferred.is_beyond_share(pool, key.service, now_ms);
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The upstream accepted the flow and its answer was lost, so its agent sends another one.
             let is_usable = |it: &SocketAddrV4| {
@@ -401,9 +404,8 @@
             return self.reject_open(key, pool, now_ms, out);
         };
         if let OpeningPacket::Arrived(bytes) = packet
-            && std::env::var("NODEFER").is_err()
             && found.pool.is_full()
-            && self.defer(head, bytes, pool, &found, avoid, now_ms, out)
+            && self.defer(head, bytes, pool, &found, beyond_share, avoid, now_ms, out)
         {
             return;
         }
--- a/crates/core/src/opaque/balancer/deferred.rs
+++ b/crates/core/src/opaque/balancer/deferred.rs
@@ -24,6 +24,7 @@
         flow::opening_age_ms,
         ranked_queue::{Rank, RankedQueue, Terms},
         route::Lookup,
+        route_share::RouteShares,
     },
     Balancer, Flow, OpeningPacket,
 };
@@ -42,7 +43,7 @@
 const NO_OFFER_MS: u64 = 300;
 /// Most opening packets placed without an offer in one tick, so that a small balancer stays responsive.
 const MAX_PLACED_PER_TICK: usize = 200;
-/// Reservations remembered for each agent; agents keep as many of a balancer with the same priority.
+/// Reservations remembered for each agent; agents keep as many of a balancer with the same class.
 const MAX_RESERVED_PER_AGENT: usize = 8;
 /// Multiple of the mean service time within which the request of an opening packet that is bound now is expected to end:
 /// three times the mean include 95% of exponentially distributed service times, and the upstream may run one request
@@ -56,6 +57,8 @@
     pool: PoolId,
     arrived_ms: u64,
     issued_ms: u64,
+    /// Whether it is beyond the usual share of its route.
+    beyond_share: bool,
     /// Time of the next check, as in [`DeferredOpenings::checks`].
     check_ms: u64,
 }
@@ -101,6 +104,8 @@
     reserved: FxHashMap<SocketAddrV4, VecDeque<Terms>>,
     /// Routes changed since the last tick.
     pub(super) routes_changed: bool,
+    /// Arrivals of opening packets by pool and route, also while the pool has room.
+    shares: BTreeMap<PoolId, RouteShares>,
 }
 
 impl DeferredOpenings {
@@ -134,6 +139,16 @@
         true
     }
 
+    /// Counts a new opening packet. Returns whether it is beyond the usual share of its route.
+    pub(super) fn is_beyond_share(
+        &mut self,
+        pool: PoolId,
+        service: SocketAddrV4,
+        now_ms: u64,
+    ) -> bool {
+        self.shares.entry(pool).or_default().is_beyond(service, now_ms)
+    }
+
     fn insert(&mut self, opening: Opening, terms: Terms) {
         let key = opening.head.key;
         self.bytes += opening.bytes();
@@ -262,6 +277,7 @@
         bytes: &[u8],
         pool: PoolId,
         found: &Candidates,
+        beyond_share: bool,
         avoid: Option<SocketAddrV4>,
         now_ms: u64,
         out: &mut Vec<Effect>,
@@ -282,9 +298,10 @@
             pool,
             arrived_ms: now_ms,
             issued_ms,
+            beyond_share,
             check_ms: (now_ms + NO_OFFER_MS).min(issued_ms + MAX_AGE_MS),
         };
-        self.deferred.insert(opening, Terms::new(terms_objective, issued_ms, false));
+        self.deferred.insert(opening, Terms::new(terms_objective, issued_ms, beyond_share));
         if let Some(queue) = self.deferred.pools.get_mut(&pool) {
             queue.service_ms = found.pool.service_ms;
         }
@@ -315,8 +332,9 @@
             Lookup::NoConfig | Lookup::Dropped | Lookup::None => None,
         };
         let age_ms = now_ms.saturating_sub(opening.issued_ms).min(u64::from(u16::MAX)) as u16;
-        let reservation = Reservation { pool: opening.pool, objective, age_ms };
-        let terms = Terms::new(objective, opening.issued_ms, false);
+        let Opening { pool, beyond_share, .. } = *opening;
+        let reservation = Reservation { pool, objective, age_ms, beyond_share };
+        let terms = Terms::new(objective, opening.issued_ms, beyond_share);
         self.deferred.record_reservation(to, terms, now_ms);
         out.push(Effect::Reserve { to, reservation });
     }
@@ -477,6 +495,8 @@
         }
         if std::mem::take(&mut self.deferred.routes_changed) {
             self.reset_deferred_without_route(out);
+            let routes = &self.routes;
+            self.deferred.shares.retain(|&pool, _| routes.has_pool(pool));
         }
         let mut left = MAX_PLACED_PER_TICK;
         let pools: Vec<_> = self.deferred.pools.keys().copied().collect();
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -178,6 +178,8 @@
     pub objective: Option<Objective>,
     /// Age of the caller's opening attempt.
     pub age_ms: u16,
+    /// Whether the opening packet is beyond the usual share of its route.
+    pub beyond_share: bool,
 }
 
 /// A decision that is logged and counted.
--- a/crates/core/src/opaque/ranked_queue.rs
+++ b/crates/core/src/opaque/ranked_queue.rs
@@ -18,6 +18,11 @@
     pub priority: u8,
 }
 
+impl Class {
+    pub(super) const FIRST: Class = Class { beyond_share: false, priority: 0 };
+    pub(super) const LAST: Class = Class { beyond_share: true, priority: u8::MAX };
+}
+
 /// Order in which requests are served, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -191,6 +191,11 @@
         true
     }
 
+    /// Whether a route in force includes the pool.
+    pub(super) fn has_pool(&self, pool: PoolId) -> bool {
+        self.routes.iter().flat_map(|it| it.by_address.values()).any(|it| it.includes(pool))
+    }
+
     /// Maximum new flows per second for a cold upstream of the pool, if limited.
     pub fn cold_rate(&self, pool: PoolId) -> Option<u32> {
         self.routes.as_ref()?.cold_rates.get(&pool).copied()
--- a/crates/core/tests/opaque/late_binding.rs
+++ b/crates/core/tests/opaque/late_binding.rs
@@ -279,7 +279,8 @@
 }
 
 fn reserve(it: &mut Agent, balancer: u8, now_ms: u64) -> Vec<Effect> {
-    let reservation = Reservation { pool: POOL, objective: Some(OBJECTIVE), age_ms: 0 };
+    let reservation =
+        Reservation { pool: POOL, objective: Some(OBJECTIVE), age_ms: 0, beyond_share: false };
     collect(|out| it.handle_reservation(address(balancer), &reservation, now_ms, out))
 }
 
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -13,7 +13,8 @@
 //! 4 query | for each flow: caller 6, service 6
 //! 5 query response | for each flow: status 1, caller 6, service 6
 //! 6 fan-out | pool 8 | balancer 6 | count 1 | agent 6 each | packet
-//! 7 reserve | pool 8 | priority 1 | latency objective 4 | timeout 4, 0 without an objective | age 2
+//! 7 reserve | pool 8 | priority 1 | latency objective 4 | timeout 4, 0 without an objective | age 2 |
+//!   beyond share 1
 //! 8 offer | pool 8 | number of slots 1
 //! 9 decline | pool 8
 //! ```
@@ -208,6 +209,7 @@
     out.put_u32(objective.map_or(0, |it| it.latency_ms));
     out.put_u32(objective.map_or(0, |it| it.timeout_ms));
     out.put_u16(reservation.age_ms);
+    out.put_u8(u8::from(reservation.beyond_share));
 }
 
 /// Appends an offer of slots.
@@ -253,8 +255,9 @@
         idempotent: false,
     };
     let age_ms = take_u16(&mut bytes)?;
+    let beyond_share = take_u8(&mut bytes)? != 0;
     let objective = Some(objective).filter(|it| it.timeout_ms > 0);
-    Ok(Datagram::Reserve(Reservation { pool, objective, age_ms }))
+    Ok(Datagram::Reserve(Reservation { pool, objective, age_ms, beyond_share }))
 }
 
 fn decode_query(mut bytes: &[u8]) -> Result<Datagram<'_>, DecodeError> {
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -82,12 +82,12 @@
     let pool = PoolId(u64::MAX - 5);
     let sent = Objective { idempotent: false, ..OBJECTIVE };
     for objective in [None, Some(sent)] {
-        let reservation = Reservation { pool, objective, age_ms: 999 };
+        let reservation = Reservation { pool, objective, age_ms: 999, beyond_share: true };
         let mut bytes = Vec::new();
         encode_reserve(&reservation, &mut bytes);
-        assert_eq!(bytes.len(), 20);
+        assert_eq!(bytes.len(), 21);
         assert!(matches!(decode(&bytes), Ok(Datagram::Reserve(it)) if it == reservation));
-        assert!(matches!(decode(&bytes[..19]), Err(DecodeError::Truncated)));
+        assert!(matches!(decode(&bytes[..20]), Err(DecodeError::Truncated)));
     }
     let (mut offer, mut decline) = (Vec::new(), Vec::new());
     encode_offer(pool, 3, &mut offer);
