--- a/crates/core/src/opaque/balancer/deferred.rs
+++ b/crates/core/src/opaque/balancer/deferred.rs
@@ -38,10 +38,6 @@
 /// Age of the caller's attempt at which its opening packet is placed without an offer: callers give up at 1,400 ms, and
 /// the upstream still has to answer.
 const MAX_AGE_MS: u64 = 1_000;
-/// Time over which bindings are counted, to expect how many opening packets will be bound in time.
-const BINDING_WINDOW_MS: f64 = 250.0;
-/// Opening packets of a pool that are deferred whatever was bound before, so that a first one gets offers.
-const MIN_DEFERRED: usize = 16;
 /// Time without an offer after which an opening packet is placed: reservations or offers are lost, or the agents are
 /// much slower than a service time.
 const NO_OFFER_MS: u64 = 300;
@@ -81,24 +77,6 @@
     last_offer_ms: u64,
 }
 
-/// Count of the events in the last [`BINDING_WINDOW_MS`], which decays exponentially.
-#[derive(Clone, Copy, Debug, Default)]
-struct RecentCount {
-    count: f64,
-    updated_ms: u64,
-}
-
-impl RecentCount {
-    fn at(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.count * (-passed_ms / BINDING_WINDOW_MS).exp()
-    }
-
-    fn increment(&mut self, now_ms: u64) {
-        *self = RecentCount { count: self.at(now_ms) + 1.0, updated_ms: now_ms };
-    }
-}
-
 #[derive(Debug, Default)]
 struct PoolQueue {
     /// By service, as an agent may be outside the allowed regions of some.
@@ -126,8 +104,6 @@
     reserved: FxHashMap<SocketAddrV4, VecDeque<Terms>>,
     /// Routes changed since the last tick.
     pub(super) routes_changed: bool,
-    /// Recent bindings by pool.
-    bindings: BTreeMap<PoolId, RecentCount>,
     /// Arrivals of opening packets by pool and route, also while the pool has room.
     shares: BTreeMap<PoolId, RouteShares>,
 }
@@ -173,21 +149,6 @@
         self.shares.entry(pool).or_default().is_beyond(service, now_ms)
     }
 
-    /// Whether an opening packet can be expected to be bound in time behind those that are deferred, at the rate of the
-    /// last bindings. One that can't gains nothing here: at its agent its request may wait for most of its timeout,
-    /// while the caller gives up an unanswered opening packet after 1,400 ms and begins again.
-    fn has_room(&self, pool: PoolId, terms: &Terms, now_ms: u64) -> bool {
-        let Some(queue) = self.pools.get(&pool) else {
-            return true;
-        };
-        let held: usize = queue.services.values().map(|it| it.ranked.len()).sum();
-        let latest_ms = terms.due_ms.unwrap_or(now_ms + NO_OFFER_MS);
-        let left_ms = latest_ms.saturating_sub(queue.end_ms(now_ms));
-        let bound = self.bindings.get(&pool).map_or(0.0, |it| it.at(now_ms));
-        let expected = bound / BINDING_WINDOW_MS * left_ms as f64;
-        held < MIN_DEFERRED.max(expected as usize)
-    }
-
     fn insert(&mut self, opening: Opening, terms: Terms) {
         let key = opening.head.key;
         self.bytes += opening.bytes();
@@ -331,10 +292,6 @@
         }
         let age_ms = opening_age_ms(head.ack);
         let issued_ms = now_ms.saturating_sub(age_ms);
-        let terms = Terms::new(terms_objective, issued_ms, beyond_share);
-        if !self.deferred.has_room(pool, &terms, now_ms) {
-            return false;
-        }
         let opening = Opening {
             head: *head,
             packet: bytes.to_vec(),
@@ -344,7 +301,7 @@
             beyond_share,
             check_ms: (now_ms + NO_OFFER_MS).min(issued_ms + MAX_AGE_MS),
         };
-        self.deferred.insert(opening, terms);
+        self.deferred.insert(opening, Terms::new(terms_objective, issued_ms, beyond_share));
         if let Some(queue) = self.deferred.pools.get_mut(&pool) {
             queue.service_ms = found.pool.service_ms;
         }
@@ -500,7 +457,6 @@
         let Some(Opening { packet, pool, arrived_ms, .. }) = self.deferred.remove(key) else {
             return;
         };
-        self.deferred.bindings.entry(pool).or_default().increment(now_ms);
         let mut found =
             self.fleet.candidates(pool, key.hash(), self.zone, None, route.regions(), now_ms);
         let others = found.agents.into_iter().filter(|&it| it != agent);
@@ -541,7 +497,6 @@
             self.reset_deferred_without_route(out);
             let routes = &self.routes;
             self.deferred.shares.retain(|&pool, _| routes.has_pool(pool));
-            self.deferred.bindings.retain(|&pool, _| routes.has_pool(pool));
         }
         let mut left = MAX_PLACED_PER_TICK;
         let pools: Vec<_> = self.deferred.pools.keys().copied().collect();
