--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -94,6 +94,7 @@
     flows: FxHashMap<FlowKey, Flow>,
     buffer: PacketBuffer,
     deferred: DeferredOpenings,
+    late_binding: bool,
     pending_queries: BTreeMap<SocketAddrV4, Vec<FlowKey>>,
     /// Agents whose entries this balancer withdrew from the store.
     withdrawn: BTreeSet<SocketAddrV4>,
@@ -122,6 +123,7 @@
             flows: FxHashMap::default(),
             buffer: PacketBuffer::default(),
             deferred: DeferredOpenings::default(),
+            late_binding: false,
             pending_queries: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
             left_agents: BTreeMap::new(),
@@ -140,6 +142,11 @@
         Balancer { fleet: self.fleet.with_unknown_zones(), ..self }
     }
 
+    /// Sets whether opening packets for full pools are deferred until an agent offers a slot.
+    pub fn with_late_binding(self, late_binding: bool) -> Balancer {
+        Balancer { late_binding, ..self }
+    }
+
     /// Sets the region of each zone.
     pub fn with_regions(self, regions: Regions) -> Balancer {
         Balancer { fleet: self.fleet.with_regions(regions), ..self }
@@ -387,7 +394,8 @@
         let known = self.flows.get(&key).filter(|_| copies > 0);
         // A copy of an opening packet that this balancer has placed was counted before.
         let is_new = known.is_none() && matches!(packet, OpeningPacket::Arrived(_));
-        let beyond_share = is_new && self.deferred.is_beyond_share(pool, key.service, now_ms);
+        let beyond_share =
+            self.late_binding && is_new && self.deferred.is_beyond_share(pool, key.service, now_ms);
         if let Some(flow) = known.filter(|it| it.confirmed && copies == 1) {
             // The upstream accepted the flow and its answer was lost, so its agent sends another one.
             let is_usable = |it: &SocketAddrV4| {
@@ -404,6 +412,7 @@
             return self.reject_open(key, pool, now_ms, out);
         };
         if let OpeningPacket::Arrived(bytes) = packet
+            && self.late_binding
             && found.pool.is_full()
             && self.defer(head, bytes, pool, &found, beyond_share, avoid, now_ms, out)
         {
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -79,6 +79,8 @@
     pub zones_change: bool,
     /// Region of each zone.
     pub regions: Regions,
+    /// Whether opening packets for full pools are deferred until an agent offers a slot.
+    pub late_binding: bool,
 }
 
 /// Shared readiness flag of a balancer.
@@ -149,6 +151,7 @@
     let now = now_ms();
     let mut state = Balancer::new(own.address, ZoneId::of(&own.zone))
         .with_regions(settings.regions)
+        .with_late_binding(settings.late_binding)
         .with_startup_buffer(now);
     if settings.zones_change {
         state = state.with_unknown_zones();
