Service rate: samples of 0 ms no longer make the estimate NaN

With more than 20 samples of 0 ms the ratio of the two means was 0/0, and the variance stayed NaN. Means below the resolution now count as the resolution in the ratio and in the variation.

--- a/crates/core/src/opaque/service_rate.rs
+++ b/crates/core/src/opaque/service_rate.rs
@@ -35,7 +35,8 @@
 const NOISE_BAND: f64 = 0.04;
 /// Standard errors of the estimate that count as equal, in addition.
 const ERROR_MARGIN: f64 = 2.0;
-/// Error of a service time in whole milliseconds, as in reports.
+/// Error of a service time in whole milliseconds, as in reports. Means below it count as this much, as samples of less
+/// than a millisecond are recorded as 0.
 const RESOLUTION_MS: f64 = 0.5;
 /// Weight of the newest answer in the moving average of answer lengths.
 const ANSWER_BYTES_WEIGHT: f64 = 0.02;
@@ -99,7 +100,7 @@
     }
 
     fn restart_after_change(&mut self) {
-        let ratio = self.recent_ms / self.mean_ms;
+        let ratio = self.recent_ms.max(RESOLUTION_MS) / self.mean_ms.max(RESOLUTION_MS);
         // Of a moving average with weight 1/n.
         let weight_squares = 1.0 / f64::from(2 * RECENT_SAMPLES - 1);
         let error = (self.variation() * weight_squares).sqrt();
@@ -116,7 +117,8 @@
     /// Squared coefficient of variation of the samples.
     fn variation(&self) -> f64 {
         let count = f64::from(self.count);
-        let measured = self.variance / (self.mean_ms * self.mean_ms).max(f64::MIN_POSITIVE);
+        let mean_ms = self.mean_ms.max(RESOLUTION_MS);
+        let measured = self.variance / (mean_ms * mean_ms);
         (PRIOR_SAMPLES * PRIOR_VARIATION + count * measured) / (PRIOR_SAMPLES + count)
     }
 }
--- a/crates/core/tests/opaque/service_rate.rs
+++ b/crates/core/tests/opaque/service_rate.rs
@@ -118,6 +118,16 @@
     assert_eq!(rate.speed(true), Some(1.0));
 }
 
+// Guards against a ratio of 0/0 from samples below a millisecond, which stays in the variance.
+#[test]
+fn samples_of_zero_do_not_disable_the_estimate() {
+    let mut rate = rate_in_pool(20);
+    (0..30).for_each(|_| rate.record(0, false));
+    assert!(rate.estimate().is_some_and(|it| it.error.is_finite()));
+    (0..400).for_each(|_| rate.record(20, false));
+    assert!(rate.speed(true).is_some_and(|it| (it - 1.0).abs() < 0.05), "{:?}", rate.speed(true));
+}
+
 // Harrowgate: equal speeds. Kauri: 0.7, 0.7, 1.7. The widest pool of the page: 0.5, 0.8, 2.2. Each with a tail.
 #[test]
 fn upstreams_are_loaded_by_their_speed() {
