Load: a speed just below 1.0 takes no slot away

An equal upstream with two slots and speed 0.97 had room for one request only, as one busy slot and a new request exceed 1.94. The effective slots are rounded for this check; placement loads still use the exact value.

--- a/crates/core/src/opaque/load.rs
+++ b/crates/core/src/opaque/load.rs
@@ -121,9 +121,9 @@
         per_mille(f64::from(self.busy) + self.average / 100.0, slots)
     }
 
-    /// Whether a new request would find a free slot.
+    /// Whether a new request would find a free slot. The slots are rounded: a speed just below 1.0 takes none away.
     pub fn has_room(&self, slots: f64) -> bool {
-        f64::from(self.busy) + 1.0 <= slots.max(1.0)
+        f64::from(self.busy) + 1.0 <= slots.round().max(1.0)
     }
 
     fn advance(&mut self, now_ms: u64) {
--- a/crates/core/tests/opaque/load.rs
+++ b/crates/core/tests/opaque/load.rs
@@ -56,6 +56,17 @@
     assert!(!load.has_room(cold));
 }
 
+// Guards against losing a whole slot by a speed just outside the noise band.
+#[test]
+fn an_equal_upstream_accepts_requests_up_to_its_slots() {
+    let mut load = Load::default();
+    load.begin_request(0);
+    assert!(load.has_room(effective_slots(2, false, Some(0.97))));
+    load.begin_request(0);
+    assert!(!load.has_room(effective_slots(2, false, Some(0.97))));
+    assert!(Load::default().has_room(effective_slots(2, false, Some(0.1))));
+}
+
 // Guards against judging a slow upstream only by its number of requests, which may be as low as that of others.
 #[test]
 fn a_slow_upstream_has_fewer_effective_slots() {
