Service rate: compare a cold upstream with a normal cold one

The speed of a cold upstream jumped from 0.6 to 1.0 with its first samples, as their wide error covered the difference from the pool's mean. It is now compared with the pool's mean divided by 0.6, and the result counts with 0.6: 0.6 without samples, and continuous from there. An upstream that is measured as fast as warm ones while cold still counts fully.

--- a/crates/core/src/opaque/service_rate.rs
+++ b/crates/core/src/opaque/service_rate.rs
@@ -237,7 +237,10 @@
             return None;
         }
         let (own, pool_ms) = self.estimate().zip(self.pool_ms)?;
-        let speed = relative_speed(own.ms, f64::from(pool_ms), own.error);
+        // A cold upstream is compared with a normal cold one: few samples, with a wide error, then leave its usual speed.
+        let usual_speed = if self.cold { COLD_SPEED } else { 1.0 };
+        let expected_ms = f64::from(pool_ms) / usual_speed;
+        let speed = usual_speed * relative_speed(own.ms, expected_ms, own.error);
         if speed <= 1.0 {
             return Some(speed);
         }
--- a/crates/core/tests/opaque/service_rate.rs
+++ b/crates/core/tests/opaque/service_rate.rs
@@ -7,6 +7,7 @@
     candidate_list::{CandidateList, PoolLoad},
     effect::{Effect, RelayAction},
     fleet::Report,
+    load::effective_slots,
     service_rate::{MeasuredService, ServiceRate},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -128,6 +129,34 @@
     assert!(rate.speed(true).is_some_and(|it| (it - 1.0).abs() < 0.05), "{:?}", rate.speed(true));
 }
 
+// Guards against a speed of 1.0 after the first samples of a cold upstream, when the error is wide.
+#[test]
+fn a_cold_upstream_is_compared_with_a_normal_cold_one() {
+    let cold_rate = || {
+        let mut rate = rate_in_pool(30);
+        rate.set_cold(true);
+        (0..20).for_each(|_| rate.record_answer_bytes(100));
+        rate
+    };
+    let slots = |rate: &ServiceRate| effective_slots(4, true, rate.speed(true));
+    let mut normal = cold_rate();
+    assert!((slots(&normal) - 2.4).abs() < 1e-9);
+    for _ in 0..400 {
+        normal.record(50, true);
+        assert!((slots(&normal) - 2.4).abs() < 1e-9, "{}", slots(&normal));
+    }
+    let mut fast = cold_rate();
+    let mut before = slots(&fast);
+    for _ in 0..400 {
+        fast.record(30, true);
+        assert!((slots(&fast) - before).abs() < 0.4, "{before} {}", slots(&fast));
+        before = slots(&fast);
+    }
+    assert!((before - 4.0).abs() < 0.05, "{before}");
+    (0..400).for_each(|_| normal.record(400, true));
+    assert!((slots(&normal) - 0.5).abs() < 1e-9);
+}
+
 // Harrowgate: equal speeds. Kauri: 0.7, 0.7, 1.7. The widest pool of the page: 0.5, 0.8, 2.2. Each with a tail.
 #[test]
 fn upstreams_are_loaded_by_their_speed() {
