Service rate: report service times of the warm upstream only

Balancers remembered a value reported while cold, and returned it after a restart as the warm one. They can't tell the two apart: a report has no such field, and a cold upstream reports as full like a busy one. So agents report warm samples only. The pool's mean no longer contains values of cold upstreams, and is unknown while all upstreams are cold from the start.

--- a/crates/core/src/opaque/service_rate.rs
+++ b/crates/core/src/opaque/service_rate.rs
@@ -219,9 +219,10 @@
         self.estimate_of(self.cold)
     }
 
-    /// Service time for reports, once it depends on samples alone.
+    /// Service time of the warm upstream for reports, once it depends on samples alone. Balancers remember it, and cold
+    /// upstreams are compared with the pool's mean of it.
     pub fn reported_ms(&self) -> Option<u32> {
-        let samples = self.samples(self.cold);
+        let samples = &self.warm_samples;
         (samples.count >= MIN_SAMPLES).then(|| whole_ms(samples.mean_ms))
     }
 
--- a/crates/core/tests/opaque/service_rate.rs
+++ b/crates/core/tests/opaque/service_rate.rs
@@ -157,6 +157,21 @@
     assert!((slots(&normal) - 0.5).abs() < 1e-9);
 }
 
+// Guards against balancers that remember the service time of a cold upstream for the time after a restart.
+#[test]
+fn only_warm_service_times_are_reported() {
+    let mut rate = rate_in_pool(20);
+    rate.set_cold(true);
+    (0..30).for_each(|_| rate.record(32, true));
+    assert_eq!(rate.reported_ms(), None);
+    rate.set_cold(false);
+    (0..30).for_each(|_| rate.record(20, false));
+    assert_eq!(rate.reported_ms(), Some(20));
+    rate.set_cold(true);
+    (0..30).for_each(|_| rate.record(32, true));
+    assert_eq!(rate.reported_ms(), Some(20));
+}
+
 // Harrowgate: equal speeds. Kauri: 0.7, 0.7, 1.7. The widest pool of the page: 0.5, 0.8, 2.2. Each with a tail.
 #[test]
 fn upstreams_are_loaded_by_their_speed() {
