Route shares: arrivals of removed routes no longer count as those of others

They stayed in the sum of all routes, so that a single remaining route could be beyond its share for minutes. They are subtracted on removal, and a route is alone if the others' decayed count is below 1% of its own.

--- a/crates/core/src/opaque/route_share.rs
+++ b/crates/core/src/opaque/route_share.rs
@@ -27,6 +27,8 @@
 const BEYOND_WEIGHT: f64 = 0.5;
 /// Arrivals of the other routes, by their weight in the mean, below which a route has no competitors.
 const MIN_OTHERS: f64 = 0.01;
+/// The same as a share of the route's own arrivals: the rest of a route that has ended is no measure for a burst.
+const MIN_OTHERS_SHARE: f64 = 0.01;
 /// Most routes for which arrivals are kept; more than the addresses of a large deployment (680).
 const MAX_ROUTES: usize = 1_024;
 /// Time after its last request after which a route is removed; its mean has decayed by then.
@@ -132,8 +134,16 @@
             return;
         }
         self.last_prune_ms = now_ms;
+        self.all.advance(now_ms);
+        let all = &mut self.all;
         self.routes.retain(|_, it| {
-            it.usage.waiting > 0 || now_ms.saturating_sub(it.mean.updated_ms) < ROUTE_TTL_MS
+            let idle_ms = now_ms.saturating_sub(it.mean.updated_ms);
+            let keep = it.usage.waiting > 0 || idle_ms < ROUTE_TTL_MS;
+            if !keep {
+                it.mean.advance(now_ms);
+                all.count = (all.count - it.mean.count).max(0.0);
+            }
+            keep
         });
     }
 }
@@ -231,7 +241,8 @@
         }
         let has_history = self.mean.history_ms(now_ms) >= MIN_HISTORY_MS;
         let has_token = self.rate_tokens >= 1.0 || self.share_tokens >= 1.0;
-        let within = has_token || !has_history || others_count < MIN_OTHERS;
+        let is_alone = others_count < MIN_OTHERS.max(self.mean.count * MIN_OTHERS_SHARE);
+        let within = has_token || !has_history || is_alone;
         if within {
             self.rate_tokens = (self.rate_tokens - 1.0).max(-size);
             self.share_tokens = (self.share_tokens - 1.0).max(-size);
--- a/crates/core/tests/opaque/route_share.rs
+++ b/crates/core/tests/opaque/route_share.rs
@@ -162,6 +162,20 @@
     assert_eq!(beyond([30.0, 9.0], 0, 15_000, rise), [0.0, 0.0]);
 }
 
+// Guards against arrivals of a route that has ended, to which a burst of the remaining one is compared.
+#[test]
+fn a_route_whose_competitor_has_ended_is_never_beyond_its_share() {
+    let rise = |at, at_s| match at {
+        0 if at_s > 185.0 => 2.5,
+        1 if at_s > 30.0 => 0.0,
+        _ => 1.0,
+    };
+    // From 30 s until then the competitor is known, but has few arrivals.
+    assert_eq!(beyond([30.0, 9.0], 185_000, 195_000, rise)[0], 0.0);
+    let early = |at, at_s| if at_s > 145.0 { rise(at, at_s + 40.0) } else { rise(at, at_s) };
+    assert_eq!(beyond([30.0, 9.0], 145_000, 155_000, early)[0], 0.0);
+}
+
 // Guards against a new order of requests in a pool without competing routes.
 #[test]
 fn a_single_route_is_never_beyond_its_share() {
