Admission: sample the service time of upstreams that announce no slots

With 0 slots in the heartbeat no request counted as having a free slot on arrival, so there was never a sample. Such an upstream is treated as having one slot, as elsewhere.

--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -164,7 +164,7 @@
         let Some(slots) = slots else {
             return Turn::After(self.ended);
         };
-        match self.running.saturating_sub(slots) {
+        match self.running.saturating_sub(slots.max(1)) {
             0 => Turn::Now,
             ahead => Turn::After(self.ended + u64::from(ahead)),
         }
@@ -190,7 +190,7 @@
             Turn::After(ended) if self.ended < ended => return self.count_end(),
             Turn::After(_) => None,
         };
-        let all = slots.filter(|&it| self.running >= it);
+        let all = slots.map(|it| it.max(1)).filter(|&it| self.running >= it);
         let since_ms = self.last_end_ms.filter(|_| all.is_some());
         let between = since_ms.zip(all).map(|(it, slots)| (now_ms - it) * u64::from(slots));
         self.count_end();
--- a/crates/core/tests/opaque/admission.rs
+++ b/crates/core/tests/opaque/admission.rs
@@ -125,6 +125,20 @@
     assert_eq!((agent.waiting(), agent.active_requests()), (0, 3));
 }
 
+// Guards against an upstream without a speed: one that announces no slots is treated as having one.
+#[test]
+fn an_upstream_that_announces_no_slots_has_samples() {
+    let mut agent = Agent::new(identity(1, 1), BEAT_MS, false, 0);
+    let beat = Heartbeat { instance: instance("a"), seq: 1, draining: false, slots: 0, cold_ms: 0 };
+    agent.heartbeat(&beat, 0, &mut Vec::new());
+    for number in 0..30 {
+        let now = u64::from(number) * 200;
+        open_and_request(&mut agent, number, now);
+        answer(&mut agent, number, now + 100);
+    }
+    assert_eq!(agent.next_report(6_000).service_ms, Some(100));
+}
+
 // An upstream with a full queue refuses requests at once. Taken for service times, these answers make it look fast.
 #[test]
 fn refused_requests_are_no_samples_of_the_service_time() {
