--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -188,6 +188,7 @@
         decision_log: DecisionLog::new(now),
         pool_monitor: PoolMonitor::default(),
         started_ms: now,
+        stopping_ms: None,
         gossip_ms: now,
         withdraw_check_ms: now,
         packet_ms: now,
@@ -232,6 +233,8 @@
     decision_log: DecisionLog,
     pool_monitor: PoolMonitor,
     started_ms: u64,
+    /// Time at which the process was told to stop.
+    stopping_ms: Option<u64>,
     gossip_ms: u64,
     withdraw_check_ms: u64,
     packet_ms: u64,
@@ -253,7 +256,6 @@
     ) -> anyhow::Result<()> {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut stopping_ms = None;
         loop {
             tokio::select! {
                 it = self.callers.readable() => {
@@ -265,15 +267,15 @@
                     self.receive_peers();
                 }
                 Some(update) = input.recv() => self.handle_update(update),
-                _ = ticks.tick() => self.tick(stopping_ms.is_some()),
-                () = stop.cancelled(), if stopping_ms.is_none() => {
+                _ = ticks.tick() => self.tick(),
+                () = stop.cancelled(), if self.stopping_ms.is_none() => {
                     let id = Id::Stopping;
                     tracing::info!(id = id as u16, name = id.name(), flows = self.state.flows());
-                    stopping_ms = Some(now_ms());
+                    self.stopping_ms = Some(now_ms());
                     self.ready.set(false);
                 }
             }
-            if stopping_ms.is_some_and(|it| self.is_quiet(it)) {
+            if self.stopping_ms.is_some_and(|it| self.is_quiet(it)) {
                 self.send_hello_to_all(true);
                 let id = Id::Stopped;
                 tracing::info!(id = id as u16, name = id.name());
@@ -304,7 +306,7 @@
         self.newest.send_replace(Arc::new(snapshot));
     }
 
-    fn tick(&mut self, stopping: bool) {
+    fn tick(&mut self) {
         let now = now_ms();
         self.state.tick(now, &mut self.effects);
         self.apply(&[], now);
@@ -326,7 +328,7 @@
         metrics::DEFERRED.set(self.state.deferred() as i64);
         metrics::HELD_BYTES.set(self.state.buffered_bytes() as i64);
         metrics::PEERS.set(self.state.fleet().live_count(now) as i64);
-        if stopping {
+        if self.stopping_ms.is_some() {
             return;
         }
         let ready = self.can_serve(now);
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -102,7 +102,10 @@
             return;
         };
         let change = self.state.handle_report(from, report, now, &mut self.effects);
-        self.state.return_service(from, &self.balancers, &mut self.effects);
+        // The hello that returns it would list this stopping balancer at the agent.
+        if self.stopping_ms.is_none() {
+            self.state.return_service(from, &self.balancers, &mut self.effects);
+        }
         if !matches!(change, ReportChange::None | ReportChange::Old) {
             let id = Id::AgentChanged;
             tracing::info!(
