Startup: only opening packets wait for the zones out of service

Only placement needs the zones. With the zones unknown for seconds, a balancer that knew its routes and members dropped the packets of open flows.

--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -61,8 +61,8 @@
 /// What a packet waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Group {
-    /// The configuration, the zones or the members.
-    State,
+    /// The configuration, the members or, for an opening packet, the zones.
+    State(Class),
     /// Nothing; the packet needs no agent.
     None,
     /// The agents of a pool.
@@ -152,10 +152,11 @@
         self.groups.entry(group).or_default().insert(position, *key);
     }
 
-    /// The oldest flow, if the buffer exceeds a limit.
-    fn excess(&self) -> Option<FlowKey> {
+    /// Removes the packet of the oldest flow if the buffer exceeds a limit.
+    fn remove_excess(&mut self) -> Option<Entry> {
         let full = self.entries.len() > MAX_PACKETS || self.bytes > MAX_BYTES;
-        self.by_age.first_key_value().filter(|_| full).map(|it| *it.1)
+        let key = self.by_age.first_key_value().filter(|_| full).map(|it| *it.1)?;
+        self.remove(&key)
     }
 
     fn expired(&self, now_ms: u64) -> Vec<FlowKey> {
@@ -188,8 +189,10 @@
     balancers: usize,
     /// Time of the first report from each pool.
     first_reports_ms: FxHashMap<PoolId, u64>,
-    /// Whether the configuration, the zones and a member have been known.
-    has_state: bool,
+    /// Whether the configuration and a member have been known.
+    has_members: bool,
+    /// Whether the zones out of service have been known.
+    has_zones: bool,
     /// Groups that don't wait any more.
     ready: FxHashSet<Group>,
     buffer: Buffer,
@@ -206,7 +209,8 @@
             members_ms: None,
             balancers: 1,
             first_reports_ms: FxHashMap::default(),
-            has_state: false,
+            has_members: false,
+            has_zones: false,
             ready: FxHashSet::default(),
             buffer: Buffer::default(),
             openings: 0,
@@ -233,6 +237,11 @@
         self.buffer.bytes
     }
 
+    /// Whether the state that packets of this class need has been known. Only placement needs the zones.
+    fn has_state(&self, class: Class) -> bool {
+        self.has_members && (class == Class::Other || self.has_zones)
+    }
+
     fn is_starting(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.started_ms) < STARTUP_MS
     }
@@ -292,10 +301,11 @@
         if startup.buffer.is_overtaken(head) {
             return true;
         }
-        startup.has_state |= self.has_startup_state(startup);
-        let group = match startup.has_state {
+        self.update_startup_state(startup);
+        let class = Class::new(head);
+        let group = match startup.has_state(class) {
             true => self.startup_group(head),
-            false => Group::State,
+            false => Group::State(class),
         };
         // A flow that was handled before keeps its order of packets.
         if self.flows.contains_key(&head.key) || self.is_group_ready(startup, group, now_ms) {
@@ -304,9 +314,8 @@
         }
         note(head.key, Decision::StartupHeld, out);
         startup.buffer.insert(head, bytes, group, now_ms);
-        while let Some(key) = startup.buffer.excess() {
-            startup.buffer.remove(&key);
-            note_drop(key, self.startup_drop_reason(), out);
+        while let Some(entry) = startup.buffer.remove_excess() {
+            note_drop(entry.head.key, self.startup_drop_reason(entry.position.class), out);
         }
         true
     }
@@ -317,15 +326,14 @@
             return;
         };
         for key in startup.buffer.expired(now_ms) {
-            startup.buffer.remove(&key);
-            self.expire_packet(&mut startup, key, out);
-        }
-        startup.has_state |= self.has_startup_state(&startup);
-        if startup.has_state {
-            self.assign_packets(&mut startup);
-            self.replay_ready(&mut startup, now_ms, out);
+            if let Some(entry) = startup.buffer.remove(&key) {
+                self.expire_packet(&mut startup, &entry, out);
+            }
         }
-        let serves = startup.has_state && !startup.is_starting(now_ms);
+        self.update_startup_state(&mut startup);
+        self.assign_packets(&mut startup);
+        self.replay_ready(&mut startup, now_ms, out);
+        let serves = startup.has_state(Class::Opening) && !startup.is_starting(now_ms);
         if !serves || !startup.buffer.entries.is_empty() {
             self.startup = Some(startup);
             return;
@@ -334,14 +342,17 @@
         out.extend(summary.map(|decision| Effect::LogDecision { key: None, decision }));
     }
 
-    fn expire_packet(&self, startup: &mut Startup, key: FlowKey, out: &mut Vec<Effect>) {
+    fn expire_packet(&self, startup: &mut Startup, entry: &Entry, out: &mut Vec<Effect>) {
+        let key = entry.head.key;
         startup.expired += 1;
         note(key, Decision::StartupExpired, out);
-        note_drop(key, self.startup_drop_reason(), out);
+        note_drop(key, self.startup_drop_reason(entry.position.class), out);
     }
 
     fn assign_packets(&self, startup: &mut Startup) {
-        let waiting = startup.buffer.groups.get(&Group::State).into_iter().flatten();
+        let classes = [Class::Opening, Class::Other].into_iter();
+        let groups = classes.filter(|&it| startup.has_state(it)).map(Group::State);
+        let waiting = groups.filter_map(|it| startup.buffer.groups.get(&it)).flatten();
         let keys: Vec<_> = waiting.take(MAX_ASSIGNED_PER_TICK).map(|it| *it.1).collect();
         for key in keys {
             if let Some(entry) = startup.buffer.entries.get(&key) {
@@ -372,7 +383,7 @@
             cost += self.replay_cost(&entry);
             let key = entry.head.key;
             if entry.expires_ms <= now_ms {
-                self.expire_packet(startup, key, out);
+                self.expire_packet(startup, &entry, out);
                 continue;
             }
             startup.record_replay(&entry, now_ms);
@@ -405,18 +416,20 @@
         slots.div_ceil(startup.balancers).max(1)
     }
 
-    fn has_startup_state(&self, startup: &Startup) -> bool {
+    fn update_startup_state(&self, startup: &mut Startup) {
         let has_member = startup.members_ms.is_some() || !self.fleet.is_empty();
-        self.has_config() && has_member
-    }
-
-    fn has_config(&self) -> bool {
-        self.routes.config_version().is_some() && self.fleet.zones_out().is_some()
+        startup.has_members |= self.routes.config_version().is_some() && has_member;
+        startup.has_zones |= self.fleet.zones_out().is_some();
     }
 
     /// Reason for which the packet would be dropped without the buffer.
-    fn startup_drop_reason(&self) -> DropReason {
-        if self.has_config() { DropReason::NoUpstream } else { DropReason::NoConfig }
+    fn startup_drop_reason(&self, class: Class) -> DropReason {
+        let lacks_zones = class == Class::Opening && self.fleet.zones_out().is_none();
+        if self.routes.config_version().is_none() || lacks_zones {
+            DropReason::NoConfig
+        } else {
+            DropReason::NoUpstream
+        }
     }
 
     fn startup_group(&self, head: &PacketHeader) -> Group {
@@ -429,7 +442,7 @@
 
     fn is_group_ready(&self, startup: &mut Startup, group: Group, now_ms: u64) -> bool {
         let ready = match group {
-            Group::State => false,
+            Group::State(_) => false,
             Group::None => true,
             Group::Pool(pool, class) => {
                 startup.ready.contains(&group) || self.is_pool_ready(startup, pool, class, now_ms)
--- a/crates/core/tests/opaque/startup.rs
+++ b/crates/core/tests/opaque/startup.rs
@@ -157,6 +157,20 @@
     assert_eq!(relays(&it.tick(1_040))[0].0, address(3));
 }
 
+// Guards against packets of open flows that expire while only the zones out of service are unknown.
+#[test]
+fn only_opening_packets_wait_for_the_zones() {
+    let mut it = Starting(Starting::new().0.with_unknown_zones());
+    it.send(data(1, 1, 1), 1_001);
+    it.open(2, 0, 1_001);
+    it.set_state(2, 1_002);
+    it.report(2, 4, 1_003);
+    assert_eq!(it.replay(1_020), [1]);
+    assert_eq!(relays(&it.send(data(3, 1, 1), 1_021)).len(), 2);
+    assert_eq!(decisions(&it.open(4, 0, 1_021)), [Decision::StartupHeld]);
+    assert_eq!(relays(&it.send(data(5, 1, 1), 4_000)).len(), 2);
+}
+
 #[test]
 fn nothing_is_reset_before_the_membership_is_settled() {
     let mut it = Starting::with_state(0, 1_001);
