--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -291,7 +291,7 @@
     }
 
     fn buffer_in(
-        &self,
+        &mut self,
         startup: &mut Startup,
         head: &PacketHeader,
         bytes: &[u8],
@@ -309,7 +309,12 @@
         };
         // A flow that was handled before keeps its order of packets.
         if self.flows.contains_key(&head.key) || self.is_group_ready(startup, group, now_ms) {
-            startup.buffer.remove(&head.key);
+            if let Some(entry) = startup.buffer.remove(&head.key)
+                && entry.position.class == Class::Other
+                && class == Class::Other
+            {
+                self.replay_packet(startup, &entry, now_ms, out);
+            }
             return false;
         }
         note(head.key, Decision::StartupHeld, out);
@@ -381,19 +386,27 @@
                 }
             }
             cost += self.replay_cost(&entry);
-            let key = entry.head.key;
-            if entry.expires_ms <= now_ms {
-                self.expire_packet(startup, &entry, out);
-                continue;
-            }
-            startup.record_replay(&entry, now_ms);
-            note(key, Decision::StartupReplayed, out);
-            let first = out.len();
-            self.dispatch_packet(&entry.head, &entry.packet, now_ms, out);
-            for effect in &mut out[first..] {
-                if let Effect::Relay { payload: payload @ Payload::Current, .. } = effect {
-                    *payload = Payload::Buffered(entry.packet.clone());
-                }
+            self.replay_packet(startup, &entry, now_ms, out);
+        }
+    }
+
+    fn replay_packet(
+        &mut self,
+        startup: &mut Startup,
+        entry: &Entry,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        if entry.expires_ms <= now_ms {
+            return self.expire_packet(startup, entry, out);
+        }
+        startup.record_replay(entry, now_ms);
+        note(entry.head.key, Decision::StartupReplayed, out);
+        let first = out.len();
+        self.dispatch_packet(&entry.head, &entry.packet, now_ms, out);
+        for effect in &mut out[first..] {
+            if let Effect::Relay { payload: payload @ Payload::Current, .. } = effect {
+                *payload = Payload::Buffered(entry.packet.clone());
             }
         }
     }
--- a/crates/core/tests/opaque/startup.rs
+++ b/crates/core/tests/opaque/startup.rs
@@ -171,6 +171,19 @@
     assert_eq!(relays(&it.send(data(5, 1, 1), 4_000)).len(), 2);
 }
 
+// Guards against the loss of a buffered data packet whose successor arrives before its turn in the replay.
+#[test]
+fn buffered_packet_is_handled_before_the_next_one_of_its_flow() {
+    let mut it = Starting::new();
+    it.send(data(1, 1, 1), 1_001);
+    it.set_state(1, 1_002);
+    it.report(1, 4, 1_003);
+    let out = it.send(data(1, 101, 1), 1_004);
+    assert_eq!(decisions(&out).first(), Some(&Decision::StartupReplayed));
+    assert_eq!(it.0.buffered_bytes(), 2 * 400, "both are kept for the search");
+    assert!(it.replay(1_020).is_empty());
+}
+
 #[test]
 fn nothing_is_reset_before_the_membership_is_settled() {
     let mut it = Starting::with_state(0, 1_001);
