Startup: the first report ends the wait like the first member list

With reports but no list, packets waited until the end of the first second. Half of a pool's agents counts only with a list, and packets of flows that may exist still wait 100 ms from the list if there is one.

--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -184,6 +184,8 @@
 pub(super) struct Startup {
     started_ms: u64,
     /// Time of the first member list from the store or a peer.
+    list_ms: Option<u64>,
+    /// Time of the first member list or report.
     members_ms: Option<u64>,
     /// Number of balancers in the largest member list.
     balancers: usize,
@@ -206,6 +208,7 @@
     fn new(started_ms: u64) -> Startup {
         Startup {
             started_ms,
+            list_ms: None,
             members_ms: None,
             balancers: 1,
             first_reports_ms: FxHashMap::default(),
@@ -222,6 +225,7 @@
 
     /// Records a member list from the store or a peer.
     pub(super) fn record_members(&mut self, members: &[MemberEntry], now_ms: u64) {
+        self.list_ms.get_or_insert(now_ms);
         self.members_ms.get_or_insert(now_ms);
         let balancers = members.iter().filter(|it| it.pool.is_none()).count();
         self.balancers = self.balancers.max(balancers);
@@ -229,6 +233,7 @@
 
     /// Records a report of an agent of `pool`.
     pub(super) fn record_report(&mut self, pool: PoolId, now_ms: u64) {
+        self.members_ms.get_or_insert(now_ms);
         self.first_reports_ms.entry(pool).or_insert(now_ms);
     }
 
@@ -481,7 +486,10 @@
         }
         let reported = self.fleet.reported_count(pool);
         // A peer's list may be partial. A search that misses the holder is repeated, a placement is final.
-        let counts = class == Class::Other || self.has_member_list();
+        let counts = match class {
+            Class::Opening => self.has_member_list(),
+            Class::Other => startup.list_ms.is_some(),
+        };
         if counts && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
             return true;
         }
@@ -490,7 +498,11 @@
                 let reported_ms = startup.first_reports_ms.get(&pool).copied().unwrap_or(now_ms);
                 now_ms.saturating_sub(members_ms.max(reported_ms)) >= REPORTS_WAIT_MS
             }
-            Class::Other => now_ms.saturating_sub(members_ms) > MEMBERSHIP_SETTLE_MS,
+            Class::Other => {
+                // Listed agents get as long to report as without earlier reports.
+                let since_ms = startup.list_ms.unwrap_or(members_ms);
+                now_ms.saturating_sub(since_ms) > MEMBERSHIP_SETTLE_MS
+            }
         }
     }
 }
--- a/crates/core/tests/opaque/startup.rs
+++ b/crates/core/tests/opaque/startup.rs
@@ -184,6 +184,18 @@
     assert!(it.replay(1_020).is_empty());
 }
 
+// Guards against packets that wait until the end of the first second if agents report but no member list arrives.
+#[test]
+fn reports_without_a_member_list_end_the_wait() {
+    let mut it = Starting::new();
+    it.0.update_routes(routes(1));
+    it.report(2, 4, 1_010);
+    it.open(1, 0, 1_011);
+    it.send(data(2, 1, 1), 1_011);
+    assert_eq!((it.replay(1_060), it.replay(1_080)), (vec![], vec![1]));
+    assert_eq!((it.replay(1_100), it.replay(1_120)), (vec![], vec![2]));
+}
+
 #[test]
 fn nothing_is_reset_before_the_membership_is_settled() {
     let mut it = Starting::with_state(0, 1_001);
