--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
 };
 
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -164,10 +164,14 @@
         due.take(MAX_EXPIRED_PER_TICK).map(|it| it.1).collect()
     }
 
-    /// Removes the first packet, in replay order, of the given groups.
-    fn take_first(&mut self, groups: &[Group]) -> Option<Entry> {
-        let heads = groups.iter().filter_map(|it| self.groups.get(it)?.first_key_value());
-        let key = *heads.min_by_key(|it| it.0)?.1;
+    /// Position of the first packet of a group.
+    fn first_position(&self, group: Group) -> Option<Position> {
+        self.groups.get(&group)?.first_key_value().map(|it| *it.0)
+    }
+
+    /// Removes the first packet of a group.
+    fn take_first(&mut self, group: Group) -> Option<Entry> {
+        let key = *self.groups.get(&group)?.first_key_value()?.1;
         self.remove(&key)
     }
 
@@ -375,20 +379,29 @@
     fn replay_ready(&mut self, startup: &mut Startup, now_ms: u64, out: &mut Vec<Effect>) {
         let mut groups: Vec<_> = startup.buffer.groups.keys().copied().collect();
         groups.retain(|&it| self.is_group_ready(startup, it, now_ms));
+        // The first packet of each group. There may be hundreds of pools, too many to compare for each packet.
+        let head = |buffer: &Buffer, group| Some(Reverse((buffer.first_position(group)?, group)));
+        let heads = groups.into_iter().filter_map(|it| head(&startup.buffer, it));
+        let mut heads: BinaryHeap<_> = heads.collect();
         let mut openings_left: FxHashMap<Group, usize> = FxHashMap::default();
         let mut cost = 0;
         while cost < REPLAY_BUDGET {
-            let Some(entry) = startup.buffer.take_first(&groups) else {
+            let Some(Reverse((_, group))) = heads.pop() else {
                 return;
             };
-            if let Group::Pool(pool, Class::Opening) = entry.group {
-                let left = openings_left
-                    .entry(entry.group)
+            let Some(entry) = startup.buffer.take_first(group) else {
+                continue;
+            };
+            let mut left = usize::MAX;
+            if let Group::Pool(pool, Class::Opening) = group {
+                let openings_left = openings_left
+                    .entry(group)
                     .or_insert_with(|| self.openings_per_tick(startup, pool, now_ms));
-                *left -= 1;
-                if *left == 0 {
-                    groups.retain(|&it| it != entry.group);
-                }
+                *openings_left -= 1;
+                left = *openings_left;
+            }
+            if left > 0 {
+                heads.extend(head(&startup.buffer, group));
             }
             cost += self.replay_cost(&entry);
             self.replay_packet(startup, &entry, now_ms, out);
