--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
 };
 
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -61,8 +61,8 @@
 /// What a packet waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Group {
-    /// The configuration, the zones or the members.
-    State,
+    /// The configuration, the members or, for an opening packet, the zones.
+    State(Class),
     /// Nothing; the packet needs no agent.
     None,
     /// The agents of a pool.
@@ -152,10 +152,11 @@
         self.groups.entry(group).or_default().insert(position, *key);
     }
 
-    /// The oldest flow, if the buffer exceeds a limit.
-    fn excess(&self) -> Option<FlowKey> {
+    /// Removes the packet of the oldest flow if the buffer exceeds a limit.
+    fn remove_excess(&mut self) -> Option<Entry> {
         let full = self.entries.len() > MAX_PACKETS || self.bytes > MAX_BYTES;
-        self.by_age.first_key_value().filter(|_| full).map(|it| *it.1)
+        let key = self.by_age.first_key_value().filter(|_| full).map(|it| *it.1)?;
+        self.remove(&key)
     }
 
     fn expired(&self, now_ms: u64) -> Vec<FlowKey> {
@@ -163,10 +164,14 @@
         due.take(MAX_EXPIRED_PER_TICK).map(|it| it.1).collect()
     }
 
-    /// Removes the first packet, in replay order, of the given groups.
-    fn take_first(&mut self, groups: &[Group]) -> Option<Entry> {
-        let heads = groups.iter().filter_map(|it| self.groups.get(it)?.first_key_value());
-        let key = *heads.min_by_key(|it| it.0)?.1;
+    /// Position of the first packet of a group.
+    fn first_position(&self, group: Group) -> Option<Position> {
+        self.groups.get(&group)?.first_key_value().map(|it| *it.0)
+    }
+
+    /// Removes the first packet of a group.
+    fn take_first(&mut self, group: Group) -> Option<Entry> {
+        let key = *self.groups.get(&group)?.first_key_value()?.1;
         self.remove(&key)
     }
 
@@ -183,13 +188,17 @@
 pub(super) struct Startup {
     started_ms: u64,
     /// Time of the first member list from the store or a peer.
+    list_ms: Option<u64>,
+    /// Time of the first member list or report.
     members_ms: Option<u64>,
     /// Number of balancers in the largest member list.
     balancers: usize,
     /// Time of the first report from each pool.
     first_reports_ms: FxHashMap<PoolId, u64>,
-    /// Whether the configuration, the zones and a member have been known.
-    has_state: bool,
+    /// Whether the configuration and a member have been known.
+    has_members: bool,
+    /// Whether the zones out of service have been known.
+    has_zones: bool,
     /// Groups that don't wait any more.
     ready: FxHashSet<Group>,
     buffer: Buffer,
@@ -203,10 +212,12 @@
     fn new(started_ms: u64) -> Startup {
         Startup {
             started_ms,
+            list_ms: None,
             members_ms: None,
             balancers: 1,
             first_reports_ms: FxHashMap::default(),
-            has_state: false,
+            has_members: false,
+            has_zones: false,
             ready: FxHashSet::default(),
             buffer: Buffer::default(),
             openings: 0,
@@ -218,6 +229,7 @@
 
     /// Records a member list from the store or a peer.
     pub(super) fn record_members(&mut self, members: &[MemberEntry], now_ms: u64) {
+        self.list_ms.get_or_insert(now_ms);
         self.members_ms.get_or_insert(now_ms);
         let balancers = members.iter().filter(|it| it.pool.is_none()).count();
         self.balancers = self.balancers.max(balancers);
@@ -225,6 +237,7 @@
 
     /// Records a report of an agent of `pool`.
     pub(super) fn record_report(&mut self, pool: PoolId, now_ms: u64) {
+        self.members_ms.get_or_insert(now_ms);
         self.first_reports_ms.entry(pool).or_insert(now_ms);
     }
 
@@ -233,6 +246,11 @@
         self.buffer.bytes
     }
 
+    /// Whether the state that packets of this class need has been known. Only placement needs the zones.
+    fn has_state(&self, class: Class) -> bool {
+        self.has_members && (class == Class::Other || self.has_zones)
+    }
+
     fn is_starting(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.started_ms) < STARTUP_MS
     }
@@ -282,7 +300,7 @@
     }
 
     fn buffer_in(
-        &self,
+        &mut self,
         startup: &mut Startup,
         head: &PacketHeader,
         bytes: &[u8],
@@ -292,21 +310,26 @@
         if startup.buffer.is_overtaken(head) {
             return true;
         }
-        startup.has_state |= self.has_startup_state(startup);
-        let group = match startup.has_state {
+        self.update_startup_state(startup);
+        let class = Class::new(head);
+        let group = match startup.has_state(class) {
             true => self.startup_group(head),
-            false => Group::State,
+            false => Group::State(class),
         };
         // A flow that was handled before keeps its order of packets.
         if self.flows.contains_key(&head.key) || self.is_group_ready(startup, group, now_ms) {
-            startup.buffer.remove(&head.key);
+            if let Some(entry) = startup.buffer.remove(&head.key)
+                && entry.position.class == Class::Other
+                && class == Class::Other
+            {
+                self.replay_packet(startup, &entry, now_ms, out);
+            }
             return false;
         }
         note(head.key, Decision::StartupHeld, out);
         startup.buffer.insert(head, bytes, group, now_ms);
-        while let Some(key) = startup.buffer.excess() {
-            startup.buffer.remove(&key);
-            note_drop(key, self.startup_drop_reason(), out);
+        while let Some(entry) = startup.buffer.remove_excess() {
+            note_drop(entry.head.key, self.startup_drop_reason(entry.position.class), out);
         }
         true
     }
@@ -317,15 +340,14 @@
             return;
         };
         for key in startup.buffer.expired(now_ms) {
-            startup.buffer.remove(&key);
-            self.expire_packet(&mut startup, key, out);
-        }
-        startup.has_state |= self.has_startup_state(&startup);
-        if startup.has_state {
-            self.assign_packets(&mut startup);
-            self.replay_ready(&mut startup, now_ms, out);
+            if let Some(entry) = startup.buffer.remove(&key) {
+                self.expire_packet(&mut startup, &entry, out);
+            }
         }
-        let serves = startup.has_state && !startup.is_starting(now_ms);
+        self.update_startup_state(&mut startup);
+        self.assign_packets(&mut startup);
+        self.replay_ready(&mut startup, now_ms, out);
+        let serves = startup.has_state(Class::Opening) && !startup.is_starting(now_ms);
         if !serves || !startup.buffer.entries.is_empty() {
             self.startup = Some(startup);
             return;
@@ -334,14 +356,17 @@
         out.extend(summary.map(|decision| Effect::LogDecision { key: None, decision }));
     }
 
-    fn expire_packet(&self, startup: &mut Startup, key: FlowKey, out: &mut Vec<Effect>) {
+    fn expire_packet(&self, startup: &mut Startup, entry: &Entry, out: &mut Vec<Effect>) {
+        let key = entry.head.key;
         startup.expired += 1;
         note(key, Decision::StartupExpired, out);
-        note_drop(key, self.startup_drop_reason(), out);
+        note_drop(key, self.startup_drop_reason(entry.position.class), out);
     }
 
     fn assign_packets(&self, startup: &mut Startup) {
-        let waiting = startup.buffer.groups.get(&Group::State).into_iter().flatten();
+        let classes = [Class::Opening, Class::Other].into_iter();
+        let groups = classes.filter(|&it| startup.has_state(it)).map(Group::State);
+        let waiting = groups.filter_map(|it| startup.buffer.groups.get(&it)).flatten();
         let keys: Vec<_> = waiting.take(MAX_ASSIGNED_PER_TICK).map(|it| *it.1).collect();
         for key in keys {
             if let Some(entry) = startup.buffer.entries.get(&key) {
@@ -354,35 +379,52 @@
     fn replay_ready(&mut self, startup: &mut Startup, now_ms: u64, out: &mut Vec<Effect>) {
         let mut groups: Vec<_> = startup.buffer.groups.keys().copied().collect();
         groups.retain(|&it| self.is_group_ready(startup, it, now_ms));
+        // The first packet of each group. There may be hundreds of pools, too many to compare for each packet.
+        let head = |buffer: &Buffer, group| Some(Reverse((buffer.first_position(group)?, group)));
+        let heads = groups.into_iter().filter_map(|it| head(&startup.buffer, it));
+        let mut heads: BinaryHeap<_> = heads.collect();
         let mut openings_left: FxHashMap<Group, usize> = FxHashMap::default();
         let mut cost = 0;
         while cost < REPLAY_BUDGET {
-            let Some(entry) = startup.buffer.take_first(&groups) else {
+            let Some(Reverse((_, group))) = heads.pop() else {
                 return;
             };
-            if let Group::Pool(pool, Class::Opening) = entry.group {
-                let left = openings_left
-                    .entry(entry.group)
+            let Some(entry) = startup.buffer.take_first(group) else {
+                continue;
+            };
+            let mut left = usize::MAX;
+            if let Group::Pool(pool, Class::Opening) = group {
+                let openings_left = openings_left
+                    .entry(group)
                     .or_insert_with(|| self.openings_per_tick(startup, pool, now_ms));
-                *left -= 1;
-                if *left == 0 {
-                    groups.retain(|&it| it != entry.group);
-                }
+                *openings_left -= 1;
+                left = *openings_left;
             }
-            cost += self.replay_cost(&entry);
-            let key = entry.head.key;
-            if entry.expires_ms <= now_ms {
-                self.expire_packet(startup, key, out);
-                continue;
+            if left > 0 {
+                heads.extend(head(&startup.buffer, group));
             }
-            startup.record_replay(&entry, now_ms);
-            note(key, Decision::StartupReplayed, out);
-            let first = out.len();
-            self.dispatch_packet(&entry.head, &entry.packet, now_ms, out);
-            for effect in &mut out[first..] {
-                if let Effect::Relay { payload: payload @ Payload::Current, .. } = effect {
-                    *payload = Payload::Buffered(entry.packet.clone());
-                }
+            cost += self.replay_cost(&entry);
+            self.replay_packet(startup, &entry, now_ms, out);
+        }
+    }
+
+    fn replay_packet(
+        &mut self,
+        startup: &mut Startup,
+        entry: &Entry,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        if entry.expires_ms <= now_ms {
+            return self.expire_packet(startup, entry, out);
+        }
+        startup.record_replay(entry, now_ms);
+        note(entry.head.key, Decision::StartupReplayed, out);
+        let first = out.len();
+        self.dispatch_packet(&entry.head, &entry.packet, now_ms, out);
+        for effect in &mut out[first..] {
+            if let Effect::Relay { payload: payload @ Payload::Current, .. } = effect {
+                *payload = Payload::Buffered(entry.packet.clone());
             }
         }
     }
@@ -405,18 +447,20 @@
         slots.div_ceil(startup.balancers).max(1)
     }
 
-    fn has_startup_state(&self, startup: &Startup) -> bool {
+    fn update_startup_state(&self, startup: &mut Startup) {
         let has_member = startup.members_ms.is_some() || !self.fleet.is_empty();
-        self.has_config() && has_member
-    }
-
-    fn has_config(&self) -> bool {
-        self.routes.config_version().is_some() && self.fleet.zones_out().is_some()
+        startup.has_members |= self.routes.config_version().is_some() && has_member;
+        startup.has_zones |= self.fleet.zones_out().is_some();
     }
 
     /// Reason for which the packet would be dropped without the buffer.
-    fn startup_drop_reason(&self) -> DropReason {
-        if self.has_config() { DropReason::NoUpstream } else { DropReason::NoConfig }
+    fn startup_drop_reason(&self, class: Class) -> DropReason {
+        let lacks_zones = class == Class::Opening && self.fleet.zones_out().is_none();
+        if self.routes.config_version().is_none() || lacks_zones {
+            DropReason::NoConfig
+        } else {
+            DropReason::NoUpstream
+        }
     }
 
     fn startup_group(&self, head: &PacketHeader) -> Group {
@@ -429,7 +473,7 @@
 
     fn is_group_ready(&self, startup: &mut Startup, group: Group, now_ms: u64) -> bool {
         let ready = match group {
-            Group::State => false,
+            Group::State(_) => false,
             Group::None => true,
             Group::Pool(pool, class) => {
                 startup.ready.contains(&group) || self.is_pool_ready(startup, pool, class, now_ms)
@@ -455,7 +499,10 @@
         }
         let reported = self.fleet.reported_count(pool);
         // A peer's list may be partial. A search that misses the holder is repeated, a placement is final.
-        let counts = class == Class::Other || self.has_member_list();
+        let counts = match class {
+            Class::Opening => self.has_member_list(),
+            Class::Other => startup.list_ms.is_some(),
+        };
         if counts && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
             return true;
         }
@@ -464,7 +511,11 @@
                 let reported_ms = startup.first_reports_ms.get(&pool).copied().unwrap_or(now_ms);
                 now_ms.saturating_sub(members_ms.max(reported_ms)) >= REPORTS_WAIT_MS
             }
-            Class::Other => now_ms.saturating_sub(members_ms) > MEMBERSHIP_SETTLE_MS,
+            Class::Other => {
+                // Listed agents get as long to report as without earlier reports.
+                let since_ms = startup.list_ms.unwrap_or(members_ms);
+                now_ms.saturating_sub(since_ms) > MEMBERSHIP_SETTLE_MS
+            }
         }
     }
 }
--- a/crates/core/tests/opaque/startup.rs
+++ b/crates/core/tests/opaque/startup.rs
@@ -157,6 +157,45 @@
     assert_eq!(relays(&it.tick(1_040))[0].0, address(3));
 }
 
+// Guards against packets of open flows that expire while only the zones out of service are unknown.
+#[test]
+fn only_opening_packets_wait_for_the_zones() {
+    let mut it = Starting(Starting::new().0.with_unknown_zones());
+    it.send(data(1, 1, 1), 1_001);
+    it.open(2, 0, 1_001);
+    it.set_state(2, 1_002);
+    it.report(2, 4, 1_003);
+    assert_eq!(it.replay(1_020), [1]);
+    assert_eq!(relays(&it.send(data(3, 1, 1), 1_021)).len(), 2);
+    assert_eq!(decisions(&it.open(4, 0, 1_021)), [Decision::StartupHeld]);
+    assert_eq!(relays(&it.send(data(5, 1, 1), 4_000)).len(), 2);
+}
+
+// Guards against the loss of a buffered data packet whose successor arrives before its turn in the replay.
+#[test]
+fn buffered_packet_is_handled_before_the_next_one_of_its_flow() {
+    let mut it = Starting::new();
+    it.send(data(1, 1, 1), 1_001);
+    it.set_state(1, 1_002);
+    it.report(1, 4, 1_003);
+    let out = it.send(data(1, 101, 1), 1_004);
+    assert_eq!(decisions(&out).first(), Some(&Decision::StartupReplayed));
+    assert_eq!(it.0.buffered_bytes(), 2 * 400, "both are kept for the search");
+    assert!(it.replay(1_020).is_empty());
+}
+
+// Guards against packets that wait until the end of the first second if agents report but no member list arrives.
+#[test]
+fn reports_without_a_member_list_end_the_wait() {
+    let mut it = Starting::new();
+    it.0.update_routes(routes(1));
+    it.report(2, 4, 1_010);
+    it.open(1, 0, 1_011);
+    it.send(data(2, 1, 1), 1_011);
+    assert_eq!((it.replay(1_060), it.replay(1_080)), (vec![], vec![1]));
+    assert_eq!((it.replay(1_100), it.replay(1_120)), (vec![], vec![2]));
+}
+
 #[test]
 fn nothing_is_reset_before_the_membership_is_settled() {
     let mut it = Starting::with_state(0, 1_001);
