Explain: a replay concerns only flows seen before its line, and never explains a served one

The line names the longest wait of all replayed packets, which may be another flow's. The old test expected a flow first seen after the line to be blamed on it; it now checks both sides of the line and the window.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -75,12 +75,12 @@
     let mut cause = Cause::find(&flow_lines, &context);
     // Without a fault, the longest delay explains why the flow was late, or how far it came.
     let is_decisive = |it: &Delay| match cause {
-        Cause::Served { .. } => it.is_long(),
+        Cause::Served { .. } => it.explains_served(),
         Cause::NotLogged => true,
         _ => false,
     };
-    let longest = delays.iter().enumerate().max_by_key(|(_, it)| it.waited_ms());
-    let longest = longest.filter(|(_, it)| is_decisive(it)).map(|(index, _)| index);
+    let decisive = delays.iter().enumerate().filter(|(_, it)| is_decisive(it));
+    let longest = decisive.max_by_key(|(_, it)| it.waited_ms()).map(|(index, _)| index);
     if let Some(index) = longest {
         cause = Cause::Delayed(delays.remove(index));
     }
--- a/crates/cli/src/explain/delay.rs
+++ b/crates/cli/src/explain/delay.rs
@@ -4,8 +4,8 @@
 
 use super::{Line, cause::MIN_QUEUED_MS, event_id};
 
-/// Time around a balancer's line on replayed packets within which a flow's first line there may come from the replay:
-/// the longest time for which packets are buffered.
+/// Time before a balancer's line on replayed packets within which a flow's first line there may come from the replay:
+/// the longest time for which packets are buffered. The line is logged after the replay.
 const REPLAY_WINDOW_MS: u64 = 1_000;
 /// Interval between two lines of an agent on a route beyond its share.
 const SHARE_LINE_INTERVAL_MS: u64 = 1_000;
@@ -82,9 +82,9 @@
         }
     }
 
-    /// Whether the wait is long enough to be noticed by the caller.
-    pub(super) fn is_long(&self) -> bool {
-        self.waited_ms() >= MIN_QUEUED_MS
+    /// Whether the wait explains why a flow that was served was late. A replay's longest wait may be another flow's.
+    pub(super) fn explains_served(&self) -> bool {
+        !matches!(self, Delay::Replayed { .. }) && self.waited_ms() >= MIN_QUEUED_MS
     }
 }
 
@@ -92,7 +92,8 @@
     let replays = context.iter().filter(|it| it.id == event_id::PACKETS_REPLAYED);
     replays.into_iter().find_map(|line| {
         let first = flow_lines.iter().find(|it| it.process == line.process)?;
-        (first.ms.abs_diff(line.ms) <= REPLAY_WINDOW_MS).then(|| Delay::Replayed {
+        let since_ms = line.ms.checked_sub(first.ms)?;
+        (since_ms <= REPLAY_WINDOW_MS).then(|| Delay::Replayed {
             process: line.process.clone(),
             waited_ms: line.number("waited_ms").unwrap_or(0),
             expired: line.number("expired").unwrap_or(0),
