--- a/crates/core/src/opaque/agent/reservations.rs
+++ b/crates/core/src/opaque/agent/reservations.rs
@@ -283,7 +283,7 @@
     pub(super) fn may_offer(&self, now_ms: u64) -> bool {
         self.plan == AgentPlan::Stay
             && self.upstream(now_ms) == UpstreamState::Ready
-            && self.breaker.is_closed()
+            && !self.breaker.is_open()
             && !self.is_cold_and_full(now_ms)
     }
 
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -439,7 +439,7 @@
     }
 
     fn reject_open(&self, key: FlowKey, pool: PoolId, now_ms: u64, out: &mut Vec<Effect>) {
-        if self.is_pool_certain(pool, now_ms) {
+        if self.is_pool_complete(pool, now_ms) {
             let reason = if self.fleet.has_agents_out_of_service(pool) {
                 ResetReason::ZonesOut
             } else {
@@ -498,8 +498,8 @@
         self.relay(agent, RelayAction::Deliver, pool, Payload::Current, out);
     }
 
-    /// Whether an agent of the pool that is not known to accept flows certainly does not.
-    fn is_pool_certain(&self, pool: PoolId, now_ms: u64) -> bool {
+    /// Whether all agents of the pool are known and have reported, so that a missing agent is certain.
+    fn is_pool_complete(&self, pool: PoolId, now_ms: u64) -> bool {
         self.is_membership_settled(now_ms) && self.fleet.is_complete(|it| it == pool, now_ms)
     }
 
--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -14,6 +14,7 @@
         FlowKey, PacketHeader, PacketKind, PoolId,
         effect::{Decision, DropReason, Effect, Payload, note, note_drop},
         fleet::MemberEntry,
+        flow::opening_age_ms,
         route::Lookup,
     },
     Balancer, MEMBERSHIP_SETTLE_MS,
@@ -27,8 +28,6 @@
 const MAX_WAIT_MS: u64 = 1_000;
 /// Time after a caller's first opening packet at which it gives up.
 const CALLER_TIMEOUT_MS: u64 = 1_400;
-/// Times after the first opening packet at which its copies are sent.
-const COPY_DELAYS_MS: [u64; 3] = [0, 200, 600];
 /// Time from the start of the balancer within which packets wait for agents to report.
 const STARTUP_MS: u64 = 1_000;
 /// Longest wait, from the first report of an agent of the pool, for the reports of half of its agents.
@@ -46,15 +45,15 @@
 const MAX_EXPIRED_PER_TICK: usize = 1_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Class {
+enum PacketClass {
     Opening,
     /// A packet of a flow that may exist.
     Other,
 }
 
-impl Class {
-    fn new(head: &PacketHeader) -> Class {
-        if head.kind == PacketKind::Open { Class::Opening } else { Class::Other }
+impl PacketClass {
+    fn new(head: &PacketHeader) -> PacketClass {
+        if head.kind == PacketKind::Open { PacketClass::Opening } else { PacketClass::Other }
     }
 }
 
@@ -62,17 +61,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Group {
     /// The configuration, the members or, for an opening packet, the zones.
-    State(Class),
+    State(PacketClass),
     /// Nothing; the packet needs no agent.
     None,
     /// The agents of a pool.
-    Pool(PoolId, Class),
+    Pool(PoolId, PacketClass),
 }
 
 /// Position in the replay: opening packets first, then the newest, which have the most time left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
-    class: Class,
+    class: PacketClass,
     /// Time at which the packet, or the first copy of an opening packet, was sent.
     sent_ms: Reverse<u64>,
     seq: Reverse<u64>,
@@ -108,11 +107,10 @@
         let seq = self.next_seq;
         self.next_seq += 1;
         let since = self.remove(&key).map_or((now_ms, seq), |it| it.since);
-        let class = Class::new(head);
+        let class = PacketClass::new(head);
         let (mut sent_ms, mut expires_ms) = (now_ms, now_ms + MAX_WAIT_MS);
-        if class == Class::Opening {
-            let copies = (head.ack as usize).min(COPY_DELAYS_MS.len() - 1);
-            sent_ms = now_ms.saturating_sub(COPY_DELAYS_MS[copies]);
+        if class == PacketClass::Opening {
+            sent_ms = now_ms.saturating_sub(opening_age_ms(head.ack));
             expires_ms = expires_ms.min(sent_ms + CALLER_TIMEOUT_MS);
         }
         let position = Position { class, sent_ms: Reverse(sent_ms), seq: Reverse(seq) };
@@ -179,7 +177,7 @@
     fn is_overtaken(&self, head: &PacketHeader) -> bool {
         head.kind == PacketKind::Open
             && head.ack > 0
-            && self.entries.get(&head.key).is_some_and(|it| it.position.class == Class::Other)
+            && self.entries.get(&head.key).is_some_and(|it| it.position.class == PacketClass::Other)
     }
 }
 
@@ -247,8 +245,8 @@
     }
 
     /// Whether the state that packets of this class need has been known. Only placement needs the zones.
-    fn has_state(&self, class: Class) -> bool {
-        self.has_members && (class == Class::Other || self.has_zones)
+    fn has_state(&self, class: PacketClass) -> bool {
+        self.has_members && (class == PacketClass::Other || self.has_zones)
     }
 
     fn is_starting(&self, now_ms: u64) -> bool {
@@ -257,8 +255,8 @@
 
     fn record_replay(&mut self, entry: &Entry, now_ms: u64) {
         match entry.position.class {
-            Class::Opening => self.openings += 1,
-            Class::Other => self.others += 1,
+            PacketClass::Opening => self.openings += 1,
+            PacketClass::Other => self.others += 1,
         }
         let waited_ms = now_ms.saturating_sub(entry.arrived_ms);
         self.longest_wait_ms = self.longest_wait_ms.max(waited_ms);
@@ -311,7 +309,7 @@
             return true;
         }
         self.update_startup_state(startup);
-        let class = Class::new(head);
+        let class = PacketClass::new(head);
         let group = match startup.has_state(class) {
             true => self.startup_group(head),
             false => Group::State(class),
@@ -319,8 +317,8 @@
         // A flow that was handled before keeps its order of packets.
         if self.flows.contains_key(&head.key) || self.is_group_ready(startup, group, now_ms) {
             if let Some(entry) = startup.buffer.remove(&head.key)
-                && entry.position.class == Class::Other
-                && class == Class::Other
+                && entry.position.class == PacketClass::Other
+                && class == PacketClass::Other
             {
                 self.replay_packet(startup, &entry, now_ms, out);
             }
@@ -347,7 +345,7 @@
         self.update_startup_state(&mut startup);
         self.assign_packets(&mut startup);
         self.replay_ready(&mut startup, now_ms, out);
-        let serves = startup.has_state(Class::Opening) && !startup.is_starting(now_ms);
+        let serves = startup.has_state(PacketClass::Opening) && !startup.is_starting(now_ms);
         if !serves || !startup.buffer.entries.is_empty() {
             self.startup = Some(startup);
             return;
@@ -364,7 +362,7 @@
     }
 
     fn assign_packets(&self, startup: &mut Startup) {
-        let classes = [Class::Opening, Class::Other].into_iter();
+        let classes = [PacketClass::Opening, PacketClass::Other].into_iter();
         let groups = classes.filter(|&it| startup.has_state(it)).map(Group::State);
         let waiting = groups.filter_map(|it| startup.buffer.groups.get(&it)).flatten();
         let keys: Vec<_> = waiting.take(MAX_ASSIGNED_PER_TICK).map(|it| *it.1).collect();
@@ -393,7 +391,7 @@
                 continue;
             };
             let mut left = usize::MAX;
-            if let Group::Pool(pool, Class::Opening) = group {
+            if let Group::Pool(pool, PacketClass::Opening) = group {
                 let openings_left = openings_left
                     .entry(group)
                     .or_insert_with(|| self.openings_per_tick(startup, pool, now_ms));
@@ -434,8 +432,8 @@
             return OPENING_COST;
         };
         let cost = match class {
-            Class::Opening => OPENING_COST,
-            Class::Other => OTHER_COST,
+            PacketClass::Opening => OPENING_COST,
+            PacketClass::Other => OTHER_COST,
         };
         cost + self.fleet.agent_count(pool) / AGENTS_PER_COST
     }
@@ -454,8 +452,8 @@
     }
 
     /// Reason for which the packet would be dropped without the buffer.
-    fn startup_drop_reason(&self, class: Class) -> DropReason {
-        let lacks_zones = class == Class::Opening && self.fleet.zones_out().is_none();
+    fn startup_drop_reason(&self, class: PacketClass) -> DropReason {
+        let lacks_zones = class == PacketClass::Opening && self.fleet.zones_out().is_none();
         if self.routes.config_version().is_none() || lacks_zones {
             DropReason::NoConfig
         } else {
@@ -468,7 +466,7 @@
             return Group::None;
         };
         let pool = route.select_pool(head.key.hash());
-        pool.map_or(Group::None, |it| Group::Pool(it, Class::new(head)))
+        pool.map_or(Group::None, |it| Group::Pool(it, PacketClass::new(head)))
     }
 
     fn is_group_ready(&self, startup: &mut Startup, group: Group, now_ms: u64) -> bool {
@@ -486,32 +484,38 @@
     }
 
     /// Whether packets for a pool don't wait any more for its agents.
-    fn is_pool_ready(&self, startup: &Startup, pool: PoolId, class: Class, now_ms: u64) -> bool {
+    fn is_pool_ready(
+        &self,
+        startup: &Startup,
+        pool: PoolId,
+        class: PacketClass,
+        now_ms: u64,
+    ) -> bool {
         if !startup.is_starting(now_ms) {
             return true;
         }
         let Some(members_ms) = startup.members_ms else {
             return false;
         };
-        if class == Class::Opening && !self.fleet.has_eligible_agent(pool, now_ms) {
+        if class == PacketClass::Opening && !self.fleet.has_eligible_agent(pool, now_ms) {
             // It is reset, or waits where it would be dropped.
-            return self.is_pool_certain(pool, now_ms);
+            return self.is_pool_complete(pool, now_ms);
         }
         let reported = self.fleet.reported_count(pool);
         // A peer's list may be partial. A search that misses the holder is repeated, a placement is final.
         let counts = match class {
-            Class::Opening => self.has_member_list(),
-            Class::Other => startup.list_ms.is_some(),
+            PacketClass::Opening => self.has_member_list(),
+            PacketClass::Other => startup.list_ms.is_some(),
         };
         if counts && reported > 0 && reported * 2 >= self.fleet.agent_count(pool) {
             return true;
         }
         match class {
-            Class::Opening => {
+            PacketClass::Opening => {
                 let reported_ms = startup.first_reports_ms.get(&pool).copied().unwrap_or(now_ms);
                 now_ms.saturating_sub(members_ms.max(reported_ms)) >= REPORTS_WAIT_MS
             }
-            Class::Other => {
+            PacketClass::Other => {
                 // Listed agents get as long to report as without earlier reports.
                 let since_ms = startup.list_ms.unwrap_or(members_ms);
                 now_ms.saturating_sub(since_ms) > MEMBERSHIP_SETTLE_MS
--- a/crates/core/src/opaque/breaker.rs
+++ b/crates/core/src/opaque/breaker.rs
@@ -83,11 +83,6 @@
         !self.open || now_ms >= due_ms
     }
 
-    /// Whether the breaker is closed.
-    pub(super) fn is_closed(&self) -> bool {
-        !self.open
-    }
-
     /// Records an accepted flow. While the breaker is open it is a trial, and the delay to the next one doubles.
     pub(super) fn record_accepted(&mut self, now_ms: u64) {
         if !self.open {
