--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -459,6 +459,9 @@
         out: &mut Vec<Effect>,
     ) {
         let key = head.key;
+        if head.kind == PacketKind::Reset {
+            self.deferred.remove_reset(head);
+        }
         let (pool, dropped) = match self.routes.lookup(key.service) {
             Lookup::NoConfig => return note_drop(key, DropReason::NoConfig, out),
             Lookup::None => return note_drop(key, DropReason::NoRoute, out),
--- a/crates/core/src/opaque/balancer/deferred.rs
+++ b/crates/core/src/opaque/balancer/deferred.rs
@@ -21,7 +21,7 @@
             push_reset,
         },
         fleet::Candidates,
-        flow::opening_age_ms,
+        flow::{opening_age_ms, seq_after},
         ranked_queue::{Rank, RankedQueue, Terms},
         route::Lookup,
         route_share::RouteShares,
@@ -175,6 +175,15 @@
         Some(opening)
     }
 
+    /// Removes the opening packet of a flow that its caller resets. A reset from before the opening packet belongs to an
+    /// earlier flow with the same key.
+    pub(super) fn remove_reset(&mut self, reset: &PacketHeader) {
+        let opening = self.openings.get(&reset.key);
+        if opening.is_some_and(|it| !seq_after(it.head.seq, reset.seq)) {
+            self.remove(&reset.key);
+        }
+    }
+
     fn services(&self, pool: PoolId) -> Vec<SocketAddrV4> {
         let services = self.pools.get(&pool).into_iter().flat_map(|it| it.services.keys());
         services.copied().collect()
--- a/crates/core/tests/opaque/late_binding.rs
+++ b/crates/core/tests/opaque/late_binding.rs
@@ -138,6 +138,19 @@
     assert!(offer(&mut it, 2, 240).contains(&decline(2)));
 }
 
+// Guards against a slot that is used for a flow whose caller has given up.
+#[test]
+fn a_reset_removes_the_deferred_opening() {
+    let mut it = full_balancer();
+    send(&mut it, 1, 0, 10);
+    for (seq, deferred) in [(head(1, PacketKind::Open).seq.wrapping_sub(1), 1), (1, 0)] {
+        let reset = PacketHeader { seq, ..head(1, PacketKind::Reset) };
+        it.handle_packet(&reset, &[0; 40], 20, &mut Vec::new());
+        assert_eq!(it.deferred(), deferred);
+    }
+    assert!(bound(&offer(&mut it, 4, 30)).is_empty());
+}
+
 #[test]
 fn openings_that_can_be_in_time_go_first_and_late_ones_newest_first() {
     let mut it = full_balancer();
