--- a/crates/core/src/opaque/admission.rs
+++ b/crates/core/src/opaque/admission.rs
@@ -153,7 +153,7 @@
         !self.is_pool_full(now_ms) || self.waiting.is_empty() && self.has_room(slots)
     }
 
-    pub(super) fn is_pool_full(&self, now_ms: u64) -> bool {
+    fn is_pool_full(&self, now_ms: u64) -> bool {
         let fresh = now_ms.saturating_sub(self.pool_load_received_ms) <= POOL_LOAD_TTL_MS;
         fresh && self.full_share >= POOL_FULL_SHARE
     }
--- a/crates/core/src/opaque/agent/opening.rs
+++ b/crates/core/src/opaque/agent/opening.rs
@@ -10,7 +10,7 @@
         },
         fleet::{AgentPlan, UpstreamState},
         flow::opening_age_ms,
-        load::{FlowUsage, effective_slots, full_pool_speed},
+        load::{FlowUsage, effective_slots},
     },
     Agent, answer,
     flows::Phase,
@@ -201,9 +201,7 @@
 
     fn effective_slots(&self, now_ms: u64) -> f64 {
         let (slots, cold) = self.upstream_tracker.capacity(now_ms);
-        let speed = self.admission.rate().speed(!self.breaker.is_open());
-        let full = self.admission.is_pool_full(now_ms);
-        effective_slots(slots, cold, speed.map(|it| if full { full_pool_speed(it) } else { it }))
+        effective_slots(slots, cold, self.admission.rate().speed(!self.breaker.is_open()))
     }
 
     /// Speed of the upstream by which new flows are placed; 1.0 is the pool's mean.
--- a/crates/core/src/opaque/load.rs
+++ b/crates/core/src/opaque/load.rs
@@ -19,8 +19,6 @@
 const LOAD_PER_FLOW: f64 = 0.15;
 /// Lowest relative speed, so that a slow upstream still gets some requests and its recovery shows.
 const MIN_SPEED: f64 = 0.125;
-/// Ratio of the service time to the pool's mean above which an upstream in a full pool counts as slow.
-const SLOW_RATIO: f64 = 1.5;
 /// Highest relative speed, so that a wrong estimate attracts a limited share.
 const MAX_SPEED: f64 = 2.0;
 /// Highest load reported, in thousandths of the slots.
@@ -61,12 +59,6 @@
     }
 }
 
-/// Speed by which an upstream in a full pool is scaled: only clearly slow ones are. Waits in proportion to the speeds would
-/// make all requests equally late in an overload, while fast upstreams with short queues serve a part of them in time.
-pub fn full_pool_speed(speed: f64) -> f64 {
-    if speed * SLOW_RATIO < 1.0 { speed } else { 1.0 }
-}
-
 /// Slots of an upstream scaled by its speed relative to the pool, if known: with five times the pool's service time it
 /// has a fifth of its slots.
 pub fn effective_slots(slots: u32, cold: bool, speed: Option<f64>) -> f64 {
