--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -78,6 +78,8 @@
     load: Load,
     flow_usage: FlowUsageTracker,
     admission: Admission,
+    /// Whether requests beyond the usual share of their route wait behind the others.
+    route_shares: bool,
     breaker: Breaker,
     warmup: WarmupLimiter,
     /// The full state changed since it was last reported.
@@ -105,6 +107,7 @@
             load: Load::default(),
             flow_usage: FlowUsageTracker::default(),
             admission: Admission::default(),
+            route_shares: false,
             breaker: Breaker::default(),
             warmup: WarmupLimiter::default(),
             full_report_pending: false,
@@ -116,6 +119,11 @@
         }
     }
 
+    /// Sets whether requests beyond the usual share of their route wait behind the others. They are counted in any case.
+    pub fn with_route_shares(self, route_shares: bool) -> Agent {
+        Agent { route_shares, ..self }
+    }
+
     /// Requests in progress, including those that wait at the agent.
     pub fn active_requests(&self) -> u32 {
         self.load.busy()
--- a/crates/core/src/opaque/agent/requests.rs
+++ b/crates/core/src/opaque/agent/requests.rs
@@ -92,7 +92,7 @@
             return out.push(Effect::Deliver);
         }
         let service = head.key.service;
-        let beyond_share = self.admission.is_beyond_share(service, now_ms);
+        let beyond_share = self.admission.is_beyond_share(service, now_ms) && self.route_shares;
         let slots = self.upstream_tracker.slots();
         let offered =
             self.admission.reservations.begin(&head.key, now_ms) && self.admission.has_room(slots);
--- a/crates/core/tests/opaque/admission.rs
+++ b/crates/core/tests/opaque/admission.rs
@@ -406,7 +406,7 @@
 
 /// An agent with a history of 30 s of requests at 20 per second on each route, all answered.
 fn agent_with_history() -> Agent {
-    let mut agent = ready_agent();
+    let mut agent = ready_agent().with_route_shares(true);
     for at in 0..600 {
         for number in [2 * at + 1_000, 2 * at + 1_001] {
             open_and_request(&mut agent, number, u64::from(at) * 50);
--- a/crates/core/tests/opaque/route_share.rs
+++ b/crates/core/tests/opaque/route_share.rs
@@ -30,7 +30,7 @@
 /// Shares of the steady route's requests that are in time, in the last 4 s before a burst of 5 s on the other route and
 /// in it. Loads are fractions of the capacity.
 fn burst(steady: f64, other: f64, seed: u64) -> [f64; 2] {
-    let mut world = World::new(PARAMS, seed);
+    let mut world = World::with_route_shares(PARAMS, seed);
     world.set_route(service(), STEADY, PARAMS.work_ms);
     world.set_route(single_service(), BURSTY, PARAMS.work_ms);
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/crates/core/tests/opaque/world.rs
+++ b/crates/core/tests/opaque/world.rs
@@ -190,20 +190,26 @@
     /// Service times that balancers returned to agents.
     pub(crate) returned: usize,
     late_binding: bool,
+    route_shares: bool,
     pub(crate) tally: Tally,
 }
 
 impl World {
     pub(crate) fn new(params: SimulationParams, seed: u64) -> World {
-        World::start(params, seed, false)
+        World::start(params, seed, false, false)
+    }
+
+    /// A simulation whose agents order requests by the shares of their routes.
+    pub(crate) fn with_route_shares(params: SimulationParams, seed: u64) -> World {
+        World::start(params, seed, false, true)
     }
 
     /// A simulation whose balancers defer opening packets for full pools.
     pub(crate) fn with_late_binding(params: SimulationParams, seed: u64) -> World {
-        World::start(params, seed, true)
+        World::start(params, seed, true, true)
     }
 
-    fn start(params: SimulationParams, seed: u64, late_binding: bool) -> World {
+    fn start(params: SimulationParams, seed: u64, late_binding: bool, route_shares: bool) -> World {
         let mut world = World {
             params,
             now: 1_000,
@@ -222,6 +228,7 @@
             tail: (0.0, 1.0),
             returned: 0,
             late_binding,
+            route_shares,
             tally: Tally::default(),
         };
         for host in 1..=params.agents {
@@ -293,13 +300,15 @@
         let zone = ZoneId(self.zone_of(host));
         let incarnation = self.rng.random();
         let balancers: Vec<_> = self.balancers.keys().map(|&it| address(it)).collect();
+        let route_shares = self.route_shares;
         let Some(it) = self.hosts.get_mut(&host) else {
             return;
         };
         let learning = it.upstream.is_some();
         let now = self.now;
         let own = Identity { address: address(host), pool: POOL, zone, incarnation };
-        it.agent = Some(Agent::new(own, BEAT_MS, learning, now));
+        let agent = Agent::new(own, BEAT_MS, learning, now);
+        it.agent = Some(agent.with_route_shares(route_shares));
         it.balancers = balancers.into_iter().collect();
         self.report(host);
     }
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -71,6 +71,8 @@
     pub first_start: bool,
     /// Balancers to request the state from while the store is unavailable.
     pub seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    /// Whether requests beyond the usual share of their route wait behind the others.
+    pub route_shares: bool,
 }
 
 /// A message of the upstream, with a channel for its result.
@@ -145,7 +147,8 @@
         zone: ZoneId::of(&own.zone),
         incarnation: rand::random(),
     };
-    let state = Agent::new(identity, settings.heartbeat.as_millis() as u64, learning, now);
+    let state = Agent::new(identity, settings.heartbeat.as_millis() as u64, learning, now)
+        .with_route_shares(settings.route_shares);
     let mut process = Process {
         state,
         codec,
