--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -207,6 +207,7 @@
             return;
         };
         self.record.say(format!("{} {} gets SIGTERM", self.role.as_str(), self.host));
+        self.end_bootstrap();
         // SAFETY: signals a child process that has not been waited for.
         unsafe { kill(it.id() as i32, SIGTERM) };
         let until = Instant::now() + GRACE;
@@ -221,6 +222,15 @@
         let _ = it.wait();
     }
 
+    /// From now on the settings say that the system does not start for the first time.
+    fn end_bootstrap(&self) {
+        let text = fs::read_to_string(&self.settings).unwrap_or_default();
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        if let Err(e) = fs::write(&self.settings, text) {
+            self.record.say(format!("the settings of {} can't be written: {e}", self.host));
+        }
+    }
+
     /// Whether the process runs.
     pub fn is_running(&self) -> bool {
         let mut child = self.child.lock().unwrap();
