--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -199,7 +199,11 @@
         judged.len(),
         by_target(&new)
     ));
-    agents[AGENTS.len()].quote_log(&["opaque-upstream-looked-for", "opaque-store-lost", "opaque-announced"]);
+    agents[AGENTS.len()].quote_log(&[
+        "opaque-upstream-looked-for",
+        "opaque-store-lost",
+        "opaque-announced",
+    ]);
     balancers.iter().for_each(|it| it.quote_log(&["opaque-members-listed"]));
     let all_run = balancers.iter().chain(&agents).all(Process::is_running);
     targets.values().for_each(Target::end);
@@ -246,13 +250,17 @@
         record.say("the links of the target on machine 23 are cut");
     }
     let id = "i-23-first".to_owned();
-    let first =
-        Target::start(&site, Boot { id, host: 23, first_beat_delay: delay, link: link.clone() }, record)?;
+    let first = Target::start(
+        &site,
+        Boot { id, host: 23, first_beat_delay: delay, link: link.clone() },
+        record,
+    )?;
     at(1.5);
     first.crash();
     at(2.0);
     let (id, first_beat_delay) = ("i-23-second".to_owned(), Duration::ZERO);
-    let second = Target::start(&site, Boot { id, host: 23, first_beat_delay, link: link.clone() }, record)?;
+    let second =
+        Target::start(&site, Boot { id, host: 23, first_beat_delay, link: link.clone() }, record)?;
     let new = second.id.clone();
     targets.insert(new.clone(), second);
     at(CUT_S);
@@ -334,7 +342,10 @@
     store.put("config", "main", &config_of(12, ""));
     record.say("operator: version 12 is acknowledged: another time-out, the same routes");
     seconds(0.4);
-    record.say(format!("calls that wait for a change of the configuration: {}", store.watches("config")));
+    record.say(format!(
+        "calls that wait for a change of the configuration: {}",
+        store.watches("config")
+    ));
     let silent = record.now();
     if trouble {
         store.silence_open_channels();
@@ -347,7 +358,8 @@
     );
     store.put("config", "main", &config_of(19, &further));
     let acked = record.now();
-    record.say(format!("operator: version 19 is acknowledged: it adds the route {}", added_route()));
+    record
+        .say(format!("operator: version 19 is acknowledged: it adds the route {}", added_route()));
     let due = (acked + CONFIG_APPLY_S).max(silent + STABLE_WINDOW_S);
     record.line(format!("requests sent after {due:.3} are judged"));
     let attempts = probe(&site, 31, added_route(), &router, record, acked + 12.0)?;
@@ -358,10 +370,8 @@
     };
     let opened = attempts.iter().filter(|it| it.outcome == Some(Outcome::Opened));
     let first_opened = opened.clone().map(|it| it.sent - acked).fold(f64::INFINITY, f64::min);
-    let judged: Vec<_> = attempts
-        .iter()
-        .filter(|it| it.sent > due && it.outcome == Some(Outcome::Reset))
-        .collect();
+    let judged: Vec<_> =
+        attempts.iter().filter(|it| it.sent > due && it.outcome == Some(Outcome::Reset)).collect();
     for it in &judged {
         record.line(format!("CONFIG: {it:?}"));
     }
@@ -375,7 +385,10 @@
         refused(0.0),
         judged.len()
     ));
-    processes.iter().take(4).for_each(|it| it.quote_log(&["opaque-config-in-force", "opaque-store"]));
+    processes
+        .iter()
+        .take(4)
+        .for_each(|it| it.quote_log(&["opaque-config-in-force", "opaque-store"]));
     let all_run = processes.iter().all(Process::is_running);
     targets.iter().for_each(Target::end);
     if !all_run {
@@ -441,8 +454,14 @@
     seconds(if trouble { 4.0 } else { 6.0 });
     let names = store.names("camphorwinch-members");
     let fronts = names.iter().filter(|it| it.starts_with("front")).count();
-    record.say(format!("entries of front daemons in the store: {fronts}; running: {}", BALANCERS.len()));
-    record.say(format!("calls that wait for a change of the configuration: {}", store.watches("config")));
+    record.say(format!(
+        "entries of front daemons in the store: {fronts}; running: {}",
+        BALANCERS.len()
+    ));
+    record.say(format!(
+        "calls that wait for a change of the configuration: {}",
+        store.watches("config")
+    ));
 
     let mut late = 0;
     let mut further = String::new();
@@ -456,7 +475,10 @@
         );
         store.put("config", "main", &config_of(7 + change * 5, &further));
         let acked = record.now();
-        record.say(format!("operator: version {} is acknowledged: it adds the route {added}", 7 + change * 5));
+        record.say(format!(
+            "operator: version {} is acknowledged: it adds the route {added}",
+            7 + change * 5
+        ));
         seconds(CONFIG_APPLY_S - 0.2);
         let attempts = probe(&site, 31, added, &router, record, acked + 4.0)?;
         let due = acked + CONFIG_APPLY_S;
@@ -469,7 +491,10 @@
         late += usize::from(reset > 0);
     }
     record.say(format!("changes that were not in force in time: {late} of {CHANGES}"));
-    processes.iter().take(3).for_each(|it| it.quote_log(&["opaque-config-in-force", "opaque-member-withdrawn"]));
+    processes
+        .iter()
+        .take(3)
+        .for_each(|it| it.quote_log(&["opaque-config-in-force", "opaque-member-withdrawn"]));
     let all_run = processes.iter().all(Process::is_running);
     targets.iter().for_each(Target::end);
     if !all_run {
--- a/review/standin/consumer.rs
+++ b/review/standin/consumer.rs
@@ -278,7 +278,11 @@
                 flow.their_next = packet.seq.wrapping_add(1);
                 flow.opened = true;
                 flow.phase = Phase::Idle { until: Instant::now() };
-                send(socket, router, Packet::new(ACK, flow.from, route, flow.next, flow.their_next));
+                send(
+                    socket,
+                    router,
+                    Packet::new(ACK, flow.from, route, flow.next, flow.their_next),
+                );
             }
             return;
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -69,7 +69,13 @@
 }
 
 /// Sends a request; returns the status of the response, if one arrives within `limit`.
-pub fn call(to: SocketAddrV4, method: &str, path: &str, body: &str, limit: Duration) -> Option<u16> {
+pub fn call(
+    to: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&to.into(), limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     let head = format!(
--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -44,7 +44,8 @@
             let port = 20_000 + (pick % 10_000) as u16;
             let folder = std::env::temp_dir().join(format!("camphorwinch-review-{pid}-{attempt}"));
             let site = Site { net, port, folder };
-            if (1..=machines).all(|it| site.is_free(it)) && fs::create_dir_all(&site.folder).is_ok() {
+            if (1..=machines).all(|it| site.is_free(it)) && fs::create_dir_all(&site.folder).is_ok()
+            {
                 return Ok(site);
             }
         }
@@ -54,9 +55,9 @@
     fn is_free(&self, host: u16) -> bool {
         let ip = self.ip(host);
         let ports = (0..10).map(|it| self.port + it).chain([METRICS_PORT]);
-        ports.into_iter().all(|it| {
-            TcpListener::bind((ip, it)).is_ok() && UdpSocket::bind((ip, it)).is_ok()
-        })
+        ports
+            .into_iter()
+            .all(|it| TcpListener::bind((ip, it)).is_ok() && UdpSocket::bind((ip, it)).is_ok())
     }
 
     pub fn ip(&self, host: u16) -> Ipv4Addr {
--- a/review/standin/packet.rs
+++ b/review/standin/packet.rs
@@ -102,8 +102,9 @@
     pub fn decode(bytes: &[u8]) -> Option<Packet> {
         let data = bytes.get(HEAD..)?.to_vec();
         let u16_at = |at: usize| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
-        let u32_at =
-            |at: usize| u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let u32_at = |at: usize| {
+            u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+        };
         if usize::from(u16_at(6)) != data.len() {
             return None;
         }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -53,7 +53,8 @@
 impl Store {
     pub fn start(address: SocketAddrV4, record: Record) -> Result<Store, String> {
         let listener = TcpListener::bind(address).map_err(|e| format!("store: {e}"))?;
-        let shared = Arc::new((Mutex::new(State { revision: 1, ..State::default() }), Condvar::new()));
+        let shared =
+            Arc::new((Mutex::new(State { revision: 1, ..State::default() }), Condvar::new()));
         let store = Store { shared, record };
         let it = store.clone();
         thread::spawn(move || {
@@ -123,7 +124,8 @@
         let spec = json::field(&request.body, "spec").unwrap_or_default();
         let call = format!("{} {kind}/{name} revision {condition:?}", request.method);
         if let Some(delay) = self.take_loss(&request.method, &name) {
-            self.record.say(format!("store: {call}: no answer, done {} s later", delay.as_secs_f64()));
+            self.record
+                .say(format!("store: {call}: no answer, done {} s later", delay.as_secs_f64()));
             thread::sleep(delay);
             let (status, _) = self.write(&request.method, kind, &name, condition, &spec, false);
             self.record.say(format!("store: late {call}: done with result {status}"));
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -151,7 +151,8 @@
             });
             return vec![back(SYN | ACK, flow.first, flow.their_next).sealed()];
         }
-        let bounced = || vec![Packet { flags: packet.flags | BOUNCED, pad: 0, ..packet.clone() }.encode()];
+        let bounced =
+            || vec![Packet { flags: packet.flags | BOUNCED, pad: 0, ..packet.clone() }.encode()];
         let Some(flow) = flows.get_mut(&key) else {
             return bounced();
         };
@@ -195,7 +196,8 @@
 
     /// First sequence number of this boot for a flow.
     fn next_seq(&self, key: &Key, seq: u32) -> u32 {
-        let id: u32 = self.id.bytes().fold(7, |sum, it| sum.wrapping_mul(31).wrapping_add(it.into()));
+        let id: u32 =
+            self.id.bytes().fold(7, |sum, it| sum.wrapping_mul(31).wrapping_add(it.into()));
         seq.wrapping_mul(2_654_435_761) ^ id.wrapping_mul(40_503) ^ u32::from(key.0.port()) << 16
     }
 
@@ -213,7 +215,8 @@
             let path = format!("/-/Targets.Heartbeat/{}", self.id);
             if seq == 1 && !boot.first_beat_delay.is_zero() {
                 // The bytes are on their way: they arrive whether or not the sender still runs.
-                let (record, id, delay) = (self.record.clone(), self.id.clone(), boot.first_beat_delay);
+                let (record, id, delay) =
+                    (self.record.clone(), self.id.clone(), boot.first_beat_delay);
                 record.say(format!("target {id}: heartbeat 1 is held up"));
                 thread::spawn(move || {
                     thread::sleep(delay);
@@ -224,7 +227,8 @@
                 let status = http::call(control, "POST", &path, &body, Duration::from_secs(1));
                 if sent < 2 || draining || status != Some(200) {
                     sent += 1;
-                    self.record.line(format!("target {}: heartbeat {seq} ({state}): {status:?}", self.id));
+                    self.record
+                        .line(format!("target {}: heartbeat {seq} ({state}): {status:?}", self.id));
                 }
             }
             thread::sleep(HEARTBEAT);
