Members: no call that was sent before a registration has an effect after it

Cause: an agent that starts before its upstream withdraws the entry of an earlier run. The withdrawal had no condition, its answer was lost, and the store executed it seconds later, after the agent had registered. Nobody noticed: restarted balancers read a list without the agent, searched for its flows elsewhere and reset them. Withdrawals with a condition were no safer for a process that was back: it left its old entry as it was, so the condition still held.

Mend: create only if there is no entry, replace and withdraw only under a revision, and write a new revision at each registration. So a late call, of this run, an earlier one or a balancer, names a revision that is gone. A process that does not know the revision of its entry learns it from the store's refusal.

In discovery::registration::tests two tests fail if a withdrawal without a known revision has no condition, and three if registrations keep the revision.

--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -124,10 +124,12 @@
     let (serves, serving) = watch::channel(learning);
     tokio::spawn(discovery::observe_resets(store.era()));
     let hello_senders = watch::Sender::<BTreeSet<SocketAddrV4>>::default();
+    let entry = watch::Sender::default();
     let join = Join {
         store: store.clone(),
         own: own.clone(),
         serves: serving,
+        entry: entry.clone(),
         first_start: settings.first_start,
         seeds,
         hello_senders: hello_senders.subscribe(),
@@ -137,7 +139,7 @@
         start: watch::Sender::new(DiscoveryState::FromStore),
         out: updates,
     };
-    tokio::spawn(join.run());
+    let joining = tokio::spawn(join.run());
     let id = Id::UpstreamLookedFor;
     tracing::info!(id = id as u16, name = id.name(), peer = %settings.upstream, found = learning);
     let now = now_ms();
@@ -170,7 +172,13 @@
     };
     let leaves = process.serve(input, messages, stop).await?;
     if leaves {
-        withdraw(&store, &own.name).await;
+        // A registration must not follow the withdrawal.
+        joining.abort();
+        let _ = joining.await;
+        let known = *entry.borrow();
+        let withdrawal = discovery::withdraw_own(&store, &own.name, known, WITHDRAW_TIMEOUT);
+        // A failure is logged, and balancers withdraw the entry later.
+        let _ = timeout(WITHDRAW_TIMEOUT, withdrawal).await;
         // Balancers that read the list just before the withdrawal learn of it from this report.
         process.set_plan(AgentPlan::Leave);
     }
@@ -188,15 +196,6 @@
     Ok(socket)
 }
 
-async fn withdraw<S>(store: &S, name: &str)
-where
-    S: Store,
-{
-    if let Err(e) = store.withdraw(name, None, WITHDRAW_TIMEOUT).await {
-        tracing::warn!("failed to withdraw this process from the store: {e}");
-    }
-}
-
 struct Process<C> {
     state: Agent,
     codec: C,
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -126,6 +126,7 @@
         store: store.clone(),
         own: own.clone(),
         serves,
+        entry: watch::Sender::default(),
         first_start: settings.first_start,
         seeds: settings.seeds.clone(),
         // Only agents record which balancers sent them a hello.
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery of members and configuration, from the store or, while the store is unavailable, from peers.
 
 mod join;
+mod registration;
 #[cfg(test)]
 mod tests;
 mod topic;
@@ -18,6 +19,7 @@
 
 pub(crate) use self::{
     join::{DiscoveryState, Join},
+    registration::withdraw_own,
     topic::{Follow, Topic, WatchRole},
 };
 use crate::{
@@ -134,13 +136,13 @@
     S: Store,
 {
     while let Some(record) = gone.recv().await {
-        let name = &record.name;
+        let (name, revision) = (&record.name, record.revision.number);
         let id = Id::MemberWithdrawn;
         match withdraw(&store, &record).await {
-            Ok(()) => tracing::info!(id = id as u16, name = id.name(), member = name),
+            Ok(()) => tracing::info!(id = id as u16, name = id.name(), member = name, revision),
             Err(e) => {
                 let error = e.to_string();
-                tracing::warn!(id = id as u16, name = id.name(), member = name, error);
+                tracing::warn!(id = id as u16, name = id.name(), member = name, revision, error);
             }
         }
     }
@@ -154,7 +156,7 @@
     let mut attempts = 0;
     loop {
         let name = &record.name;
-        let result = store.withdraw(name, Some(record.revision), INITIAL_CALL_TIMEOUT).await;
+        let result = store.withdraw(name, record.revision, INITIAL_CALL_TIMEOUT).await;
         let error = match count_call("withdraw", result) {
             Ok(()) => return Ok(()),
             Err(e) => e,
@@ -229,6 +231,7 @@
         Err(StoreError::Connection { .. }) => "connection",
         Err(StoreError::Busy { .. }) => "busy",
         Err(StoreError::Conflict { .. }) => "conflict",
+        Err(StoreError::NotFound { .. }) => "not-found",
         Err(StoreError::Reset { .. }) => "reset",
         Err(StoreError::Answer { .. }) => "answer",
     };
--- a/crates/opaque/src/discovery/join.rs
+++ b/crates/opaque/src/discovery/join.rs
@@ -12,11 +12,14 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{Backoff, Update, count_call, jitter, request_any, reset_after};
+use super::{
+    Backoff, Update, count_call, jitter,
+    registration::{register, withdraw_own},
+    request_any, reset_after,
+};
 use crate::{
-    event::Id,
     lists::Lists,
-    store::{Announced, Member, Members, Store, StoreError},
+    store::{Member, Members, Store, StoreError},
 };
 
 /// Interval between periodic reads of the member list.
@@ -59,6 +62,8 @@
     pub(crate) own: Member,
     /// Whether this process should be listed.
     pub(crate) serves: watch::Receiver<bool>,
+    /// Revision of this process's entry as last registered; `None` if unknown.
+    pub(crate) entry: watch::Sender<Option<Revision>>,
     /// Whether the system starts for the first time, so that no entry of an earlier run exists.
     pub(crate) first_start: bool,
     /// Balancers to request from first.
@@ -102,8 +107,7 @@
     pub(crate) async fn run(self) {
         let mut backoff = Backoff::new();
         let mut seeds_request: Option<JoinHandle<()>> = None;
-        // This process's store object as last announced; `None` if it must be announced again.
-        let mut object = None;
+        let mut registered = false;
         let mut withdrawn = self.first_start;
         let mut resets = self.store.era();
         let mut reason = Reason::Start;
@@ -112,7 +116,10 @@
             let begun = Instant::now();
             let attempt = self.lists.begin_attempt();
             let call_timeout = backoff.call_timeout();
-            match self.register_and_list(&mut object, &mut withdrawn, reason, call_timeout).await {
+            match self
+                .register_and_list(&mut registered, &mut withdrawn, reason, call_timeout)
+                .await
+            {
                 Ok(None) => {
                     backoff.reset();
                     self.relist.notified().await;
@@ -137,7 +144,7 @@
                     }
                     reason = self.wait(begun, at, member_count, &mut resets).await;
                     if reason == Reason::Rejoin && self.is_agent() {
-                        object = None;
+                        registered = false;
                     }
                 }
                 Err(e) => {
@@ -205,7 +212,7 @@
     /// one sees the other.
     async fn register_and_list(
         &self,
-        object: &mut Option<Announced>,
+        registered: &mut bool,
         withdrawn: &mut bool,
         reason: Reason,
         call_timeout: Duration,
@@ -213,44 +220,42 @@
         if !*self.serves.borrow() {
             if !*withdrawn {
                 // Removes an entry of an earlier run that could not withdraw it while the store was unavailable.
-                count_call(
-                    "withdraw",
-                    self.store.withdraw(&self.own.name, None, call_timeout).await,
-                )?;
+                withdraw_own(&self.store, &self.own.name, None, call_timeout).await?;
                 *withdrawn = true;
             }
             return Ok(None);
         }
-        let freshness = match object {
-            Some(_) if reason == Reason::Interval => Freshness::Any,
-            Some(_) => Freshness::Fresh,
-            None => self.announce(object, call_timeout).await?,
+        let freshness = match reason {
+            _ if !*registered => self.register(registered, call_timeout).await?,
+            Reason::Interval => Freshness::Any,
+            Reason::Start | Reason::Requested | Reason::Rejoin => Freshness::Fresh,
         };
         let list = self.members(freshness, call_timeout).await?;
         if self.is_agent() || list.members.contains(&self.own) {
             return Ok(Some(list));
         }
         // The entry was withdrawn meanwhile, or lost in a reset of the store.
-        let freshness = self.announce(object, call_timeout).await?;
+        let freshness = self.register(registered, call_timeout).await?;
         self.members(freshness, call_timeout).await.map(Some)
     }
 
     /// Writes this process's entry and returns how new a list has to be afterwards.
-    async fn announce(
+    async fn register(
         &self,
-        object: &mut Option<Announced>,
+        registered: &mut bool,
         call_timeout: Duration,
     ) -> Result<Freshness, StoreError> {
-        let announced = count_call("announce", self.store.announce(&self.own, call_timeout).await)?;
-        *object = Some(announced);
-        let id = Id::Announced;
-        let revision = announced.revision.map(|it| it.number);
-        tracing::info!(id = id as u16, name = id.name(), revision, created = announced.created);
-        let since = announced.revision.map_or(Freshness::Fresh, Freshness::AtLeast);
-        // The entry of a restarted balancer may be from an earlier run, so a list that is only as new as the entry may
-        // lack agents that joined since. Agents are sent a hello by the balancers that list them.
-        let is_restarted_balancer = !announced.created && !self.is_agent();
-        Ok(if is_restarted_balancer { Freshness::Fresh } else { since })
+        *registered = false;
+        let entry = register(&self.store, &self.own, call_timeout).await?;
+        *registered = true;
+        self.entry.send_replace(entry.revision);
+        Ok(match entry.replaced {
+            // Balancers listed since then have sent this agent a hello, as its entry was there all the time.
+            Some(replaced) if self.is_agent() => Freshness::AtLeast(replaced),
+            // A list that is only as new as the earlier entry may lack agents that this balancer has missed.
+            Some(_) => Freshness::Fresh,
+            None => entry.revision.map_or(Freshness::Fresh, Freshness::AtLeast),
+        })
     }
 
     /// Returns the members from peers or the store. A seed always reads the store, as its peers request from it.
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -24,9 +24,7 @@
     DiscoveryState, Follow, Join, Topic, Update, WatchRole, join::list_interval, topic::Era,
     withdraw,
 };
-use crate::store::{
-    Announced, ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched,
-};
+use crate::store::{ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched};
 use crate::{lists::Lists, snapshot};
 
 /// Store revision, far above the configuration's own.
@@ -66,16 +64,31 @@
         Ok(Members::default())
     }
 
-    async fn announce(&self, _: &Member, _: Duration) -> Result<Announced, StoreError> {
-        Ok(Announced { revision: None, created: true })
+    async fn create(
+        &self,
+        _: &Member,
+        _: u32,
+        _: Duration,
+    ) -> Result<Option<Revision>, StoreError> {
+        Ok(None)
+    }
+
+    async fn replace(
+        &self,
+        _: &Member,
+        _: u32,
+        _: Revision,
+        _: Duration,
+    ) -> Result<Option<Revision>, StoreError> {
+        Ok(None)
     }
 
-    async fn withdraw(&self, _: &str, at: Option<Revision>, _: Duration) -> Result<(), StoreError> {
-        self.record_call(at.map(|it| it.number));
+    async fn withdraw(&self, _: &str, at: Revision, _: Duration) -> Result<(), StoreError> {
+        self.record_call(Some(at.number));
         let step = "withdraw a member";
         match self.calls().len() {
             1 | 2 => Err(StoreError::Busy { step, status: 503 }),
-            _ if self.compacts => Err(StoreError::Conflict { step }),
+            _ if self.compacts => Err(StoreError::Conflict { step, current: None }),
             _ => Ok(()),
         }
     }
@@ -185,6 +198,7 @@
         store,
         own,
         serves,
+        entry: watch::Sender::default(),
         first_start: false,
         seeds,
         hello_senders,
@@ -407,21 +421,35 @@
         Ok(Members { at, records })
     }
 
-    async fn announce(&self, member: &Member, _: Duration) -> Result<Announced, StoreError> {
+    async fn create(
+        &self,
+        member: &Member,
+        _: u32,
+        _: Duration,
+    ) -> Result<Option<Revision>, StoreError> {
         let mut names = self.names.lock().expect("not poisoned");
-        let created = !names.contains(&member.name);
-        if created {
-            names.push(member.name.clone());
+        if names.contains(&member.name) {
+            let current = Some(Revision::new(0, 7));
+            return Err(StoreError::Conflict { step: "create", current });
         }
-        Ok(Announced { revision: None, created })
+        names.push(member.name.clone());
+        Ok(None)
     }
 
-    async fn withdraw(
+    async fn replace(
         &self,
-        name: &str,
-        _: Option<Revision>,
+        member: &Member,
+        _: u32,
+        _: Revision,
         _: Duration,
-    ) -> Result<(), StoreError> {
+    ) -> Result<Option<Revision>, StoreError> {
+        match self.names().contains(&member.name) {
+            true => Ok(None),
+            false => Err(StoreError::NotFound { step: "replace" }),
+        }
+    }
+
+    async fn withdraw(&self, name: &str, _: Revision, _: Duration) -> Result<(), StoreError> {
         self.names.lock().expect("not poisoned").retain(|it| it != name);
         Ok(())
     }
@@ -510,7 +538,7 @@
 async fn agent_without_upstream_is_not_listed() {
     let store = MemberStore::default();
     // Entry of an earlier run.
-    store.announce(&member(), Duration::ZERO).await.expect("announced");
+    store.create(&member(), 1, Duration::ZERO).await.expect("created");
     let (serves, serving) = watch::channel(false);
     let (_keep, seeds) = watch::channel(Vec::new());
     let (out, mut updates) = mpsc::channel(16);
@@ -556,6 +584,7 @@
         store: store.clone(),
         own: member(),
         serves: watch::channel(true).1,
+        entry: watch::Sender::default(),
         first_start: false,
         seeds: watch::channel(vec![member().address]).1,
         hello_senders: watch::Sender::default().subscribe(),
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -48,6 +48,7 @@
     625 StoreReset "opaque-store-reset" "the store was reset to an older copy; later writes are lost and revisions may repeat";
     626 ListAsked "opaque-list-asked" "a peer was queried for the list of members";
     627 Announced "opaque-announced" "this process is registered in the store";
+    628 Withdrawn "opaque-withdrawn" "this process removed its entry from the list of members";
     630 UpstreamLookedFor "opaque-upstream-looked-for" "the agent checked at its start whether the upstream listens";
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -64,15 +64,6 @@
     }
 }
 
-/// Result of announcing a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Announced {
-    /// Revision of the object, if the store reported it.
-    pub revision: Option<Revision>,
-    /// Whether the object did not exist before.
-    pub created: bool,
-}
-
 /// Result of reading the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigRead {
@@ -135,6 +126,14 @@
     Conflict {
         /// Name of the failed operation.
         step: &'static str,
+        /// Revision of the object, if the store reported it.
+        current: Option<Revision>,
+    },
+    /// The object to change does not exist.
+    #[error("{step}: object does not exist")]
+    NotFound {
+        /// Name of the failed operation.
+        step: &'static str,
     },
     /// The store was reset to an older copy between two answers that belong together.
     #[error("{step}: store was reset during the operation")]
@@ -162,7 +161,9 @@
             | StoreError::Connection { .. }
             | StoreError::Busy { .. }
             | StoreError::Reset { .. } => true,
-            StoreError::Conflict { .. } | StoreError::Answer { .. } => false,
+            StoreError::Conflict { .. }
+            | StoreError::NotFound { .. }
+            | StoreError::Answer { .. } => false,
         }
     }
 }
@@ -179,18 +180,31 @@
         call_timeout: Duration,
     ) -> impl Future<Output = Result<Members, StoreError>> + Send;
 
-    /// Registers a member, replacing one of the same name.
-    fn announce(
+    /// Creates a member's object and returns its revision, if the store reports it. Fails with
+    /// [`StoreError::Conflict`] if the object exists.
+    fn create(
         &self,
         member: &Member,
+        registration: u32,
         call_timeout: Duration,
-    ) -> impl Future<Output = Result<Announced, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Option<Revision>, StoreError>> + Send;
 
-    /// Withdraws a member; with a revision only if the object has not changed and the store has not been reset since.
+    /// Replaces a member's object, if it has not changed since `revision`, and returns the new revision, if the store
+    /// reports it. The revision is a new one only if `registration` differs from the one in the object.
+    fn replace(
+        &self,
+        member: &Member,
+        registration: u32,
+        revision: Revision,
+        call_timeout: Duration,
+    ) -> impl Future<Output = Result<Option<Revision>, StoreError>> + Send;
+
+    /// Withdraws a member, if its object has not changed since `revision` and the store has not been reset since. A
+    /// member without an object counts as withdrawn.
     fn withdraw(
         &self,
         name: &str,
-        revision: Option<Revision>,
+        revision: Revision,
         call_timeout: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
