Balancer: a cut of the balancer is no silence of the agents

Cause: after a cut the first agents that report make the balancer ready, while the others count as gone for as long as the cut. It withdrew those, and repeated each call until the slow store answered, though the agents had reported by then. The registrations of these agents changed nothing in the store, so the condition of the withdrawals still held.

Mend: silence counts from the moment on from which the balancer hears enough agents without interruption; a withdrawal is not repeated once the member has reported.

Tests: silence_during_a_cut_of_the_balancer_does_not_count_for_withdrawals (core), withdrawal_is_not_repeated_for_a_member_that_is_back, and withdrawal_by_a_balancer_has_no_effect_once_the_member_has_registered_again.

--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -54,9 +54,10 @@
 
 impl Balancer {
     /// Agents whose entries should be withdrawn from the store, as they left or have been gone for long. A restarting
-    /// fleet would otherwise wait for them.
-    pub fn agents_to_withdraw(&self, now_ms: u64) -> Vec<SocketAddrV4> {
-        let mut agents = self.fleet.listed_but_gone(WITHDRAW_AFTER_MS, now_ms);
+    /// fleet would otherwise wait for them. Silence from before `connected_ms`, when this balancer was cut off, does not
+    /// count.
+    pub fn agents_to_withdraw(&self, connected_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
+        let mut agents = self.fleet.listed_but_gone(WITHDRAW_AFTER_MS, connected_ms, now_ms);
         let left = self
             .left_agents
             .iter()
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -359,10 +359,11 @@
         agents.filter(|&it| self.agents.get(it).is_some_and(|it| !it.listed)).collect()
     }
 
-    /// Listed agents that are gone and have been silent for at least `for_ms`.
-    pub fn listed_but_gone(&self, for_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
+    /// Listed agents that are gone and have been silent for at least `for_ms`, counted from `since_ms` on.
+    pub fn listed_but_gone(&self, for_ms: u64, since_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
         let gone = self.agents.iter().filter(|(_, it)| {
-            it.listed && it.is_gone(now_ms) && now_ms.saturating_sub(it.last_seen_ms) >= for_ms
+            let silent_ms = now_ms.saturating_sub(it.last_seen_ms.max(since_ms));
+            it.listed && it.is_gone(now_ms) && silent_ms >= for_ms
         });
         gone.map(|(agent, _)| agent).collect()
     }
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -370,10 +370,31 @@
     for now in (100..11_000).step_by(100) {
         it.handle_report(address(1), report(now, 0), now, &mut Vec::new());
         tick(&mut it, now);
-        assert!(it.agents_to_withdraw(now).is_empty(), "{now}");
+        assert!(it.agents_to_withdraw(0, now).is_empty(), "{now}");
     }
     it.handle_report(address(1), report(12_000, 0), 11_100, &mut Vec::new());
-    assert_eq!(it.agents_to_withdraw(11_100), [address(2)]);
+    assert_eq!(it.agents_to_withdraw(0, 11_100), [address(2)]);
+}
+
+// Guards against the withdrawal of living agents by a balancer that was cut off: after the cut the first reports make it
+// ready while it has not heard of the other agents yet.
+#[test]
+fn silence_during_a_cut_of_the_balancer_does_not_count_for_withdrawals() {
+    let mut it = Balancer::new(address(200), ZONE);
+    it.update_routes(routes(1));
+    let listed = |host| MemberEntry { address: address(host), pool: Some(POOL), zone: ZONE };
+    it.sync_members(&[listed(1), listed(2)], 0);
+    report_agents(&mut it, 2, 1, 10);
+    run_ticks(&mut it, 100, 13_000);
+    report_agents(&mut it, 1, 2, 13_000);
+    assert!(it.agents_to_withdraw(13_000, 13_000).is_empty());
+    for now in (13_100..24_000).step_by(100) {
+        it.handle_report(address(1), report(now, 0), now, &mut Vec::new());
+        tick(&mut it, now);
+        assert!(it.agents_to_withdraw(13_000, now).is_empty(), "{now}");
+    }
+    it.handle_report(address(1), report(24_000, 0), 24_000, &mut Vec::new());
+    assert_eq!(it.agents_to_withdraw(13_000, 24_000), [address(2)]);
 }
 
 // An agent that leaves during a store outage can't withdraw its own entry, and restarted balancers waited for it.
@@ -382,12 +403,12 @@
     let mut it = balancer(2);
     let leaving = Report { plan: AgentPlan::Leave, ..report(2, 0) };
     it.handle_report(address(2), leaving, 100, &mut Vec::new());
-    assert!(it.agents_to_withdraw(1_000).is_empty());
-    assert_eq!(it.agents_to_withdraw(1_600), [address(2)]);
+    assert!(it.agents_to_withdraw(0, 1_000).is_empty());
+    assert_eq!(it.agents_to_withdraw(0, 1_600), [address(2)]);
     // Another agent uses the address now.
     let other = Report { incarnation: 7, ..report(1, 0) };
     it.handle_report(address(2), other, 1_700, &mut Vec::new());
-    assert!(it.agents_to_withdraw(1_800).is_empty());
+    assert!(it.agents_to_withdraw(0, 1_800).is_empty());
 }
 
 #[test]
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -162,7 +162,8 @@
         tokio::spawn(zones.run(topic));
     }
     let (gone, to_withdraw) = mpsc::channel(CHANNEL_CAPACITY);
-    tokio::spawn(discovery::withdraw_gone_members(store, to_withdraw));
+    let withdrawing = watch::Sender::default();
+    tokio::spawn(discovery::withdraw_gone_members(store, to_withdraw, withdrawing.clone()));
     let process = Process {
         state,
         own: own.address,
@@ -184,11 +185,13 @@
         hello_resend_ms: None,
         withdraw_due: BTreeMap::new(),
         gone,
+        withdrawing,
         effects: Vec::new(),
         scratch: Vec::new(),
         decision_log: DecisionLog::new(now),
         pool_monitor: PoolMonitor::default(),
         started_ms: now,
+        connected_ms: None,
         stopping_ms: None,
         gossip_ms: now,
         withdraw_check_ms: now,
@@ -229,11 +232,15 @@
     /// Agents due for withdrawal, and since when.
     withdraw_due: BTreeMap<SocketAddrV4, u64>,
     gone: mpsc::Sender<Record>,
+    /// Agents whose withdrawal has not ended and that have not reported since it began.
+    withdrawing: watch::Sender<BTreeSet<SocketAddrV4>>,
     effects: Vec<Effect>,
     scratch: Vec<u8>,
     decision_log: DecisionLog,
     pool_monitor: PoolMonitor,
     started_ms: u64,
+    /// Time since which enough agents are reachable; none if too few are.
+    connected_ms: Option<u64>,
     /// Time at which the process was told to stop.
     stopping_ms: Option<u64>,
     gossip_ms: u64,
@@ -333,6 +340,7 @@
             return;
         }
         let ready = self.can_serve(now);
+        self.connected_ms = self.connected_ms.or(Some(now)).filter(|_| ready);
         if self.ready.set(ready) {
             let id = if ready { Id::Connected } else { Id::Disconnected };
             let (live, known) = (self.state.fleet().live_count(now), self.state.fleet().len());
@@ -370,6 +378,7 @@
                 }
                 Effect::ReloadMembers => self.relist.notify_one(),
                 Effect::Unlisted { to } => {
+                    self.withdrawing.send_if_modified(|it| it.remove(&to));
                     let hello = Hello { unlisted: true, ..self.hello() };
                     self.peers.control(to, Body::Hello(hello));
                 }
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -25,13 +25,14 @@
     /// Withdraws the store entries of agents that left or have been gone for long, as far as this balancer is
     /// responsible for them.
     pub(super) fn withdraw_gone_agents(&mut self, now: u64) {
-        if now.saturating_sub(self.withdraw_check_ms) < WITHDRAW_CHECK_INTERVAL_MS
-            || !self.ready.get()
-        {
+        let Some(connected_ms) = self.connected_ms else {
+            return;
+        };
+        if now.saturating_sub(self.withdraw_check_ms) < WITHDRAW_CHECK_INTERVAL_MS {
             return;
         }
         self.withdraw_check_ms = now;
-        let gone = self.state.agents_to_withdraw(now);
+        let gone = self.state.agents_to_withdraw(connected_ms, now);
         self.withdraw_due.retain(|it, _| gone.contains(it));
         let is_due = |it: &&Record| {
             gone.contains(&it.listed.address) && !self.withdrawn.contains(&it.listed.address)
@@ -42,6 +43,9 @@
             if !self.state.should_withdraw(agent, &self.balancers, since_ms) {
                 continue;
             }
+            self.withdrawing.send_modify(|it| {
+                it.insert(agent);
+            });
             // If the queue is full, the next check finds the agent again.
             if self.gone.try_send(record).is_err() {
                 return;
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -6,7 +6,7 @@
 mod tests;
 mod topic;
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
 
 use camphorwinch_core::opaque::{fleet::MemberEntry, route::Routes, zone::ZonesOut};
 use camphorwinch_wire::opaque::{Part, Snapshot, SnapshotRequest};
@@ -130,15 +130,22 @@
     }
 }
 
-/// Withdraws the members received through `gone` from the store.
-pub(crate) async fn withdraw_gone_members<S>(store: S, mut gone: mpsc::Receiver<Record>)
-where
+/// Withdraws the members received through `gone` from the store, as long as they stand in `withdrawing`.
+pub(crate) async fn withdraw_gone_members<S>(
+    store: S,
+    mut gone: mpsc::Receiver<Record>,
+    withdrawing: watch::Sender<BTreeSet<SocketAddrV4>>,
+) where
     S: Store,
 {
     while let Some(record) = gone.recv().await {
         let (name, revision) = (&record.name, record.revision.number);
         let id = Id::MemberWithdrawn;
-        match withdraw(&store, &record).await {
+        let address = record.listed.address;
+        let is_gone = || withdrawing.borrow().contains(&address);
+        let result = withdraw(&store, &record, is_gone).await;
+        withdrawing.send_if_modified(|it| it.remove(&address));
+        match result {
             Ok(()) => tracing::info!(id = id as u16, name = id.name(), member = name, revision),
             Err(e) => {
                 let error = e.to_string();
@@ -148,10 +155,11 @@
     }
 }
 
-/// Withdraws a member, retrying transient errors.
-async fn withdraw<S>(store: &S, record: &Record) -> Result<(), StoreError>
+/// Withdraws a member, retrying transient errors for as long as the member is gone.
+async fn withdraw<S, G>(store: &S, record: &Record, is_gone: G) -> Result<(), StoreError>
 where
     S: Store,
+    G: Fn() -> bool,
 {
     let mut attempts = 0;
     loop {
@@ -166,6 +174,9 @@
             return Err(error);
         }
         sleep(MAX_BACKOFF.mul_f64(jitter())).await;
+        if !is_gone() {
+            return Err(error);
+        }
     }
 }
 
--- a/crates/opaque/src/discovery/registration/tests.rs
+++ b/crates/opaque/src/discovery/registration/tests.rs
@@ -7,8 +7,8 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use tokio::sync::watch;
 
-use super::{register, withdraw_own};
-use crate::store::{ConfigRead, Freshness, Member, Members, Store, StoreError, Watched};
+use super::{super::withdraw, register, withdraw_own};
+use crate::store::{ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -241,6 +241,23 @@
     assert!(store.entry().is_some());
 }
 
+// Guards against the withdrawal of a living agent by a balancer that was cut off from it: the withdrawal takes effect after
+// the agent, told that it is unlisted, has registered again.
+#[tokio::test]
+async fn withdrawal_by_a_balancer_has_no_effect_once_the_member_has_registered_again() {
+    let store = LateStore::default();
+    let known = registered(&store, "ledger").await.expect("a revision");
+    let member = member("ledger");
+    let record = Record { listed: member.listed(), name: member.name, revision: known };
+    store.set_fates(&[Fate::Late, Fate::Late]);
+    let result = withdraw(&store, &record, || store.lock().late.len() < 2).await;
+    assert!(matches!(result, Err(StoreError::Timeout { .. })), "{result:?}");
+    registered(&store, "ledger").await;
+    store.execute_late(0);
+    store.execute_late(0);
+    assert!(store.entry().is_some());
+}
+
 // Guards against a registration that fails because the entry is removed between its two writes.
 #[tokio::test]
 async fn entry_that_is_removed_during_a_registration_is_created_again() {
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -343,17 +343,25 @@
 #[tokio::test]
 async fn withdrawal_is_retried_while_store_is_unavailable() {
     let store = HistoryStore::default();
-    withdraw(&store, &record()).await.expect("withdrawn");
+    withdraw(&store, &record(), || true).await.expect("withdrawn");
     assert_eq!(store.calls(), [Some(7); 3]);
 }
 
 #[tokio::test]
 async fn withdrawal_stops_if_object_has_changed() {
     let store = HistoryStore { compacts: true, ..HistoryStore::default() };
-    let error = withdraw(&store, &record()).await.expect_err("it has changed");
+    let error = withdraw(&store, &record(), || true).await.expect_err("it has changed");
     assert!(matches!(error, StoreError::Conflict { .. }), "{error}");
 }
 
+// Guards against the withdrawal of a member that is back: its withdrawal was repeated until the store answered.
+#[tokio::test]
+async fn withdrawal_is_not_repeated_for_a_member_that_is_back() {
+    let store = HistoryStore::default();
+    withdraw(&store, &record(), || false).await.expect_err("rejected once");
+    assert_eq!(store.calls(), [Some(7)]);
+}
+
 #[test]
 fn member_list_reads_stay_within_store_rate() {
     assert_eq!(list_interval(20, false), Duration::from_secs(45));
