Members: a few balancers watch for removals and notify members that still report

An agent whose entry is removed while it runs learned of it only from the balancer that withdrew it, or after a reset of the store. If that balancer ends first, the agent stays unlisted for up to 450 s, and balancers that start meanwhile reset its flows.

Cause: nobody compares removals with the members that report.

Mend: three balancers, chosen like the watchers of the configuration, watch the member list. A removed agent that reports is told that it is unlisted and registers again. Changes wake a watcher at most twice a second, so the calls grow neither with the fleet nor with the number of changes; without changes each makes a call in 7 to 12 s.

Weighed: each process looks at its own entry (3,200 reads a second at 6,420 members for two seconds), a watch of each process (a call for each change and process), a check at each list (a list is read every 27 to 45 s).

--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -28,13 +28,17 @@
 /// few seconds, at a tenth of the price: if the store turns all four away (one case of eighty), one of the others sees
 /// a change within a second.
 const ZONE_WATCHERS: usize = 4;
+/// Balancers that watch the store for members that are removed. A change wakes each of them, so they are few; two may be
+/// cut off from the store.
+const REMOVAL_WATCHERS: usize = 3;
 /// Fan-out of the tree, below the watchers, over which a new configuration is announced. Without the tree the first
 /// watcher served a change to nearly all others: 69 connections at once among 75 balancers. At 520 balancers the tree
 /// has three levels of 0.1 s each.
 const CONFIG_FAN_OUT: usize = 8;
-/// Rendezvous hashing seeds for the two sets of watchers.
+/// Rendezvous hashing seeds for the sets of watchers.
 const CONFIG_WATCH_SEED: u64 = 0x77a7;
 const ZONE_WATCH_SEED: u64 = 0x20e5;
+const REMOVAL_WATCH_SEED: u64 = 0x6e0d;
 /// Time after which a configuration is requested again if it did not arrive; a failing call takes 600 ms.
 const CONFIG_RETRY_MS: u64 = 700;
 /// Agents that store a copy of the configuration for balancers that start while the store and all other balancers are
@@ -100,6 +104,29 @@
         self.ranks_within(half.min(ZONE_WATCHERS), ZONE_WATCH_SEED, others)
     }
 
+    /// Whether this balancer watches the store for members that are removed.
+    pub fn is_removal_watcher<'a, I>(&self, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        self.ranks_within(REMOVAL_WATCHERS, REMOVAL_WATCH_SEED, others)
+    }
+
+    /// Handles the removal of an agent's entry from the store. An agent that still reports is notified, so that it
+    /// registers again; returns whether it was.
+    pub fn handle_removal(
+        &mut self,
+        agent: SocketAddrV4,
+        now_ms: u64,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let reports = self.fleet.mark_unlisted(agent, now_ms);
+        if reports {
+            out.push(Effect::Unlisted { to: agent });
+        }
+        reports
+    }
+
     /// Balancers to which this one announces a new configuration. All balancers form one order, the watchers first;
     /// each announces it to the next ones that no earlier balancer covers.
     pub fn config_recipients<'a, I>(&self, others: I) -> Vec<SocketAddrV4>
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -180,6 +180,11 @@
         self.report.map_or(AgentPlan::Stay, |it| it.plan)
     }
 
+    /// Whether the agent is not silent and plans to keep running.
+    fn is_stable(&self, now_ms: u64) -> bool {
+        self.plan() == AgentPlan::Stay && !self.is_silent(now_ms)
+    }
+
     fn is_ready(&self) -> bool {
         self.report.is_some_and(|it| it.upstream == UpstreamState::Ready)
     }
@@ -349,8 +354,7 @@
 
     /// Agents that are not silent and plan to keep running.
     pub fn stable_agents(&self, now_ms: u64) -> Vec<SocketAddrV4> {
-        let stable = |it: &AgentEntry| it.plan() == AgentPlan::Stay && !it.is_silent(now_ms);
-        self.agents.iter().filter(|(_, it)| stable(it)).map(|(agent, _)| agent).collect()
+        self.agents.iter().filter(|(_, it)| it.is_stable(now_ms)).map(|(agent, _)| agent).collect()
     }
 
     /// Agents of [`Fleet::stable_agents`] that the store does not list.
@@ -359,6 +363,15 @@
         agents.filter(|&it| self.agents.get(it).is_some_and(|it| !it.listed)).collect()
     }
 
+    /// Records that the store no longer lists an agent; returns whether it is one of [`Fleet::stable_agents`].
+    pub fn mark_unlisted(&mut self, agent: SocketAddrV4, now_ms: u64) -> bool {
+        let Some(entry) = self.agents.get_mut(agent) else {
+            return false;
+        };
+        entry.listed = false;
+        entry.is_stable(now_ms)
+    }
+
     /// Listed agents that are gone and have been silent for at least `for_ms`, counted from `since_ms` on.
     pub fn listed_but_gone(&self, for_ms: u64, since_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
         let gone = self.agents.iter().filter(|(_, it)| {
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -447,6 +447,39 @@
     assert_eq!(notified, [to(2), to(3)].concat());
 }
 
+// Guards against a living agent that starting balancers don't know, as nobody noticed that its entry was removed.
+#[test]
+fn an_agent_that_reports_is_notified_of_its_removal() {
+    let mut it = balancer(3);
+    let mut out = Vec::new();
+    let leaving = Report { plan: AgentPlan::Leave, ..report(2, 0) };
+    it.handle_report(address(3), leaving, 10, &mut out);
+    for now in (100..6_000).step_by(100) {
+        report_agent_1(&mut it, now);
+        tick(&mut it, now);
+    }
+    assert!(it.handle_removal(address(1), 6_000, &mut out));
+    assert_eq!(out, [Effect::Unlisted { to: address(1) }]);
+    // Agent 2 is silent, agent 3 has left, and 9 is unknown.
+    for host in [2, 3, 9] {
+        assert!(!it.handle_removal(address(host), 6_000, &mut out), "{host}");
+    }
+    assert_eq!(out.len(), 1);
+}
+
+// Guards against store calls that grow with the fleet, and against removals that nobody sees.
+#[test]
+fn three_balancers_watch_for_removals() {
+    for count in [1, 3, 120] {
+        let all: Vec<_> = (100..100 + count).map(address).collect();
+        let watches = |it: &&SocketAddrV4| {
+            let others = all.iter().filter(|other| other != it);
+            Balancer::new(**it, ZONE).is_removal_watcher(others)
+        };
+        assert_eq!(all.iter().filter(watches).count(), usize::from(count).min(3));
+    }
+}
+
 // Every balancer withdrew the same entry, as none had noticed that another did.
 #[test]
 fn three_balancers_withdraw_an_entry_and_more_if_it_remains() {
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -154,7 +154,9 @@
             | Update::StoreRoutes(_)
             | Update::PeerZones(_)
             | Update::PeerLostZones(_)
-            | Update::StoreZones(_) => return,
+            | Update::StoreZones(_)
+            | Update::Removed(_)
+            | Update::RemovalsUnknown => return,
         };
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -34,7 +34,7 @@
     clock::now_ms,
     codec::Codec,
     decision_log::DecisionLog,
-    discovery::{self, DiscoveryState, Follow, Join, Topic, Update, WatchRole},
+    discovery::{self, DiscoveryState, Follow, Join, Topic, Update, WatchRemovals, WatchRole},
     event::Id,
     lists::Lists,
     metrics,
@@ -161,6 +161,10 @@
         let zones = Follow { store, role: zones_role, start: started, config_read, out };
         tokio::spawn(zones.run(topic));
     }
+    let (removals_sender, watches) = watch::channel(false);
+    let (list, out) = (lists.clone(), updates.clone());
+    let removals = WatchRemovals { store: store.clone(), watches, lists: list, out };
+    tokio::spawn(removals.run());
     let (gone, to_withdraw) = mpsc::channel(CHANNEL_CAPACITY);
     let withdrawing = watch::Sender::default();
     tokio::spawn(discovery::withdraw_gone_members(store, to_withdraw, withdrawing.clone()));
@@ -182,6 +186,7 @@
         records: Vec::new(),
         withdrawn: BTreeSet::new(),
         list_era: None,
+        checks_list: false,
         hello_resend_ms: None,
         withdraw_due: BTreeMap::new(),
         gone,
@@ -199,6 +204,7 @@
         status_ms: now,
         routes_role_sender,
         zones_role_sender,
+        removals_sender,
     };
     process.serve(input, stop).await
 }
@@ -227,6 +233,8 @@
     withdrawn: BTreeSet<SocketAddrV4>,
     /// Store era of the last member list.
     list_era: Option<u64>,
+    /// Whether the next list is checked for agents that are missing from it.
+    checks_list: bool,
     /// Time of the repeated hello to all balancers about the newest configuration.
     hello_resend_ms: Option<u64>,
     /// Agents due for withdrawal, and since when.
@@ -251,6 +259,8 @@
     routes_role_sender: watch::Sender<WatchRole>,
     /// How this balancer follows the zones out of service.
     zones_role_sender: watch::Sender<WatchRole>,
+    /// Whether this balancer watches the member list for removals.
+    removals_sender: watch::Sender<bool>,
 }
 
 impl<C> Process<C>
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -17,7 +17,7 @@
     event::Id,
     metrics,
     peers::{count_malformed, count_misdirected},
-    store::Members,
+    store::{Members, RemovedMember},
 };
 
 impl<C> Process<C>
@@ -182,6 +182,14 @@
                 self.handle_peer_members(&members, now);
                 false
             }
+            Update::Removed(members) => {
+                self.handle_removed_members(&members, now);
+                false
+            }
+            Update::RemovalsUnknown => {
+                self.checks_list = true;
+                false
+            }
         };
         self.publish();
         if !newer {
@@ -226,12 +234,33 @@
         // Pending list requests are answered from this snapshot.
         self.publish();
         self.lists.publish(at, records, attempt);
-        if self.list_era.replace(era).is_some_and(|it| it < era) {
+        let was_reset = self.list_era.replace(era).is_some_and(|it| it < era);
+        if std::mem::take(&mut self.checks_list) || was_reset {
             self.state.notify_unlisted(&self.balancers, now, &mut self.effects);
             self.apply(&[], now);
         }
     }
 
+    /// Notifies removed agents that still report.
+    fn handle_removed_members(&mut self, removed: &[RemovedMember], now: u64) {
+        // The hello would list this stopping balancer at the agent.
+        if self.stopping_ms.is_some() {
+            return;
+        }
+        for member in removed {
+            let record = self.records.iter().find(|it| it.name == member.name);
+            let Some(agent) = member.address.or(record.map(|it| it.listed.address)) else {
+                continue;
+            };
+            if self.state.handle_removal(agent, now, &mut self.effects) {
+                let id = Id::MemberUnlisted;
+                tracing::warn!(id = id as u16, name = id.name(), member = member.name, %agent);
+            }
+        }
+        self.records.retain(|it| removed.iter().all(|member| member.name != it.name));
+        self.apply(&[], now);
+    }
+
     fn handle_peer_members(&mut self, members: &[MemberEntry], now: u64) {
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), peer_members = members.len());
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -64,6 +64,8 @@
         self.routes_role_sender.send_if_modified(|it| std::mem::replace(it, routes) != routes);
         let zones = watch_role(self.state.is_zone_watcher(&self.balancers), balancers);
         self.zones_role_sender.send_if_modified(|it| std::mem::replace(it, zones) != zones);
+        let removals = self.state.is_removal_watcher(&self.balancers);
+        self.removals_sender.send_if_modified(|it| std::mem::replace(it, removals) != removals);
     }
 
     pub(super) fn gossip(&mut self, now: u64) {
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -2,6 +2,7 @@
 
 mod join;
 mod registration;
+mod removals;
 #[cfg(test)]
 mod tests;
 mod topic;
@@ -20,13 +21,14 @@
 pub(crate) use self::{
     join::{DiscoveryState, Join},
     registration::withdraw_own,
+    removals::WatchRemovals,
     topic::{Follow, Topic, WatchRole},
 };
 use crate::{
     event::Id,
     metrics,
     snapshot::{self, REQUEST_TIMEOUT},
-    store::{Members, Record, Store, StoreError},
+    store::{Members, Record, RemovedMember, Store, StoreError},
 };
 
 /// Backoff after the first failed store call.
@@ -60,6 +62,10 @@
     Members(Members, u64),
     /// Members known to a peer.
     PeerMembers(Vec<MemberEntry>),
+    /// Members that were removed from the store.
+    Removed(Vec<RemovedMember>),
+    /// Members may have been removed from the store; the next list shows which.
+    RemovalsUnknown,
 }
 
 /// Jittered exponential backoff and adaptive call timeout for the store.
--- a/crates/opaque/src/discovery/registration/tests.rs
+++ b/crates/opaque/src/discovery/registration/tests.rs
@@ -5,10 +5,12 @@
 
 use camphorwinch_core::opaque::{revision::Revision, zone::ZonesOut};
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 use super::{super::withdraw, register, withdraw_own};
-use crate::store::{ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched};
+use crate::store::{
+    ConfigRead, Freshness, Member, Members, Record, Removals, Store, StoreError, Watched,
+};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -182,6 +184,16 @@
         }
     }
 
+    async fn watch_members(
+        &self,
+        at: Revision,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched<Removals>, StoreError> {
+        sleep(wait).await;
+        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
+    }
+
     async fn routes(&self, _: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
         Ok(ConfigRead { routes: None, at: Revision::default() })
     }
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -24,7 +24,9 @@
     DiscoveryState, Follow, Join, Topic, Update, WatchRole, join::list_interval, topic::Era,
     withdraw,
 };
-use crate::store::{ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched};
+use crate::store::{
+    ConfigRead, Freshness, Member, Members, Record, Removals, Store, StoreError, Watched,
+};
 use crate::{lists::Lists, snapshot};
 
 /// Store revision, far above the configuration's own.
@@ -93,6 +95,16 @@
         }
     }
 
+    async fn watch_members(
+        &self,
+        at: Revision,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched<Removals>, StoreError> {
+        sleep(wait).await;
+        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
+    }
+
     async fn routes(&self, it: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
         self.record_call(None);
         self.reads.lock().expect("not poisoned").push(it);
@@ -462,6 +474,16 @@
         Ok(())
     }
 
+    async fn watch_members(
+        &self,
+        at: Revision,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched<Removals>, StoreError> {
+        sleep(wait).await;
+        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
+    }
+
     async fn routes(&self, _: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
         Ok(ConfigRead { routes: None, at: Revision::new(0, STORE_AT) })
     }
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -49,6 +49,7 @@
     626 ListAsked "opaque-list-asked" "a peer was queried for the list of members";
     627 Announced "opaque-announced" "this process is registered in the store";
     628 Withdrawn "opaque-withdrawn" "this process removed its entry from the list of members";
+    629 MemberUnlisted "opaque-member-unlisted" "an agent that reports was removed from the list of members and is notified";
     630 UpstreamLookedFor "opaque-upstream-looked-for" "the agent checked at its start whether the upstream listens";
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
--- a/crates/opaque/src/lists.rs
+++ b/crates/opaque/src/lists.rs
@@ -125,6 +125,28 @@
         }
     }
 
+    /// Waits for the first list and returns its revision.
+    pub(crate) async fn first(&self) -> Revision {
+        self.wait_for(|it| it.at.is_some()).await
+    }
+
+    /// Requests a new list, waits for it and returns its revision.
+    pub(crate) async fn refresh(&self) -> Revision {
+        let next = self.begun.load(Ordering::Relaxed) + 1;
+        self.refresh_requested.notify_one();
+        self.wait_for(|it| it.read >= next).await
+    }
+
+    async fn wait_for<P>(&self, is_met: P) -> Revision
+    where
+        P: FnMut(&KnownList) -> bool,
+    {
+        let mut known = self.known.subscribe();
+        // The sender lives as long as `self`.
+        let found = known.wait_for(is_met).await.ok().and_then(|it| it.at);
+        found.unwrap_or_default()
+    }
+
     /// Revision of the known list.
     pub(crate) fn at(&self) -> Revision {
         self.known.borrow().at.unwrap_or_default()
--- a/crates/opaque/src/store.rs
+++ b/crates/opaque/src/store.rs
@@ -74,6 +74,24 @@
     pub at: Revision,
 }
 
+/// An entry that was removed from the member list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RemovedMember {
+    /// Name of the process and of its former store object.
+    pub name: String,
+    /// Address of the process, if the store reported it.
+    pub address: Option<SocketAddrV4>,
+}
+
+/// Members removed up to a revision of the store and not listed again since.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Removals {
+    /// Store revision from which a watch continues.
+    pub at: Revision,
+    /// The members.
+    pub members: Vec<RemovedMember>,
+}
+
 /// Required freshness of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -208,6 +226,14 @@
         call_timeout: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Waits up to `wait` for changes of the member list since the store revision `revision`, and returns the removals.
+    fn watch_members(
+        &self,
+        revision: Revision,
+        wait: Duration,
+        call_timeout: Duration,
+    ) -> impl Future<Output = Result<Watched<Removals>, StoreError>> + Send;
+
     /// Reads the configuration.
     fn routes(
         &self,
