Balancer: a starting balancer asks others for agents before it resets flows as held by nobody

Cause: a balancer took the store's list for the whole. While an agent registers again, or can't reach the store, the list lacks it, and the agent has dropped the balancer at its `leaving`.

Mend: beside its first list a balancer asks three others for the agents that report to them. Until one names some, or none can, for 300 ms at most, the membership is not complete, so no flow is reset for lack of a holder and no opening packet for lack of an upstream. A peer that has just started names none and does not end the wait for the others. Only agents that report are named, so that nobody waits for those that have left.

Weighed: the whole list from a peer (it may name agents that have left, which searches wait for), reports to balancers that said `leaving` (they come up to a second after the list).

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -44,6 +44,8 @@
 /// agents that joined after the list was read have reported. After a loss of power callers of dead flows are told later
 /// by this time; with three times as much, some 90 of 2,500 requests more were late.
 const MEMBERSHIP_SETTLE_MS: u64 = 100;
+/// Longest wait for peers to name agents that report to them, beside a member list: several round trips between regions.
+const PEERS_TIMEOUT_MS: u64 = 300;
 /// Interval between scans of all agents for those due a hello: a scan passes over 5,900 in the size designed for.
 const HELLO_CHECK_INTERVAL_MS: u64 = 60;
 /// Gap between events that means that the process was stalled; ticks come every 20 ms.
@@ -105,6 +107,8 @@
     /// The last configuration requested from a peer, with the time of the request.
     requested_config: Option<(ConfigVersion, u64)>,
     member_list_ms: Option<u64>,
+    /// Time until which the membership is incomplete, as peers may know agents that the list lacks.
+    peers_deadline_ms: Option<u64>,
     list_refreshed: bool,
     last_event_ms: u64,
     last_hello_check_ms: u64,
@@ -130,6 +134,7 @@
             left_agents: BTreeMap::new(),
             requested_config: None,
             member_list_ms: None,
+            peers_deadline_ms: None,
             list_refreshed: false,
             last_event_ms: 0,
             last_hello_check_ms: 0,
@@ -210,6 +215,17 @@
         self.fleet.sync_members(members, now_ms);
     }
 
+    /// Records that peers are asked for agents that report to them. Until they have answered, no flow is reset for lack
+    /// of a holder: the agent of a living upstream may be missing from the list.
+    pub fn await_peers(&mut self, now_ms: u64) {
+        self.peers_deadline_ms = Some(now_ms + PEERS_TIMEOUT_MS);
+    }
+
+    /// Records that the peers have answered, or can't.
+    pub fn handle_peers_asked(&mut self) {
+        self.peers_deadline_ms = None;
+    }
+
     /// Adds members received from a peer, whose list may be partial.
     pub fn merge_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         let has_agent = members.iter().any(|it| it.pool.is_some());
@@ -507,7 +523,10 @@
     }
 
     fn is_membership_settled(&self, now_ms: u64) -> bool {
-        self.member_list_ms.is_some_and(|it| now_ms.saturating_sub(it) > MEMBERSHIP_SETTLE_MS)
+        let awaits_peers = self.peers_deadline_ms.is_some_and(|it| now_ms < it);
+        let settled =
+            self.member_list_ms.is_some_and(|it| now_ms.saturating_sub(it) > MEMBERSHIP_SETTLE_MS);
+        settled && !awaits_peers
     }
 
     fn relay(
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -498,6 +498,39 @@
     assert!((2..9).any(|it| withdrawing(it, 0) != withdrawing(1, 0)));
 }
 
+// Guards against resets of flows of a living agent that the store does not list while it registers again.
+#[test]
+fn a_flow_is_not_reset_before_peers_named_the_agents_that_report_to_them() {
+    let listed = |host| MemberEntry { address: address(host), pool: Some(POOL), zone: ZONE };
+    let start = || {
+        let mut it = Balancer::new(address(200), ZONE);
+        it.update_routes(routes(1));
+        it.sync_members(&[listed(1)], 0);
+        it.await_peers(0);
+        report_agents(&mut it, 1, 1, 10);
+        it
+    };
+    let search = |it: &mut Balancer, now| {
+        send_packet(it, &data(1, 1, 1), now);
+        resets(&send_answer(it, 1, Answer::Absent, now + 1))
+    };
+    let mut it = start();
+    assert_eq!(search(&mut it, 150), 0, "a peer may know a further agent");
+    it.merge_members(&[listed(2)], 160);
+    it.handle_peers_asked();
+    let mut out = send_packet(&mut it, &data(1, 1, 1), 300);
+    out.extend(tick(&mut it, 320));
+    assert!(located_hosts(&out).contains(&2) || queried_agents(&out).contains(&address(2)));
+    it.handle_answer(address(2), key(1), Answer::Here, None, 330, &mut Vec::new());
+    let out = send_packet(&mut it, &data(1, 1, 1), 340);
+    assert_eq!(relays(&out), [(address(2), RelayAction::Deliver)]);
+    // Callers of dead flows are told as soon as the peers have answered, or after a bounded time.
+    let mut it = start();
+    it.handle_peers_asked();
+    assert_eq!(search(&mut it, 150), 1);
+    assert_eq!(search(&mut start(), 310), 1);
+}
+
 #[test]
 fn members_from_a_peer_do_not_complete_the_membership() {
     let mut it = Balancer::new(address(200), ZONE);
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -156,7 +156,8 @@
             | Update::PeerLostZones(_)
             | Update::StoreZones(_)
             | Update::Removed(_)
-            | Update::RemovalsUnknown => return,
+            | Update::RemovalsUnknown
+            | Update::PeersAsked => return,
         };
         let id = Id::MembersListed;
         tracing::info!(id = id as u16, name = id.name(), members = members.len());
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -317,7 +317,9 @@
         let balancer = |&address| MemberEntry { address, pool: None, zone: self.zone };
         members.extend(self.balancers.iter().map(balancer));
         members.push(balancer(&self.own));
-        let snapshot = Snapshot::new(self.state.routes().routes(), &members);
+        let reporting = self.state.fleet().stable_agents(now_ms()).into_iter().collect();
+        let snapshot =
+            Snapshot::new(self.state.routes().routes(), &members).with_reporting(&reporting);
         let lost_zones = self.state.fleet().lost_zones().map(str::to_owned).collect();
         let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
         let snapshot = Snapshot { lost_zones, ..snapshot };
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -9,6 +9,8 @@
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Hello, Report, SnapshotRequest, decode};
 
+use rand::seq::IteratorRandom;
+
 use super::{MAX_PACKETS_PER_TURN, Process, maintenance::HELLO_RESEND_DELAY_MS};
 use crate::{
     clock::now_ms,
@@ -20,6 +22,9 @@
     store::{Members, RemovedMember},
 };
 
+/// Balancers that a starting balancer asks for agents. One may be gone, and another one may have just started.
+const MAX_PEERS_ASKED: usize = 3;
+
 impl<C> Process<C>
 where
     C: Codec,
@@ -190,6 +195,10 @@
                 self.checks_list = true;
                 false
             }
+            Update::PeersAsked => {
+                self.state.handle_peers_asked();
+                false
+            }
         };
         self.publish();
         if !newer {
@@ -228,9 +237,13 @@
         let listed: Vec<MemberEntry> = records.iter().map(|it| it.listed).collect();
         self.records.clone_from(&records);
         self.withdrawn.clear();
+        let is_first = !self.state.has_member_list();
         self.state.sync_members(&listed, now);
         self.balancers.clear();
         self.add_balancers(&listed);
+        if is_first {
+            self.request_reporting_agents(now);
+        }
         // Pending list requests are answered from this snapshot.
         self.publish();
         self.lists.publish(at, records, attempt);
@@ -241,6 +254,19 @@
         }
     }
 
+    /// Asks some balancers for the agents that report to them: the store does not list an agent whose entry was removed
+    /// until it has registered again.
+    fn request_reporting_agents(&mut self, now: u64) {
+        let peers = self.balancers.iter().copied();
+        let peers = peers.choose_multiple(&mut rand::rng(), MAX_PEERS_ASKED);
+        if peers.is_empty() {
+            return;
+        }
+        self.state.await_peers(now);
+        let updates = self.updates.clone();
+        tokio::spawn(async move { discovery::request_reporting(&peers, &updates).await });
+    }
+
     /// Notifies removed agents that still report.
     fn handle_removed_members(&mut self, removed: &[RemovedMember], now: u64) {
         // The hello would list this stopping balancer at the agent.
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -66,6 +66,8 @@
     Removed(Vec<RemovedMember>),
     /// Members may have been removed from the store; the next list shows which.
     RemovalsUnknown,
+    /// The peers asked for agents that report to them have named some, or none can.
+    PeersAsked,
 }
 
 /// Jittered exponential backoff and adaptive call timeout for the store.
@@ -215,6 +217,39 @@
     }
 }
 
+/// Asks peers for the agents that report to them, until one names some.
+pub(crate) async fn request_reporting(peers: &[SocketAddrV4], out: &mpsc::Sender<Update>) {
+    let request = SnapshotRequest::default().with_members(Part::Reporting);
+    let mut answers: FuturesUnordered<_> =
+        peers.iter().map(|&it| request_one(it, &request)).collect();
+    while let Some((peer, answer)) = answers.next().await {
+        let id = Id::PeerAsked;
+        let members = match answer {
+            Ok(found) => found.into_iter().find_map(|it| match it {
+                Update::PeerMembers(members) => Some(members),
+                _ => None,
+            }),
+            Err(e) => {
+                let error = format!("{e:#}");
+                tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
+                continue;
+            }
+        };
+        let members = members.unwrap_or_default();
+        tracing::info!(id = id as u16, name = id.name(), peer = %peer, reporting = members.len());
+        if members.is_empty() {
+            // A peer that has just started does not know more than this process.
+            continue;
+        }
+        if out.send(Update::PeerMembers(members)).await.is_err() {
+            return;
+        }
+        break;
+    }
+    // A closed channel means that the process ends.
+    let _ = out.send(Update::PeersAsked).await;
+}
+
 async fn request_one(
     peer: SocketAddrV4,
     request: &SnapshotRequest,
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use camphorwinch_core::opaque::{
+    PoolId,
     fleet::MemberEntry,
     revision::Revision,
     route::Routes,
@@ -21,8 +22,8 @@
 };
 
 use super::{
-    DiscoveryState, Follow, Join, Topic, Update, WatchRole, join::list_interval, topic::Era,
-    withdraw,
+    DiscoveryState, Follow, Join, Topic, Update, WatchRole, join::list_interval, request_reporting,
+    topic::Era, withdraw,
 };
 use crate::store::{
     ConfigRead, Freshness, Member, Members, Record, Removals, Store, StoreError, Watched,
@@ -659,6 +660,29 @@
     task.abort();
 }
 
+// Guards against a starting balancer that does not learn of a living agent whose entry was removed.
+#[tokio::test]
+async fn reporting_agents_are_requested_until_a_peer_names_some() {
+    let (starting, _newest) = seed(&Arc::default()).await;
+    let (running, newest) = seed(&Arc::default()).await;
+    let gone = "127.0.0.1:1".parse().expect("an address");
+    let agent = |host: u8| MemberEntry {
+        address: SocketAddrV4::new([10, 0, 0, host].into(), 7720),
+        pool: Some(PoolId(1)),
+        zone: ZoneId(9),
+    };
+    let reporting = [agent(2).address].into();
+    let known = Snapshot::new(None, &[agent(2), agent(3)]).with_reporting(&reporting);
+    newest.send_replace(Arc::new(known));
+    let (out, mut updates) = mpsc::channel(16);
+    request_reporting(&[gone, starting, running], &out).await;
+    let Some(Update::PeerMembers(members)) = updates.recv().await else { panic!("no members") };
+    assert_eq!(members, [agent(2)]);
+    assert!(matches!(updates.recv().await, Some(Update::PeersAsked)));
+    request_reporting(&[gone, starting], &out).await;
+    assert!(matches!(updates.recv().await, Some(Update::PeersAsked)));
+}
+
 // The store may reject the seed while it accepts other processes.
 #[tokio::test]
 async fn process_reads_list_if_seed_fails() {
--- a/crates/opaque/src/lists.rs
+++ b/crates/opaque/src/lists.rs
@@ -158,7 +158,8 @@
     /// store.
     pub(crate) fn complete(&self, mut snapshot: Snapshot, part: Part) -> Snapshot {
         let known = self.known.borrow().clone();
-        let Some(at) = known.at.filter(|_| part != Part::None) else {
+        let includes_list = matches!(part, Part::Balancers | Part::All);
+        let Some(at) = known.at.filter(|_| includes_list) else {
             return snapshot;
         };
         (snapshot.list_era, snapshot.list_revision) = (at.era, at.number);
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -702,6 +702,8 @@
     Balancers = 1,
     /// All members.
     All = 2,
+    /// Agents that report to the sender, whether or not the store lists them.
+    Reporting = 3,
 }
 
 /// Required freshness of a member list; encoded form of [`camphorwinch_core::opaque::member_list::Freshness`].
@@ -788,4 +790,7 @@
     /// Revision number of that object.
     #[prost(uint64, tag = "6")]
     pub revision: u64,
+    /// Whether it is an agent that reports to the sender.
+    #[prost(bool, tag = "7")]
+    pub reports: bool,
 }
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -1,6 +1,9 @@
 //! Conversions between the messages about opaque flows and the types of the core crate.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddrV4},
+};
 
 use camphorwinch_core::opaque::{
     PoolId,
@@ -138,6 +141,7 @@
                 self.members.iter().filter(|it| it.pool.is_none()).cloned().collect()
             }
             Part::All => self.members.clone(),
+            Part::Reporting => self.members.iter().filter(|it| it.reports).cloned().collect(),
         };
         let Snapshot { list_era, list_revision, .. } = *self;
         if !request.config {
@@ -163,6 +167,14 @@
         config_version(self.version, self.era, self.revision)
     }
 
+    /// Marks the agents that report to the sender.
+    pub fn with_reporting(mut self, agents: &BTreeSet<SocketAddrV4>) -> Snapshot {
+        for it in &mut self.members {
+            it.reports = address(it.ip, it.port).is_ok_and(|it| agents.contains(&it));
+        }
+        self
+    }
+
     /// Sets the zones out of service, if known.
     pub fn with_zones(self, zones: Option<&ZonesOut>) -> Snapshot {
         Snapshot { zones: zones.map(ZonesEntry::from), ..self }
