Agent: an unknown id does not displace an upstream that goes on sending heartbeats

Cause: without start times each unknown id counted as the newer process, so a delayed heartbeat of a dead one displaced the living one for good.

Ruled out: a crash (the process holds its flows), resets by balancers (650 is the agent's), the sequence number (that of any new process).

Mend: another id replaces an upstream that has ended or has been silent for two heartbeats, as after a crash. Otherwise both count until one is silent (640): ready if both are, draining if one is; no flow is reset, and a new process bounces what it does not hold. On related paths: after a restart of the agent only a second heartbeat proves that it has seen the upstream from its start, and an unknown id after the end or the silence of the upstream counts only if something listens.

--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -48,6 +48,8 @@
     Outdated,
     /// It may be from a former upstream process or a new one. It was ignored and must not be acknowledged.
     Ambiguous,
+    /// It is from another upstream process than the known one, which is not silent. Either may be the running one.
+    Contested,
     /// It lacks the start time that the upstream here sends, so it is from another process.
     MissingStartTime,
 }
@@ -166,6 +168,12 @@
         out.push(Effect::Report);
     }
 
+    /// Whether a heartbeat of this instance may be a delayed one of an upstream that is gone: the instance is unknown, and
+    /// the known one has ended or is silent.
+    pub fn is_stray_candidate(&self, instance: &UpstreamInstance, now_ms: u64) -> bool {
+        self.upstream_tracker.is_stray_candidate(instance, now_ms)
+    }
+
     /// State of the upstream.
     pub fn upstream(&self, now_ms: u64) -> UpstreamState {
         let default_state =
@@ -225,6 +233,10 @@
             HeartbeatSource::MissingStartTime => return HeartbeatResult::MissingStartTime,
             HeartbeatSource::Current => {}
             HeartbeatSource::New => self.learning = false,
+            HeartbeatSource::Rival => {
+                out.push(Effect::Report);
+                return HeartbeatResult::Contested;
+            }
             HeartbeatSource::Replacement { until_ms } => {
                 self.learning = false;
                 // Flows opened after the former upstream's last heartbeat may already be with the new one.
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -12,6 +12,7 @@
 mod pool_monitor;
 mod ranked_queue;
 mod regions;
+mod rival_instances;
 mod route;
 mod route_share;
 mod service_rate;
--- a/crates/opaque/src/agent.rs
+++ b/crates/opaque/src/agent.rs
@@ -47,7 +47,7 @@
 const MAX_STOP_MS: u64 = 1_500;
 /// Timeout for the check whether the upstream listens.
 const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
-/// Timeout for withdrawing this process from the store.
+/// Timeout of a call that withdraws this process from the store.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
 /// Capacity of the internal channels.
 const CHANNEL_CAPACITY: usize = 64;
@@ -176,9 +176,8 @@
         joining.abort();
         let _ = joining.await;
         let known = *entry.borrow();
-        let withdrawal = discovery::withdraw_own(&store, &own.name, known, WITHDRAW_TIMEOUT);
         // A failure is logged, and balancers withdraw the entry later.
-        let _ = timeout(WITHDRAW_TIMEOUT, withdrawal).await;
+        let _ = discovery::withdraw_own(&store, &own.name, known, WITHDRAW_TIMEOUT).await;
         // Balancers that read the list just before the withdrawal learn of it from this report.
         process.set_plan(AgentPlan::Leave);
     }
@@ -244,7 +243,7 @@
                     self.receive_peers();
                 }
                 Some(update) = input.recv() => self.handle_update(update),
-                Some(message) = messages.recv() => self.handle_upstream_message(message),
+                Some(message) = messages.recv() => self.handle_upstream_message(message).await,
                 _ = ticks.tick() => self.tick(),
                 () = stop.cancelled(), if stopping_ms.is_none() => {
                     if self.stop().await {
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddrV4;
 
 use camphorwinch_core::opaque::{
-    agent::{Heartbeat, HeartbeatResult},
+    agent::{Heartbeat, HeartbeatResult, UpstreamInstance},
     effect::RelayHeader,
     fleet::UpstreamState,
     service_rate::MeasuredService,
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Hello, decode};
 
-use super::{MAX_PACKETS_PER_TURN, MessageResult, Process, UpstreamMessage, balancer_address};
+use super::{
+    MAX_PACKETS_PER_TURN, MessageResult, Process, UpstreamMessage, balancer_address, is_listening,
+};
 use crate::{
     balancer::caller_address,
     clock::now_ms,
@@ -166,12 +168,16 @@
         self.report(now_ms());
     }
 
-    pub(super) fn handle_upstream_message(&mut self, message: UpstreamMessage) {
+    pub(super) async fn handle_upstream_message(&mut self, message: UpstreamMessage) {
         let now = now_ms();
         let before = self.state.upstream(now);
         let (reply, result) = match message {
             UpstreamMessage::Heartbeat(beat, reply) => {
-                let result = self.state.heartbeat(&beat, now, &mut self.effects);
+                let result = if self.is_stray(&beat.instance, now).await {
+                    HeartbeatResult::Ambiguous
+                } else {
+                    self.state.heartbeat(&beat, now, &mut self.effects)
+                };
                 log_heartbeat(&beat, result, before);
                 (reply, message_result(result))
             }
@@ -198,11 +204,22 @@
     }
 }
 
+impl<C> Process<C>
+where
+    C: Codec,
+{
+    /// Whether a heartbeat of this instance is a delayed one of an upstream that is gone: nothing listens.
+    async fn is_stray(&self, instance: &UpstreamInstance, now: u64) -> bool {
+        self.state.is_stray_candidate(instance, now) && !is_listening(self.address).await
+    }
+}
+
 fn message_result(result: HeartbeatResult) -> MessageResult {
     match result {
-        HeartbeatResult::Unchanged | HeartbeatResult::Changed | HeartbeatResult::Outdated => {
-            MessageResult::Acknowledged
-        }
+        HeartbeatResult::Unchanged
+        | HeartbeatResult::Changed
+        | HeartbeatResult::Contested
+        | HeartbeatResult::Outdated => MessageResult::Acknowledged,
         HeartbeatResult::Ambiguous => MessageResult::Unclear,
         HeartbeatResult::MissingStartTime => MessageResult::Foreign,
     }
@@ -211,6 +228,7 @@
 fn log_heartbeat(beat: &Heartbeat, result: HeartbeatResult, before: UpstreamState) {
     let id = match result {
         HeartbeatResult::Changed => Id::UpstreamChanged,
+        HeartbeatResult::Contested => Id::UpstreamContested,
         HeartbeatResult::Outdated => Id::HeartbeatLate,
         HeartbeatResult::Ambiguous => Id::HeartbeatUnclear,
         HeartbeatResult::MissingStartTime => Id::HeartbeatForeign,
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -8,7 +8,6 @@
     zone::{ZoneUpdateResult, ZonesOut},
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Hello, Report, SnapshotRequest, decode};
-
 use rand::seq::IteratorRandom;
 
 use super::{MAX_PACKETS_PER_TURN, Process, maintenance::HELLO_RESEND_DELAY_MS};
--- a/crates/opaque/src/discovery/registration.rs
+++ b/crates/opaque/src/discovery/registration.rs
@@ -59,7 +59,9 @@
             return Err(error);
         }
         replaced = match error {
-            StoreError::Conflict { current, .. } => Some(current.unwrap_or_else(|| none(store))),
+            StoreError::Conflict { current, .. } => {
+                Some(current.unwrap_or_else(|| unmatched_revision(store)))
+            }
             // The entry was removed since the last write.
             StoreError::NotFound { .. } => None,
             e => return Err(e),
@@ -77,14 +79,14 @@
 where
     S: Store,
 {
-    let mut revision = known.unwrap_or_else(|| none(store));
+    let mut revision = known.unwrap_or_else(|| unmatched_revision(store));
     let mut writes = 0;
     let result = loop {
         let result = store.withdraw(name, revision, call_timeout).await;
         writes += 1;
         match count_call("withdraw", result) {
             Err(StoreError::Conflict { current, .. }) if writes < MAX_WRITES => {
-                revision = current.unwrap_or_else(|| none(store));
+                revision = current.unwrap_or_else(|| unmatched_revision(store));
             }
             it => break it,
         }
@@ -94,7 +96,7 @@
 }
 
 /// A revision that no entry has. A write under it fails, and the store's answer contains the revision of the entry.
-fn none<S>(store: &S) -> Revision
+fn unmatched_revision<S>(store: &S) -> Revision
 where
     S: Store,
 {
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -60,6 +60,7 @@
     637 UpstreamTakenBack "opaque-upstream-taken-back" "the circuit breaker closed: the upstream answers requests again";
     638 ServiceTimeLearned "opaque-service-time-learned" "the agent received its upstream's service time from before a restart";
     639 RouteBeyondShare "opaque-route-beyond-share" "a route sends more requests than its usual share of the pool; those beyond it wait behind the others";
+    640 UpstreamContested "opaque-upstream-contested" "a heartbeat came from another upstream process than the known one; both count until one is silent";
     641 FlowPlaced "opaque-flow-placed" "an opening packet was sent to its first candidate";
     642 FlowAccepted "opaque-flow-accepted" "an agent accepted the flow for its upstream";
     643 FlowPassed "opaque-flow-passed" "an agent forwarded an opening packet to the next candidate";
