--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Discovery of members and configuration, from the store or, while the store is unavailable, from peers.
 
+#[cfg(test)]
+mod fake_store;
 mod join;
 mod registration;
 mod removals;
--- a/crates/opaque/src/discovery/registration/tests.rs
+++ b/crates/opaque/src/discovery/registration/tests.rs
@@ -3,14 +3,13 @@
     time::Duration,
 };
 
-use camphorwinch_core::opaque::{revision::Revision, zone::ZonesOut};
-use quickcheck::{Arbitrary, Gen, quickcheck};
-use tokio::{sync::watch, time::sleep};
-
-use super::{super::withdraw, register, withdraw_own};
-use crate::store::{
-    ConfigRead, Freshness, Member, Members, Record, Removals, Store, StoreError, Watched,
+use super::{register, withdraw_own};
+use crate::{
+    discovery::{fake_store::FakeStore, withdraw},
+    store::{Member, Record, StoreError},
 };
+use camphorwinch_core::opaque::revision::Revision;
+use quickcheck::{Arbitrary, Gen, quickcheck};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -149,76 +148,26 @@
     }
 }
 
-impl Store for LateStore {
-    fn era(&self) -> watch::Receiver<Option<u64>> {
-        watch::channel(Some(0)).1
-    }
-
-    async fn members(&self, _: Duration) -> Result<Members, StoreError> {
-        Ok(Members::default())
-    }
-
-    async fn create(
-        &self,
-        member: &Member,
-        registration: u32,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
+impl FakeStore for LateStore {
+    fn create(&self, member: &Member, registration: u32) -> Result<Option<Revision>, StoreError> {
         self.call(Write::Create(member.pool.clone(), registration))
     }
 
-    async fn replace(
+    fn replace(
         &self,
         member: &Member,
         registration: u32,
         revision: Revision,
-        _: Duration,
     ) -> Result<Option<Revision>, StoreError> {
         self.call(Write::Replace(member.pool.clone(), registration, revision.number))
     }
 
-    async fn withdraw(&self, _: &str, at: Revision, _: Duration) -> Result<(), StoreError> {
+    fn withdraw(&self, _: &str, at: Revision) -> Result<(), StoreError> {
         match self.call(Write::Withdraw(at.number)) {
             Err(StoreError::NotFound { .. }) => Ok(()),
             it => it.map(|_| ()),
         }
     }
-
-    async fn watch_members(
-        &self,
-        at: Revision,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<Watched<Removals>, StoreError> {
-        sleep(wait).await;
-        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
-    }
-
-    async fn routes(&self, _: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
-        Ok(ConfigRead { routes: None, at: Revision::default() })
-    }
-
-    async fn watch(
-        &self,
-        at: Revision,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ConfigRead>, StoreError> {
-        Ok(Watched::Advanced(ConfigRead { routes: None, at }))
-    }
-
-    async fn zones_out(&self, _: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
-        Ok(ZonesOut::default())
-    }
-
-    async fn watch_zones(
-        &self,
-        known: &ZonesOut,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ZonesOut>, StoreError> {
-        Ok(Watched::Advanced(known.clone()))
-    }
 }
 
 fn member(pool: &str) -> Member {
--- a/crates/opaque/src/discovery/removals/tests.rs
+++ b/crates/opaque/src/discovery/removals/tests.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use camphorwinch_core::opaque::{revision::Revision, zone::ZonesOut};
+use camphorwinch_core::opaque::revision::Revision;
 use tokio::{
     sync::{mpsc, watch},
     time::{sleep, timeout},
@@ -11,11 +11,9 @@
 
 use super::WatchRemovals;
 use crate::{
-    discovery::Update,
+    discovery::{Update, fake_store::FakeStore},
     lists::Lists,
-    store::{
-        ConfigRead, Freshness, Member, Members, Removals, RemovedMember, Store, StoreError, Watched,
-    },
+    store::{Removals, RemovedMember, StoreError, Watched},
 };
 
 /// Answer of a watch call.
@@ -47,43 +45,11 @@
     }
 }
 
-impl Store for ScriptedStore {
-    fn era(&self) -> watch::Receiver<Option<u64>> {
-        watch::channel(Some(0)).1
-    }
-
-    async fn members(&self, _: Duration) -> Result<Members, StoreError> {
-        Ok(Members::default())
-    }
-
-    async fn create(
-        &self,
-        _: &Member,
-        _: u32,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
-        Ok(None)
-    }
-
-    async fn replace(
-        &self,
-        _: &Member,
-        _: u32,
-        _: Revision,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
-        Ok(None)
-    }
-
-    async fn withdraw(&self, _: &str, _: Revision, _: Duration) -> Result<(), StoreError> {
-        Ok(())
-    }
-
+impl FakeStore for ScriptedStore {
     async fn watch_members(
         &self,
         at: Revision,
         wait: Duration,
-        _: Duration,
     ) -> Result<Watched<Removals>, StoreError> {
         self.calls.lock().expect("not poisoned").push(at.number);
         let answer = {
@@ -104,32 +70,6 @@
             Answer::Busy => Err(StoreError::Busy { step: "watch the members", status: 503 }),
         }
     }
-
-    async fn routes(&self, _: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
-        Ok(ConfigRead { routes: None, at: Revision::default() })
-    }
-
-    async fn watch(
-        &self,
-        at: Revision,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ConfigRead>, StoreError> {
-        Ok(Watched::Advanced(ConfigRead { routes: None, at }))
-    }
-
-    async fn zones_out(&self, _: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
-        Ok(ZonesOut::default())
-    }
-
-    async fn watch_zones(
-        &self,
-        known: &ZonesOut,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ZonesOut>, StoreError> {
-        Ok(Watched::Advanced(known.clone()))
-    }
 }
 
 struct Harness {
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -22,12 +22,10 @@
 };
 
 use super::{
-    DiscoveryState, Follow, Join, Topic, Update, WatchRole, join::list_interval, request_reporting,
-    topic::Era, withdraw,
-};
-use crate::store::{
-    ConfigRead, Freshness, Member, Members, Record, Removals, Store, StoreError, Watched,
+    DiscoveryState, Follow, Join, Topic, Update, WatchRole, fake_store::FakeStore,
+    join::list_interval, request_reporting, topic::Era, withdraw,
 };
+use crate::store::{ConfigRead, Freshness, Member, Members, Record, Store, StoreError, Watched};
 use crate::{lists::Lists, snapshot};
 
 /// Store revision, far above the configuration's own.
@@ -58,35 +56,12 @@
     }
 }
 
-impl Store for HistoryStore {
+impl FakeStore for HistoryStore {
     fn era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
     }
 
-    async fn members(&self, _: Duration) -> Result<Members, StoreError> {
-        Ok(Members::default())
-    }
-
-    async fn create(
-        &self,
-        _: &Member,
-        _: u32,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
-        Ok(None)
-    }
-
-    async fn replace(
-        &self,
-        _: &Member,
-        _: u32,
-        _: Revision,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
-        Ok(None)
-    }
-
-    async fn withdraw(&self, _: &str, at: Revision, _: Duration) -> Result<(), StoreError> {
+    fn withdraw(&self, _: &str, at: Revision) -> Result<(), StoreError> {
         self.record_call(Some(at.number));
         let step = "withdraw a member";
         match self.calls().len() {
@@ -96,17 +71,7 @@
         }
     }
 
-    async fn watch_members(
-        &self,
-        at: Revision,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<Watched<Removals>, StoreError> {
-        sleep(wait).await;
-        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
-    }
-
-    async fn routes(&self, it: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
+    fn routes(&self, it: Freshness) -> Result<ConfigRead, StoreError> {
         self.record_call(None);
         self.reads.lock().expect("not poisoned").push(it);
         if self.config_limit.is_some_and(|it| self.calls().len() > it) {
@@ -118,12 +83,7 @@
         Ok(ConfigRead { routes: Some(routes), at: Revision::new(era, STORE_AT) })
     }
 
-    async fn watch(
-        &self,
-        at: Revision,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<Watched<ConfigRead>, StoreError> {
+    async fn watch(&self, at: Revision, wait: Duration) -> Result<Watched<ConfigRead>, StoreError> {
         self.record_call(Some(at.number));
         if self.compacts || at.number < STORE_AT {
             return Ok(Watched::Compacted);
@@ -132,7 +92,7 @@
         Ok(Watched::Advanced(ConfigRead { routes: None, at }))
     }
 
-    async fn zones_out(&self, it: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
+    fn zones_out(&self, it: Freshness) -> Result<ZonesOut, StoreError> {
         self.record_call(None);
         self.reads.lock().expect("not poisoned").push(it);
         if self.zones_busy {
@@ -145,7 +105,6 @@
         &self,
         known: &ZonesOut,
         _: Duration,
-        _: Duration,
     ) -> Result<Watched<ZonesOut>, StoreError> {
         self.record_call(Some(known.revision().number));
         if self.compacts {
@@ -422,12 +381,12 @@
     }
 }
 
-impl Store for MemberStore {
+impl FakeStore for MemberStore {
     fn era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
     }
 
-    async fn members(&self, _: Duration) -> Result<Members, StoreError> {
+    async fn members(&self) -> Result<Members, StoreError> {
         {
             let mut busy = self.busy.lock().expect("not poisoned");
             if *busy > 0 {
@@ -442,12 +401,7 @@
         Ok(Members { at, records })
     }
 
-    async fn create(
-        &self,
-        member: &Member,
-        _: u32,
-        _: Duration,
-    ) -> Result<Option<Revision>, StoreError> {
+    fn create(&self, member: &Member, _: u32) -> Result<Option<Revision>, StoreError> {
         let mut names = self.names.lock().expect("not poisoned");
         if names.contains(&member.name) {
             let current = Some(Revision::new(0, 7));
@@ -457,12 +411,11 @@
         Ok(None)
     }
 
-    async fn replace(
+    fn replace(
         &self,
         member: &Member,
         _: u32,
         _: Revision,
-        _: Duration,
     ) -> Result<Option<Revision>, StoreError> {
         match self.names().contains(&member.name) {
             true => Ok(None),
@@ -470,46 +423,10 @@
         }
     }
 
-    async fn withdraw(&self, name: &str, _: Revision, _: Duration) -> Result<(), StoreError> {
+    fn withdraw(&self, name: &str, _: Revision) -> Result<(), StoreError> {
         self.names.lock().expect("not poisoned").retain(|it| it != name);
         Ok(())
     }
-
-    async fn watch_members(
-        &self,
-        at: Revision,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<Watched<Removals>, StoreError> {
-        sleep(wait).await;
-        Ok(Watched::Advanced(Removals { at, members: Vec::new() }))
-    }
-
-    async fn routes(&self, _: Freshness, _: Duration) -> Result<ConfigRead, StoreError> {
-        Ok(ConfigRead { routes: None, at: Revision::new(0, STORE_AT) })
-    }
-
-    async fn watch(
-        &self,
-        at: Revision,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ConfigRead>, StoreError> {
-        Ok(Watched::Advanced(ConfigRead { routes: None, at }))
-    }
-
-    async fn zones_out(&self, _: Freshness, _: Duration) -> Result<ZonesOut, StoreError> {
-        Ok(ZonesOut::default())
-    }
-
-    async fn watch_zones(
-        &self,
-        known: &ZonesOut,
-        _: Duration,
-        _: Duration,
-    ) -> Result<Watched<ZonesOut>, StoreError> {
-        Ok(Watched::Advanced(known.clone()))
-    }
 }
 
 // Guards against a start that is delayed by peers that don't answer.
@@ -569,7 +486,7 @@
 async fn agent_without_upstream_is_not_listed() {
     let store = MemberStore::default();
     // Entry of an earlier run.
-    store.create(&member(), 1, Duration::ZERO).await.expect("created");
+    Store::create(&store, &member(), 1, Duration::ZERO).await.expect("created");
     let (serves, serving) = watch::channel(false);
     let (_keep, seeds) = watch::channel(Vec::new());
     let (out, mut updates) = mpsc::channel(16);
