Balancers: duties and entries follow signs of life

Cause: an entry was taken for a living balancer. The watchers of the configuration, the zones and the removals were chosen among all entries, the pace of reads grew with them, and nobody withdrew entries of balancers that are gone.

Ruled out: a slow store (its record shows no waiting call), watches that hang (none is begun), changes that were put aside (no line 612).

Mend: hellos name the balancers with a duty that their sender has heard of lately, so all hear of them within a few rounds of gossip. Duties fall on balancers heard of within 6 s; reads go at the pace of those of which nothing says that they are gone. A balancer that has been silent for 30 s, or a second for each balancer in a larger fleet, is checked six times, directly and through two others, and its entry is then withdrawn under its revision. A balancer that hears no other one checks none. One whose entry is removed is told at once and registers again.

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -11,6 +11,7 @@
 pub mod agent;
 mod agents;
 pub mod balancer;
+pub mod balancer_monitor;
 mod breaker;
 pub mod candidate_list;
 pub mod effect;
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -1,7 +1,7 @@
 //! Fleet-wide duties and the balancers that perform each: withdrawal of stale entries from the store, watches for
 //! configuration changes, and distribution of configurations.
 
-use std::net::SocketAddrV4;
+use std::{collections::BTreeSet, net::SocketAddrV4};
 
 use super::{
     super::{
@@ -104,6 +104,26 @@
         self.ranks_within(half.min(ZONE_WATCHERS), ZONE_WATCH_SEED, others)
     }
 
+    /// Balancers, this one included, that have a duty for the whole fleet: the first ones among `others` in each order.
+    pub fn duty_holders<'a, I>(&self, others: I) -> BTreeSet<SocketAddrV4>
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let all: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
+        let duties = [
+            (CONFIG_WATCHERS, CONFIG_WATCH_SEED),
+            (ZONE_WATCHERS, ZONE_WATCH_SEED),
+            (REMOVAL_WATCHERS, REMOVAL_WATCH_SEED),
+        ];
+        let mut holders = BTreeSet::new();
+        for (count, seed) in duties {
+            let mut order = all.clone();
+            order.sort_unstable_by_key(|&it| rendezvous_weight(it, seed));
+            holders.extend(order.into_iter().take(count));
+        }
+        holders
+    }
+
     /// Whether this balancer watches the store for members that are removed.
     pub fn is_removal_watcher<'a, I>(&self, others: I) -> bool
     where
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agent;
 mod balancer;
+mod balancer_monitor;
 mod candidate_list;
 mod fleet;
 mod late_binding;
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -17,6 +17,7 @@
 use camphorwinch_core::opaque::{
     FlowKey, PacketHeader,
     balancer::Balancer,
+    balancer_monitor::BalancerMonitor,
     effect::{Effect, Payload},
     fleet::{MemberEntry, ZoneId},
     pool_monitor::PoolMonitor,
@@ -182,6 +183,10 @@
         updates,
         relist,
         balancers: BTreeSet::new(),
+        monitor: BalancerMonitor::default(),
+        live: BTreeSet::new(),
+        present: BTreeSet::new(),
+        unlisted: BTreeSet::new(),
         lists,
         records: Vec::new(),
         withdrawn: BTreeSet::new(),
@@ -226,10 +231,16 @@
     relist: Arc<Notify>,
     /// Addresses of the other balancers.
     balancers: BTreeSet<SocketAddrV4>,
+    monitor: BalancerMonitor,
+    /// Other balancers that have been heard of lately, and those of which nothing says that they are gone.
+    live: BTreeSet<SocketAddrV4>,
+    present: BTreeSet<SocketAddrV4>,
+    /// Balancers whose entries were removed. They are notified if they are heard of again.
+    unlisted: BTreeSet<SocketAddrV4>,
     /// The member list as served to peers.
     lists: Arc<Lists>,
     records: Vec<Record>,
-    /// Agents withdrawn by this balancer since the last list.
+    /// Members withdrawn by this balancer since the last list.
     withdrawn: BTreeSet<SocketAddrV4>,
     /// Store era of the last member list.
     list_era: Option<u64>,
@@ -240,7 +251,7 @@
     /// Agents due for withdrawal, and since when.
     withdraw_due: BTreeMap<SocketAddrV4, u64>,
     gone: mpsc::Sender<Record>,
-    /// Agents whose withdrawal has not ended and that have not reported since it began.
+    /// Members whose withdrawal has not ended and that have given no sign of life since it began.
     withdrawing: watch::Sender<BTreeSet<SocketAddrV4>>,
     effects: Vec<Effect>,
     scratch: Vec<u8>,
@@ -335,10 +346,11 @@
         self.gossip(now);
         self.resend_hellos(now);
         self.expire_lost_zones(now);
-        self.withdraw_gone_agents(now);
+        self.withdraw_gone_members(now);
         if self.ready.get() && now.saturating_sub(self.status_ms) < STATUS_INTERVAL_MS {
             return;
         }
+        self.update_live_balancers(now);
         self.status_ms = now;
         self.update_watch_roles();
         if self.unpublished {
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -147,6 +147,12 @@
     }
 
     fn handle_hello(&mut self, from: SocketAddrV4, hello: Hello) {
+        self.handle_signs_of_life(from, &hello, now_ms());
+        if hello.unlisted {
+            let id = Id::Unlisted;
+            tracing::info!(id = id as u16, name = id.name(), peer = %from);
+            self.relist.notify_one();
+        }
         if !hello.leaving && self.balancers.insert(from) {
             self.unpublished = true;
         }
@@ -159,6 +165,39 @@
         }
     }
 
+    /// Records which balancers are alive, and answers probes and questions about a balancer.
+    fn handle_signs_of_life(&mut self, from: SocketAddrV4, hello: &Hello, now: u64) {
+        self.monitor.record_datagram(from, now);
+        for (balancer, age_ms) in hello.heard() {
+            self.monitor.record(balancer, now.saturating_sub(age_ms));
+        }
+        if hello.leaving || self.stopping_ms.is_some() {
+            return;
+        }
+        if self.unlisted.remove(&from) {
+            self.notify_unlisted_balancer(from);
+        }
+        let mut answer = hello.probe.then(|| self.hello());
+        if let Some(sought) = hello.sought() {
+            match self.monitor.age_ms(sought, now) {
+                Some(age_ms) => answer = Some(self.hello().with_heard(sought, age_ms)),
+                None => {
+                    let probe = Hello { probe: true, ..self.hello() };
+                    self.peers.control(sought, Body::Hello(probe));
+                }
+            }
+        }
+        if let Some(answer) = answer {
+            self.peers.control(from, Body::Hello(answer));
+        }
+    }
+
+    fn notify_unlisted_balancer(&mut self, to: SocketAddrV4) {
+        self.withdrawing.send_if_modified(|it| it.remove(&to));
+        let hello = Hello { unlisted: true, ..self.hello() };
+        self.peers.control(to, Body::Hello(hello));
+    }
+
     pub(super) fn handle_update(&mut self, update: Update) {
         let now = now_ms();
         let newer = match update {
@@ -240,6 +279,9 @@
         self.state.sync_members(&listed, now);
         self.balancers.clear();
         self.add_balancers(&listed);
+        self.unlisted.retain(|it| !self.balancers.contains(it));
+        self.monitor.set_balancers(&self.balancers, now);
+        self.update_live_balancers(now);
         if is_first {
             self.request_reporting_agents(now);
         }
@@ -277,7 +319,14 @@
             let Some(agent) = member.address.or(record.map(|it| it.listed.address)) else {
                 continue;
             };
-            if self.state.handle_removal(agent, now, &mut self.effects) {
+            let is_balancer = self.balancers.contains(&agent);
+            if is_balancer {
+                // In a large fleet it may be alive though it has not been heard of lately.
+                self.unlisted.insert(agent);
+                self.notify_unlisted_balancer(agent);
+            }
+            let is_live = is_balancer && self.live.contains(&agent);
+            if self.state.handle_removal(agent, now, &mut self.effects) || is_live {
                 let id = Id::MemberUnlisted;
                 tracing::warn!(id = id as u16, name = id.name(), member = member.name, %agent);
             }
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -1,4 +1,4 @@
-//! Periodic tasks of a balancer: hellos, configuration copies on agents, watch roles, and the withdrawal of agents that
+//! Periodic tasks of a balancer: hellos, configuration copies on agents, watch roles, and the withdrawal of members that
 //! are gone.
 
 use std::net::SocketAddrV4;
@@ -7,7 +7,7 @@
 use rand::seq::IteratorRandom;
 
 use super::Process;
-use crate::{codec::Codec, discovery::WatchRole, store::Record};
+use crate::{codec::Codec, discovery::WatchRole, event::Id, store::Record};
 
 /// Interval between hellos to a random balancer. They spread a new configuration to all of 520 balancers within 2 s,
 /// even if the store serves only one of them.
@@ -15,6 +15,10 @@
 /// Delay before a balancer sends its hello to all others again, in case one in the distribution tree did not forward
 /// the first: three levels of some 0.1 s each on slow VMs, and as much again.
 pub(super) const HELLO_RESEND_DELAY_MS: u64 = 600;
+/// Time between two status updates that means that the process was stalled.
+const STALL_MS: u64 = 1_000;
+/// Balancers that are asked about a silent one.
+const WITNESSES: usize = 2;
 /// Interval between checks for agents to withdraw.
 const WITHDRAW_CHECK_INTERVAL_MS: u64 = 1_500;
 
@@ -22,9 +26,9 @@
 where
     C: Codec,
 {
-    /// Withdraws the store entries of agents that left or have been gone for long, as far as this balancer is
-    /// responsible for them.
-    pub(super) fn withdraw_gone_agents(&mut self, now: u64) {
+    /// Withdraws the store entries of agents that left, and of agents and balancers that have been gone for long, as far
+    /// as this balancer is responsible for them.
+    pub(super) fn withdraw_gone_members(&mut self, now: u64) {
         let Some(connected_ms) = self.connected_ms else {
             return;
         };
@@ -32,6 +36,7 @@
             return;
         }
         self.withdraw_check_ms = now;
+        self.check_silent_balancers(now);
         let gone = self.state.agents_to_withdraw(connected_ms, now);
         self.withdraw_due.retain(|it, _| gone.contains(it));
         let is_due = |it: &&Record| {
@@ -40,7 +45,7 @@
         for record in self.records.iter().filter(is_due).cloned().collect::<Vec<_>>() {
             let agent = record.listed.address;
             let since_ms = now.saturating_sub(*self.withdraw_due.entry(agent).or_insert(now));
-            if !self.state.should_withdraw(agent, &self.balancers, since_ms) {
+            if !self.state.should_withdraw(agent, &self.present, since_ms) {
                 continue;
             }
             self.withdrawing.send_modify(|it| {
@@ -59,12 +64,12 @@
         if !self.state.has_member_list() {
             return;
         }
-        let balancers = self.balancers.len();
-        let routes = watch_role(self.state.is_config_watcher(&self.balancers), balancers);
+        let balancers = self.present.len();
+        let routes = watch_role(self.state.is_config_watcher(&self.live), balancers);
         self.routes_role_sender.send_if_modified(|it| std::mem::replace(it, routes) != routes);
-        let zones = watch_role(self.state.is_zone_watcher(&self.balancers), balancers);
+        let zones = watch_role(self.state.is_zone_watcher(&self.live), balancers);
         self.zones_role_sender.send_if_modified(|it| std::mem::replace(it, zones) != zones);
-        let removals = self.state.is_removal_watcher(&self.balancers);
+        let removals = self.state.is_removal_watcher(&self.live);
         self.removals_sender.send_if_modified(|it| std::mem::replace(it, removals) != removals);
     }
 
@@ -73,13 +78,70 @@
             return;
         }
         self.gossip_ms = now;
-        let to = self.balancers.iter().copied().choose(&mut rand::rng());
-        if let Some(to) = to {
-            self.send_hello(to, false);
+        let hello = self.gossip_hello(now);
+        // Most of the listed balancers may be gone.
+        let present = self.present.iter().copied().choose(&mut rand::rng());
+        let listed = self.balancers.iter().copied().choose(&mut rand::rng());
+        for to in [present, listed].into_iter().flatten() {
+            self.peers.control(to, Body::Hello(hello.clone()));
         }
         self.send_hello_to_replica(now);
     }
 
+    /// Hello with the balancers that have a duty and that this one has heard of lately.
+    fn gossip_hello(&self, now: u64) -> Hello {
+        let mut hello = self.hello();
+        for it in self.state.duty_holders(&self.live) {
+            if let Some(age_ms) = self.monitor.age_ms(it, now) {
+                hello = hello.with_heard(it, age_ms);
+            }
+        }
+        hello
+    }
+
+    /// Updates which balancers are alive. After a stall of this process nothing is known of them.
+    pub(super) fn update_live_balancers(&mut self, now: u64) {
+        let elapsed = now.saturating_sub(self.status_ms);
+        if elapsed > STALL_MS {
+            self.monitor.shift(elapsed, now);
+        }
+        self.live = self.monitor.live(now);
+        self.present = self.monitor.present(now);
+    }
+
+    /// Checks balancers that have been silent for long, directly and through others, and withdraws the entries of those
+    /// that are gone, as far as this balancer is responsible for them.
+    fn check_silent_balancers(&mut self, now: u64) {
+        let (state, present) = (&self.state, &self.present);
+        let is_responsible = |it| state.should_withdraw(it, present, 0);
+        let witnesses = self.live.iter().copied().choose_multiple(&mut rand::rng(), WITNESSES);
+        for silent in self.monitor.checks_due(is_responsible, now) {
+            let id = Id::BalancerChecked;
+            tracing::info!(id = id as u16, name = id.name(), balancer = %silent);
+            let probe = Hello { probe: true, ..self.hello() };
+            self.peers.control(silent, Body::Hello(probe));
+            for &witness in &witnesses {
+                let hello = Hello { sought: Some(silent.into()), ..self.hello() };
+                self.peers.control(witness, Body::Hello(hello));
+            }
+        }
+        let gone: Vec<_> = self.monitor.gone().collect();
+        for record in &self.records {
+            let balancer = record.listed.address;
+            let is_due = record.listed.pool.is_none()
+                && gone.contains(&balancer)
+                && !self.withdrawn.contains(&balancer);
+            if !is_due || self.gone.try_send(record.clone()).is_err() {
+                continue;
+            }
+            self.withdrawing.send_modify(|it| {
+                it.insert(balancer);
+            });
+            self.withdrawn.insert(balancer);
+            self.unlisted.insert(balancer);
+        }
+    }
+
     /// Sends a hello to a random agent that keeps a copy of the configuration, so that the copy stays current. Done
     /// only by balancers that watch the store.
     fn send_hello_to_replica(&mut self, now: u64) {
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -31,6 +31,7 @@
     602 Stopping "opaque-stopping" "the process was asked to stop";
     603 Stopped "opaque-stopped" "the process stopped";
     604 Reloaded "opaque-reloaded" "the settings were reloaded";
+    605 BalancerChecked "opaque-balancer-checked" "a balancer that has not been heard of for long is checked; its entry is withdrawn if it stays silent";
     611 ConfigInForce "opaque-config-in-force" "a revision of the configuration is in force in this process";
     612 ConfigOld "opaque-config-old" "an older configuration was ignored";
     613 StoreLost "opaque-store-lost" "a call to the store failed; the last known state stays in use";
@@ -49,7 +50,7 @@
     626 ListAsked "opaque-list-asked" "a peer was queried for the list of members";
     627 Announced "opaque-announced" "this process is registered in the store";
     628 Withdrawn "opaque-withdrawn" "this process removed its entry from the list of members";
-    629 MemberUnlisted "opaque-member-unlisted" "an agent that reports was removed from the list of members and is notified";
+    629 MemberUnlisted "opaque-member-unlisted" "a member that is alive was removed from the list of members and is notified";
     630 UpstreamLookedFor "opaque-upstream-looked-for" "the agent checked at its start whether the upstream listens";
     631 UpstreamChanged "opaque-upstream-changed" "the upstream's state changed by a heartbeat";
     632 HeartbeatLate "opaque-heartbeat-late" "a heartbeat was ignored, as it is older than what is known";
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -452,6 +452,29 @@
     /// Service time that the receiver reported before its restart.
     #[prost(message, optional, tag = "8")]
     pub service: Option<ServiceEntry>,
+    /// Balancers that the sender has heard of lately: those with a duty, and one that the receiver asked about.
+    #[prost(message, repeated, tag = "9")]
+    pub heard: Vec<HeardEntry>,
+    /// Whether the receiver, a balancer, should answer with a hello.
+    #[prost(bool, tag = "10")]
+    pub probe: bool,
+    /// Balancer about which the sender asks.
+    #[prost(message, optional, tag = "11")]
+    pub sought: Option<PeerEntry>,
+}
+
+/// A balancer that the sender of a hello has heard of.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct HeardEntry {
+    /// IPv4 address as an integer.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Time since it was heard of, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// Service time of an upstream; encoded form of [`MeasuredService`].
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -15,8 +15,8 @@
 };
 
 use crate::opaque::{
-    Age, ColdRateEntry, DecodeError, Hello, MemberEntry, Part, PeerEntry, Report, RouteEntry,
-    ShareEntry, Snapshot, SnapshotRequest, ZonesEntry,
+    Age, ColdRateEntry, DecodeError, HeardEntry, Hello, MemberEntry, Part, PeerEntry, Report,
+    RouteEntry, ShareEntry, Snapshot, SnapshotRequest, ZonesEntry,
 };
 
 impl From<&ZonesOut> for ZonesEntry {
@@ -51,6 +51,24 @@
         config_version(self.version, self.era, self.revision)
     }
 
+    /// Adds a balancer that the sender has heard of.
+    pub fn with_heard(mut self, balancer: SocketAddrV4, age_ms: u64) -> Hello {
+        let PeerEntry { ip, port } = balancer.into();
+        self.heard.push(HeardEntry { ip, port, age_ms: age_ms.try_into().unwrap_or(u32::MAX) });
+        self
+    }
+
+    /// Balancers that the sender has heard of, with the time since then in milliseconds. Invalid entries are skipped.
+    pub fn heard(&self) -> impl Iterator<Item = (SocketAddrV4, u64)> {
+        let entry = |it: &HeardEntry| Some((address(it.ip, it.port).ok()?, u64::from(it.age_ms)));
+        self.heard.iter().filter_map(entry)
+    }
+
+    /// Balancer about which the sender asks.
+    pub fn sought(&self) -> Option<SocketAddrV4> {
+        self.sought.and_then(|it| it.try_into().ok())
+    }
+
     /// Whether an agent answers with a report. A hello with a service time answers a report itself, and another report
     /// would make the exchange endless.
     pub fn expects_report(&self) -> bool {
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -13,9 +13,9 @@
     zone::{RegionId, ZonesOut},
 };
 use camphorwinch_wire::opaque::{
-    Body, Control, Datagram, DecodeError, Hello, Report, ServiceEntry, Snapshot, ZonesEntry,
-    decode, encode_answer, encode_control, encode_decline, encode_fan_out, encode_offer,
-    encode_packet, encode_query, encode_query_response, encode_reserve,
+    Body, Control, Datagram, DecodeError, HeardEntry, Hello, PeerEntry, Report, ServiceEntry,
+    Snapshot, ZonesEntry, decode, encode_answer, encode_control, encode_decline, encode_fan_out,
+    encode_offer, encode_packet, encode_query, encode_query_response, encode_reserve,
 };
 use quickcheck::quickcheck;
 
@@ -150,6 +150,9 @@
         version: 9,
         era: 2,
         service: Some(service.into()),
+        heard: vec![HeardEntry { ip: 0x0a00_0001, port: 7720, age_ms: 1_500 }],
+        probe: true,
+        sought: Some(PeerEntry { ip: 0x0a00_0002, port: 7720 }),
     });
     let config = ConfigVersion { version: 9, revision: Revision::new(2, 5) };
     let with_copy = Report::from(report()).with_config_copy(Some(config));
