--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -9,7 +9,7 @@
 use super::Process;
 use crate::{codec::Codec, discovery::WatchRole, event::Id, store::Record};
 
-/// Interval between hellos to a random balancer. They spread a new configuration to all of 520 balancers within 2 s,
+/// Interval between hellos to two random balancers. They spread a new configuration to all of 520 balancers within 2 s,
 /// even if the store serves only one of them.
 const GOSSIP_INTERVAL_MS: u64 = 400;
 /// Delay before a balancer sends its hello to all others again, in case one in the distribution tree did not forward
