--- a/crates/core/src/opaque/upstream_tracker.rs
+++ b/crates/core/src/opaque/upstream_tracker.rs
@@ -332,8 +332,8 @@
         continues && is_replaceable
     }
 
-    /// Handles the announcement of an upstream that it ends; true if it is the current instance or its rival. An announcement
-    /// without a start time is accepted only while the current instance is draining, as it can't come from a former
+    /// Handles the announcement of an upstream that it ends; true if it is the current instance or its rival. An
+    /// announcement without a start time is accepted only while the instance is draining, as it can't come from a former
     /// instance then.
     pub(super) fn deregister(&mut self, instance: &UpstreamInstance) -> bool {
         let known = [&mut self.current, &mut self.rival].into_iter().flatten();
