--- a/crates/core/src/opaque/agent.rs
+++ b/crates/core/src/opaque/agent.rs
@@ -168,8 +168,8 @@
         out.push(Effect::Report);
     }
 
-    /// Whether a heartbeat of this instance may be a delayed one of an upstream that is gone: the instance is unknown, and
-    /// the known one has ended or is silent.
+    /// Whether a heartbeat of this instance may be a delayed one of an upstream that is gone: the instance is unknown,
+    /// and the known one has ended or is silent.
     pub fn is_stray_candidate(&self, instance: &UpstreamInstance, now_ms: u64) -> bool {
         self.upstream_tracker.is_stray_candidate(instance, now_ms)
     }
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -44,7 +44,8 @@
 /// agents that joined after the list was read have reported. After a loss of power callers of dead flows are told later
 /// by this time; with three times as much, some 90 of 2,500 requests more were late.
 const MEMBERSHIP_SETTLE_MS: u64 = 100;
-/// Longest wait for peers to name agents that report to them, beside a member list: several round trips between regions.
+/// Longest wait for peers to name agents that report to them, beside a member list: several round trips between
+/// regions.
 const PEERS_TIMEOUT_MS: u64 = 300;
 /// Interval between scans of all agents for those due a hello: a scan passes over 5,900 in the size designed for.
 const HELLO_CHECK_INTERVAL_MS: u64 = 60;
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -28,8 +28,8 @@
 /// few seconds, at a tenth of the price: if the store turns all four away (one case of eighty), one of the others sees
 /// a change within a second.
 const ZONE_WATCHERS: usize = 4;
-/// Balancers that watch the store for members that are removed. A change wakes each of them, so they are few; two may be
-/// cut off from the store.
+/// Balancers that watch the store for members that are removed. A change wakes each of them, so they are few; two may
+/// be cut off from the store.
 const REMOVAL_WATCHERS: usize = 3;
 /// Fan-out of the tree, below the watchers, over which a new configuration is announced. Without the tree the first
 /// watcher served a change to nearly all others: 69 connections at once among 75 balancers. At 520 balancers the tree
@@ -58,8 +58,8 @@
 
 impl Balancer {
     /// Agents whose entries should be withdrawn from the store, as they left or have been gone for long. A restarting
-    /// fleet would otherwise wait for them. Silence from before `connected_ms`, when this balancer was cut off, does not
-    /// count.
+    /// fleet would otherwise wait for them. Silence from before `connected_ms`, when this balancer was cut off, does
+    /// not count.
     pub fn agents_to_withdraw(&self, connected_ms: u64, now_ms: u64) -> Vec<SocketAddrV4> {
         let mut agents = self.fleet.listed_but_gone(WITHDRAW_AFTER_MS, connected_ms, now_ms);
         let left = self
--- a/crates/core/src/opaque/balancer_monitor.rs
+++ b/crates/core/src/opaque/balancer_monitor.rs
@@ -1,8 +1,8 @@
 //! Which other balancers are alive, from their hellos and from what other balancers heard.
 //!
-//! Each hello names the balancers with a duty that its sender has heard of lately, so that all hear of them within a few
-//! rounds of gossip. A balancer that has not been heard of for long is checked, by this balancer and through others as in
-//! SWIM (Das, Gupta, Motivala, 2002), before its entry is withdrawn from the store.
+//! Each hello names the balancers with a duty that its sender has heard of lately, so that all hear of them within a
+//! few rounds of gossip. A balancer that has not been heard of for long is checked, by this balancer and through
+//! others as in SWIM (Das, Gupta, Motivala, 2002), before its entry is withdrawn from the store.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/core/src/opaque/upstream_tracker.rs
+++ b/crates/core/src/opaque/upstream_tracker.rs
@@ -5,8 +5,8 @@
 //! from a former instance. A later start time therefore replaces the current instance at once. An ambiguous heartbeat
 //! does so only if more of them follow while the current instance is silent.
 //!
-//! Without start times two ids have no order. An instance of another id replaces one that has ended or is silent. Otherwise
-//! it becomes the rival: both count until one of them is silent.
+//! Without start times two ids have no order. An instance of another id replaces one that has ended or is silent.
+//! Otherwise it becomes the rival: both count until one of them is silent.
 
 use super::fleet::UpstreamState;
 
@@ -168,8 +168,8 @@
         self.current.is_some()
     }
 
-    /// Whether the instance is unknown and the current one has ended or is silent, so that the heartbeat may be a delayed
-    /// one of an upstream that is gone.
+    /// Whether the instance is unknown and the current one has ended or is silent, so that the heartbeat may be a
+    /// delayed one of an upstream that is gone.
     pub(super) fn is_stray_candidate(&self, instance: &UpstreamInstance, now_ms: u64) -> bool {
         let known = [&self.current, &self.rival].into_iter().flatten();
         let is_known = known.into_iter().any(|it| it.instance == *instance);
@@ -333,8 +333,8 @@
     }
 
     /// Handles the announcement of an upstream that it ends; true if it is the current instance or its rival. An
-    /// announcement without a start time is accepted only while the instance is draining, as it can't come from a former
-    /// instance then.
+    /// announcement without a start time is accepted only while the instance is draining, as it can't come from a
+    /// former instance then.
     pub(super) fn deregister(&mut self, instance: &UpstreamInstance) -> bool {
         let known = [&mut self.current, &mut self.rival].into_iter().flatten();
         let Some(current) = known.into_iter().find(|it| it.instance.id == instance.id) else {
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -376,8 +376,8 @@
     assert_eq!(it.agents_to_withdraw(0, 11_100), [address(2)]);
 }
 
-// Guards against the withdrawal of living agents by a balancer that was cut off: after the cut the first reports make it
-// ready while it has not heard of the other agents yet.
+// Guards against the withdrawal of living agents by a balancer that was cut off: after the cut the first reports make
+// it ready while it has not heard of the other agents yet.
 #[test]
 fn silence_during_a_cut_of_the_balancer_does_not_count_for_withdrawals() {
     let mut it = Balancer::new(address(200), ZONE);
--- a/crates/core/tests/opaque/balancer_monitor.rs
+++ b/crates/core/tests/opaque/balancer_monitor.rs
@@ -17,8 +17,8 @@
     it
 }
 
-/// Runs checks each 100 ms, in which the balancers `alive` are heard of each second; returns how many checks each balancer
-/// got, in order.
+/// Runs checks each 100 ms, in which the balancers `alive` are heard of each second; returns how many checks each
+/// balancer got, in order.
 fn run_checks(
     monitor: &mut BalancerMonitor,
     alive: &[u8],
--- a/crates/core/tests/opaque/rival_instances.rs
+++ b/crates/core/tests/opaque/rival_instances.rs
@@ -1,5 +1,5 @@
-//! Heartbeats of two upstream processes without start times: a delayed one of a process that has ended, and those of the
-//! process that runs.
+//! Heartbeats of two upstream processes without start times: a delayed one of a process that has ended, and those of
+//! the process that runs.
 
 use camphorwinch_core::opaque::{
     PacketHeader, PacketKind,
@@ -233,8 +233,8 @@
 }
 
 quickcheck! {
-    /// Whatever strays arrive, an upstream that goes on sending heartbeats keeps its flows, and its `draining` and its end
-    /// take effect.
+    /// Whatever strays arrive, an upstream that goes on sending heartbeats keeps its flows, and its `draining` and its
+    /// end take effect.
     fn running_upstream_survives_any_strays(strays: Vec<Stray>) -> bool {
         let mut agent = agent(false);
         run(&mut agent, "new", 1, 1, &[]);
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -1,5 +1,5 @@
-//! Periodic tasks of a balancer: hellos, configuration copies on agents, watch roles, and the withdrawal of members that
-//! are gone.
+//! Periodic tasks of a balancer: hellos, configuration copies on agents, watch roles, and the withdrawal of members
+//! that are gone.
 
 use std::net::SocketAddrV4;
 
@@ -26,8 +26,8 @@
 where
     C: Codec,
 {
-    /// Withdraws the store entries of agents that left, and of agents and balancers that have been gone for long, as far
-    /// as this balancer is responsible for them.
+    /// Withdraws the store entries of agents that left, and of agents and balancers that have been gone for long, as
+    /// far as this balancer is responsible for them.
     pub(super) fn withdraw_gone_members(&mut self, now: u64) {
         let Some(connected_ms) = self.connected_ms else {
             return;
--- a/crates/opaque/src/discovery/registration.rs
+++ b/crates/opaque/src/discovery/registration.rs
@@ -1,8 +1,8 @@
 //! The entry of this process in the member list.
 //!
-//! A call without an answer may take effect seconds later: after later calls of its sender, after its end, or beside its
-//! next run. So each write names the revision of the entry that it replaces or removes, and each registration writes a
-//! new revision. Whatever was sent before a registration has no effect after it.
+//! A call without an answer may take effect seconds later: after later calls of its sender, after its end, or beside
+//! its next run. So each write names the revision of the entry that it replaces or removes, and each registration
+//! writes a new revision. Whatever was sent before a registration has no effect after it.
 
 #[cfg(test)]
 mod tests;
--- a/crates/opaque/src/discovery/registration/tests.rs
+++ b/crates/opaque/src/discovery/registration/tests.rs
@@ -190,7 +190,8 @@
     assert!(store.entry().is_some());
 }
 
-// The same with the withdrawal of the run before, which left, and with that of a balancer to which the process was gone.
+// The same with the withdrawal of the run before, which left, and with that of a balancer to which the process was
+// gone.
 #[tokio::test]
 async fn late_withdrawal_under_the_old_revision_does_not_remove_the_entry_of_the_next_run() {
     let store = LateStore::default();
@@ -202,8 +203,8 @@
     assert!(store.entry().is_some());
 }
 
-// Guards against the withdrawal of a living agent by a balancer that was cut off from it: the withdrawal takes effect after
-// the agent, told that it is unlisted, has registered again.
+// Guards against the withdrawal of a living agent by a balancer that was cut off from it: the withdrawal takes effect
+// after the agent, told that it is unlisted, has registered again.
 #[tokio::test]
 async fn withdrawal_by_a_balancer_has_no_effect_once_the_member_has_registered_again() {
     let store = LateStore::default();
