--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -1,5 +1,6 @@
 //! The scenarios of the cases.
 
+mod clock_step;
 mod late_heartbeat;
 mod service_change;
 
@@ -8,6 +9,7 @@
 /// Runs a scenario; returns whether the rule was broken.
 pub fn run(name: &str, trouble: bool, record: &Record) -> Result<bool, String> {
     match name {
+        "clock-step" => clock_step::run(trouble, record),
         "late-heartbeat" => late_heartbeat::run(trouble, record),
         "service-change" => service_change::run(trouble, record),
         _ => Err(format!("no scenario {name}")),
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -45,6 +45,22 @@
     /// Starts the store with a first configuration, two fronts, and a side machine with a target for each of
     /// `services`; waits until the fronts are in rotation.
     pub fn start(config: &str, services: &[&str], record: &Record) -> Result<Site, String> {
+        Site::start_with(config, services, 0, record, |at, ip, zone| {
+            Target::start(&format!("i-{at}-1"), ip, services[at], zone, record)
+        })
+    }
+
+    /// Starts a site whose first `empty` side machines have no target yet.
+    pub fn start_with<F>(
+        config: &str,
+        services: &[&str],
+        empty: usize,
+        record: &Record,
+        start_target: F,
+    ) -> Result<Site, String>
+    where
+        F: Fn(usize, Ipv4Addr, &str) -> std::io::Result<Target>,
+    {
         let id = std::process::id();
         let net = [64 + (id / 250 % 60) as u8, 1 + (id % 250) as u8];
         let ip = |host: u8| Ipv4Addr::new(127, net[0], net[1], host);
@@ -93,13 +109,10 @@
             stop,
             net,
         };
-        for (at, service) in services.iter().enumerate() {
+        for at in empty..services.len() {
             let ip = site.side_ip(at);
-            // Serves the status checks of all boots at this address.
-            let health = SocketAddrV4::new(ip, APP_PORT);
-            platform::serve(health, |_| Some((200, String::new()))).map_err(failed("target"))?;
-            let zone = zones[at % 2];
-            let target = Target::start(&format!("i-{at}-1"), ip, service, zone, record);
+            site.serve_health(at)?;
+            let target = start_target(at, ip, zones[at % 2]);
             site.targets.push(target.map_err(failed("target"))?);
         }
         for it in site.fronts.iter_mut().chain(&mut site.sides) {
@@ -109,6 +122,13 @@
         Ok(site)
     }
 
+    /// Serves the status checks of all boots at this address from now on.
+    pub fn serve_health(&self, at: usize) -> Result<(), String> {
+        let health = SocketAddrV4::new(self.side_ip(at), APP_PORT);
+        let served = platform::serve(health, |_| Some((200, String::new())));
+        served.map_err(|e| format!("target: {e}"))
+    }
+
     pub fn side_ip(&self, at: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.net[0], self.net[1], 50 + at as u8)
     }
--- a/review/standins-2/target.rs
+++ b/review/standins-2/target.rs
@@ -62,6 +62,8 @@
     /// Whether it is partitioned from all machines.
     cut: Arc<AtomicBool>,
     seq_no: Arc<AtomicU64>,
+    /// Unix millisecond of its start by its machine's clock, where the deployment's targets tell it.
+    born: Option<u64>,
     /// Time of the first acknowledged heartbeat with `draining`; 0 if there is none.
     drain_acked_ms: Arc<AtomicU64>,
     record: Record,
@@ -76,6 +78,19 @@
         service: &str,
         zone: &str,
         record: &Record,
+    ) -> std::io::Result<Target> {
+        Target::start_with(id, ip, service, zone, None, false, record)
+    }
+
+    /// Starts a boot that tells when it was `born`, perhaps behind a cut.
+    pub fn start_with(
+        id: &str,
+        ip: Ipv4Addr,
+        service: &str,
+        zone: &str,
+        born: Option<u64>,
+        cut: bool,
+        record: &Record,
     ) -> std::io::Result<Target> {
         let it = Target {
             id: id.to_owned(),
@@ -85,8 +100,9 @@
             state: Arc::default(),
             alive: Arc::new(AtomicBool::new(true)),
             draining: Arc::default(),
-            cut: Arc::default(),
+            cut: Arc::new(AtomicBool::new(cut)),
             seq_no: Arc::default(),
+            born,
             drain_acked_ms: Arc::default(),
             record: record.clone(),
         };
@@ -96,7 +112,7 @@
         thread::spawn(move || me.serve(&socket));
         let me = it.clone();
         thread::spawn(move || me.send_heartbeats());
-        record.line(&format!("target {id} of {service} starts at {ip}"));
+        record.line(&format!("target {id} of {service} starts at {ip}, born {born:?}, cut {cut}"));
         Ok(it)
     }
 
@@ -132,10 +148,11 @@
         let seq = self.seq_no.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let (ip, service, zone) = (self.ip, &self.service, &self.zone);
+        let born = self.born.map_or(String::new(), |it| format!(",\"born\":{it}"));
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{ip}:{APP_PORT}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":7,\"state\":\"{state}\",\"warmup-left-ms\":0,\
-             \"seq-no\":{seq}}}"
+             \"seq-no\":{seq}{born}}}"
         );
         (format!("/-/Targets.Heartbeat/{}", self.id), body)
     }
