--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -3,6 +3,7 @@
 mod clock_step;
 mod late_heartbeat;
 mod service_change;
+mod silent_channels;
 
 use crate::record::Record;
 
@@ -12,6 +13,7 @@
         "clock-step" => clock_step::run(trouble, record),
         "late-heartbeat" => late_heartbeat::run(trouble, record),
         "service-change" => service_change::run(trouble, record),
+        "silent-channels" => silent_channels::run(trouble, record),
         _ => Err(format!("no scenario {name}")),
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -4,7 +4,11 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddrV4,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -27,13 +31,21 @@
 }
 
 #[derive(Clone, Default)]
-pub struct Store(Arc<(Mutex<State>, Condvar)>);
+pub struct Store(Arc<(Mutex<State>, Condvar)>, Arc<AtomicU64>);
 
 impl Store {
     pub fn start(address: SocketAddrV4) -> std::io::Result<Store> {
         let store = Store::default();
         let it = store.clone();
-        platform::serve(address, move |request| Some(it.answer(&request)))?;
+        platform::serve(address, move |request| {
+            let silenced = it.1.load(Ordering::SeqCst);
+            let answer = it.answer(&request);
+            // The channel stays open, and nothing comes any more.
+            while it.1.load(Ordering::SeqCst) != silenced {
+                thread::sleep(Duration::from_secs(1));
+            }
+            Some(answer)
+        })?;
         Ok(store)
     }
 
@@ -44,6 +56,11 @@
         self.0.1.notify_all();
     }
 
+    /// All channels with a call in progress go silent for good, without a reset; new ones work.
+    pub fn silence_channels(&self) {
+        self.1.fetch_add(1, Ordering::SeqCst);
+    }
+
     fn answer(&self, request: &Request) -> (u16, String) {
         let Some(path) = request.path.strip_prefix("/-/objects/") else {
             return (404, "{}".to_owned());
