--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -1,6 +1,7 @@
 //! The scenarios of the cases.
 
 mod clock_step;
+mod daemon_leaves;
 mod late_heartbeat;
 mod service_change;
 mod silent_channels;
@@ -11,6 +12,7 @@
 pub fn run(name: &str, trouble: bool, record: &Record) -> Result<bool, String> {
     match name {
         "clock-step" => clock_step::run(trouble, record),
+        "daemon-leaves" => daemon_leaves::run(trouble, record),
         "late-heartbeat" => late_heartbeat::run(trouble, record),
         "service-change" => service_change::run(trouble, record),
         "silent-channels" => silent_channels::run(trouble, record),
