Watches of the store: no answer for long is not taken for no news

Cause: a call that waits on a silent connection was taken for one without news. Each change lets all watchers begin calls of 4.5 to 7.5 s at the same moment, so none ended before 5.2 s, and none knew whether others had answers. The zones out of service were watched likewise, with calls of 9 to 15 s.

Ruled out by the record: new connections that fail (the read after the first time-out is answered at once), a balancer that has the change and does not pass it on (no line 611 before that time-out; the other one follows at once, from its peer), a change that was put aside (no line 612). Line 606 and the result `renewed` of the store calls now tell a silent watch from one without news.

Mend: the first watcher in the order of the duty makes calls of 2 s, and each watcher notifies the others of each answer. The others make calls of 20 s, and begin new ones on new connections once no watcher has had an answer for 2.3 s, and 0.1 s more for each watcher before them. A watcher that hears of no other's answers makes short calls. So what the fleet knows is at most 3 s old, whichever connections are silent and whichever watcher is gone.

Core: watch_schedule (1, 2, 3 and 8 watchers, silence at any moment, the first watcher gone).

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -27,6 +27,7 @@
 pub mod service_rate;
 pub mod upstream_tracker;
 mod warmup;
+pub mod watch_schedule;
 pub mod zone;
 
 pub use flow::{FlowKey, PacketHeader, PacketKind};
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -15,6 +15,7 @@
 use rustc_hash::FxHashMap;
 
 pub(super) use self::deferred::BOUND_SERVICE_TIME_MARGIN;
+pub use self::duties::Duty;
 use self::{
     deferred::DeferredOpenings,
     duties::MAX_WITHDRAWN,
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -35,10 +35,6 @@
 /// watcher served a change to nearly all others: 69 connections at once among 75 balancers. At 520 balancers the tree
 /// has three levels of 0.1 s each.
 const CONFIG_FAN_OUT: usize = 8;
-/// Rendezvous hashing seeds for the sets of watchers.
-const CONFIG_WATCH_SEED: u64 = 0x77a7;
-const ZONE_WATCH_SEED: u64 = 0x20e5;
-const REMOVAL_WATCH_SEED: u64 = 0x6e0d;
 /// Time after which a configuration is requested again if it did not arrive; a failing call takes 600 ms.
 const CONFIG_RETRY_MS: u64 = 700;
 /// Agents that store a copy of the configuration for balancers that start while the store and all other balancers are
@@ -56,6 +52,39 @@
 /// Bounds the sets of withdrawn and of leaving agents.
 pub(super) const MAX_WITHDRAWN: usize = 10_000;
 
+/// A duty that a few balancers perform for the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Watching the store for configuration changes.
+    ConfigWatch,
+    /// Watching the store for changes of the zones out of service.
+    ZoneWatch,
+    /// Watching the store for members that are removed.
+    RemovalWatch,
+}
+
+impl Duty {
+    const ALL: [Duty; 3] = [Duty::ConfigWatch, Duty::ZoneWatch, Duty::RemovalWatch];
+
+    /// Number of balancers with this duty in a fleet of `balancers`.
+    fn holder_count(self, balancers: usize) -> usize {
+        match self {
+            Duty::ConfigWatch => CONFIG_WATCHERS,
+            Duty::ZoneWatch => (balancers / 2).clamp(1, ZONE_WATCHERS),
+            Duty::RemovalWatch => REMOVAL_WATCHERS,
+        }
+    }
+
+    /// Rendezvous hashing seed for the balancers with this duty.
+    fn seed(self) -> u64 {
+        match self {
+            Duty::ConfigWatch => 0x77a7,
+            Duty::ZoneWatch => 0x20e5,
+            Duty::RemovalWatch => 0x6e0d,
+        }
+    }
+}
+
 impl Balancer {
     /// Agents whose entries should be withdrawn from the store, as they left or have been gone for long. A restarting
     /// fleet would otherwise wait for them. Silence from before `connected_ms`, when this balancer was cut off, does
@@ -86,50 +115,44 @@
         self.member_list_ms.is_some()
     }
 
-    /// Whether this balancer watches the store for configuration changes.
-    pub fn is_config_watcher<'a, I>(&self, others: I) -> bool
+    /// Position of this balancer among those with a duty; `None` if it does not have the duty.
+    pub fn duty_rank<'a, I>(&self, duty: Duty, others: I) -> Option<usize>
     where
-        I: IntoIterator<Item = &'a SocketAddrV4>,
+        I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
     {
-        self.ranks_within(CONFIG_WATCHERS, CONFIG_WATCH_SEED, others)
+        let others = others.into_iter();
+        let rank = self.rank(duty.seed(), others.clone());
+        (rank < duty.holder_count(others.count() + 1)).then_some(rank)
     }
 
-    /// Whether this balancer watches the store for changes of the zones out of service.
-    pub fn is_zone_watcher<'a, I>(&self, others: I) -> bool
+    /// The other balancers with a duty.
+    pub fn duty_peers<'a, I>(&self, duty: Duty, others: I) -> Vec<SocketAddrV4>
     where
-        I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
+        I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        let others = others.into_iter();
-        let half = others.clone().count().div_ceil(2).max(1);
-        self.ranks_within(half.min(ZONE_WATCHERS), ZONE_WATCH_SEED, others)
+        let mut peers = self.order_of(duty, others);
+        peers.retain(|&it| it != self.address);
+        peers
     }
 
-    /// Balancers, this one included, that have a duty for the whole fleet: the first ones among `others` in each order.
+    /// Balancers, this one included, that have any duty.
     pub fn duty_holders<'a, I>(&self, others: I) -> BTreeSet<SocketAddrV4>
     where
-        I: IntoIterator<Item = &'a SocketAddrV4>,
+        I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
     {
-        let all: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
-        let duties = [
-            (CONFIG_WATCHERS, CONFIG_WATCH_SEED),
-            (ZONE_WATCHERS, ZONE_WATCH_SEED),
-            (REMOVAL_WATCHERS, REMOVAL_WATCH_SEED),
-        ];
-        let mut holders = BTreeSet::new();
-        for (count, seed) in duties {
-            let mut order = all.clone();
-            order.sort_unstable_by_key(|&it| rendezvous_weight(it, seed));
-            holders.extend(order.into_iter().take(count));
-        }
-        holders
+        let others = others.into_iter();
+        Duty::ALL.into_iter().flat_map(|it| self.order_of(it, others.clone())).collect()
     }
 
-    /// Whether this balancer watches the store for members that are removed.
-    pub fn is_removal_watcher<'a, I>(&self, others: I) -> bool
+    /// The balancers with a duty, in their order.
+    fn order_of<'a, I>(&self, duty: Duty, others: I) -> Vec<SocketAddrV4>
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        self.ranks_within(REMOVAL_WATCHERS, REMOVAL_WATCH_SEED, others)
+        let mut order: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
+        order.sort_unstable_by_key(|&it| rendezvous_weight(it, duty.seed()));
+        order.truncate(duty.holder_count(order.len()));
+        order
     }
 
     /// Handles the removal of an agent's entry from the store. An agent that still reports is notified, so that it
@@ -154,7 +177,7 @@
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
         let mut order: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
-        order.sort_unstable_by_key(|&it| rendezvous_weight(it, CONFIG_WATCH_SEED));
+        order.sort_unstable_by_key(|&it| rendezvous_weight(it, Duty::ConfigWatch.seed()));
         let own = order.iter().position(|&it| it == self.address).unwrap_or(0);
         order
             .into_iter()
@@ -165,11 +188,19 @@
 
     /// Whether this balancer is one of the first `count` in the rendezvous hashing order of `seed`.
     fn ranks_within<'a, I>(&self, count: usize, seed: u64, others: I) -> bool
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        self.rank(seed, others) < count
+    }
+
+    /// Position of this balancer in the rendezvous hashing order of `seed`.
+    fn rank<'a, I>(&self, seed: u64, others: I) -> usize
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
         let own = rendezvous_weight(self.address, seed);
-        others.into_iter().filter(|&&it| rendezvous_weight(it, seed) < own).count() < count
+        others.into_iter().filter(|&&it| rendezvous_weight(it, seed) < own).count()
     }
 
     /// Whether to request a configuration from a peer that has it in force; a request is not repeated within the retry
--- a/crates/core/tests/opaque/balancer.rs
+++ b/crates/core/tests/opaque/balancer.rs
@@ -2,7 +2,7 @@
 
 use camphorwinch_core::opaque::{
     PacketHeader, PacketKind,
-    balancer::Balancer,
+    balancer::{Balancer, Duty},
     effect::{Answer, Decision, DropReason, Effect, FlowStatus, Payload, RelayAction, ResetReason},
     fleet::{AgentPlan, MemberEntry, Report},
     revision::Revision,
@@ -474,7 +474,7 @@
         let all: Vec<_> = (100..100 + count).map(address).collect();
         let watches = |it: &&SocketAddrV4| {
             let others = all.iter().filter(|other| other != it);
-            Balancer::new(**it, ZONE).is_removal_watcher(others)
+            Balancer::new(**it, ZONE).duty_rank(Duty::RemovalWatch, others).is_some()
         };
         assert_eq!(all.iter().filter(watches).count(), usize::from(count).min(3));
     }
@@ -713,7 +713,7 @@
         let all: Vec<_> = (1..=count).map(address).collect();
         let is_config_watcher = |&own: &SocketAddrV4| {
             let others: Vec<_> = all.iter().filter(|&&it| it != own).collect();
-            Balancer::new(own, ZONE).is_config_watcher(others)
+            Balancer::new(own, ZONE).duty_rank(Duty::ConfigWatch, others).is_some()
         };
         assert_eq!(all.iter().filter(|it| is_config_watcher(it)).count(), expected, "of {count}");
     }
@@ -788,7 +788,7 @@
             let below = it.config_recipients(&others);
             assert!(below.len() <= 8, "{below:?}");
             notified.extend(below);
-            if it.is_config_watcher(&others) {
+            if it.duty_rank(Duty::ConfigWatch, &others).is_some() {
                 watchers += 1;
                 notified.push(own);
             }
--- a/crates/core/tests/opaque/balancer_monitor.rs
+++ b/crates/core/tests/opaque/balancer_monitor.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, net::SocketAddrV4};
 
-use camphorwinch_core::opaque::{balancer::Balancer, balancer_monitor::BalancerMonitor};
+use camphorwinch_core::opaque::{
+    balancer::{Balancer, Duty},
+    balancer_monitor::BalancerMonitor,
+};
 
 use crate::support::{ZONE, address};
 
@@ -45,8 +48,8 @@
     }
     assert_eq!(it.live(7_000), addresses(2..3));
     let own = Balancer::new(address(1), ZONE);
-    assert!(own.is_config_watcher(&it.live(7_000)));
-    assert!(own.is_removal_watcher(&it.live(7_000)));
+    assert!(own.duty_rank(Duty::ConfigWatch, &it.live(7_000)).is_some());
+    assert!(own.duty_rank(Duty::RemovalWatch, &it.live(7_000)).is_some());
     assert_eq!(own.duty_holders(&it.live(7_000)), addresses(1..3));
 }
 
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -22,5 +22,6 @@
 mod survival;
 mod upstream_instances;
 mod warmup;
+mod watch_schedule;
 mod world;
 mod zones;
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -157,6 +157,7 @@
             | Update::PeerZones(_)
             | Update::PeerLostZones(_)
             | Update::StoreZones(_)
+            | Update::Answered(_)
             | Update::Removed(_)
             | Update::RemovalsUnknown
             | Update::PeersAsked => return,
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -27,7 +27,7 @@
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc, watch},
-    time::{MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -140,6 +140,7 @@
     tokio::spawn(join.run());
     let (routes_role_sender, routes_role) = watch::channel(WatchRole::Undecided);
     let (zones_role_sender, zones_role) = watch::channel(WatchRole::Undecided);
+    let (config_answers, zones_answers) = (watch::Sender::default(), watch::Sender::default());
     let topic = Topic::Routes;
     let config_read = Arc::new(Notify::new());
     let routes = Follow {
@@ -147,6 +148,7 @@
         role: routes_role,
         start: started.clone(),
         config_read: config_read.clone(),
+        peer_answers: config_answers.subscribe(),
         out: updates.clone(),
     };
     tokio::spawn(routes.run(topic));
@@ -159,7 +161,9 @@
         state = state.with_unknown_zones();
         let topic = Topic::zones();
         let (store, out) = (store.clone(), updates.clone());
-        let zones = Follow { store, role: zones_role, start: started, config_read, out };
+        let peer_answers = zones_answers.subscribe();
+        let role = zones_role;
+        let zones = Follow { store, role, start: started, config_read, peer_answers, out };
         tokio::spawn(zones.run(topic));
     }
     let (removals_sender, watches) = watch::channel(false);
@@ -210,6 +214,8 @@
         routes_role_sender,
         zones_role_sender,
         removals_sender,
+        config_answers,
+        zones_answers,
     };
     process.serve(input, stop).await
 }
@@ -272,6 +278,9 @@
     zones_role_sender: watch::Sender<WatchRole>,
     /// Whether this balancer watches the member list for removals.
     removals_sender: watch::Sender<bool>,
+    /// Times of the store's latest answers to other watchers of the configuration and of the zones.
+    config_answers: watch::Sender<Option<Instant>>,
+    zones_answers: watch::Sender<Option<Instant>>,
 }
 
 impl<C> Process<C>
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -9,6 +9,7 @@
 };
 use camphorwinch_wire::opaque::{Body, Datagram, Hello, Report, SnapshotRequest, decode};
 use rand::seq::IteratorRandom;
+use tokio::time::Instant;
 
 use super::{MAX_PACKETS_PER_TURN, Process, maintenance::HELLO_RESEND_DELAY_MS};
 use crate::{
@@ -156,6 +157,7 @@
         if !hello.leaving && self.balancers.insert(from) {
             self.unpublished = true;
         }
+        self.record_answers(&hello);
         let config = hello.config();
         if let Some(zones) = hello.zones {
             self.update_zones(zones.into());
@@ -165,6 +167,16 @@
         }
     }
 
+    /// Records answers of the store to another watcher.
+    fn record_answers(&self, hello: &Hello) {
+        if hello.config_answered {
+            self.config_answers.send_replace(Some(Instant::now()));
+        }
+        if hello.zones_answered {
+            self.zones_answers.send_replace(Some(Instant::now()));
+        }
+    }
+
     /// Records which balancers are alive, and answers probes and questions about a balancer.
     fn handle_signs_of_life(&mut self, from: SocketAddrV4, hello: &Hello, now: u64) {
         self.monitor.record_datagram(from, now);
@@ -237,6 +249,7 @@
                 self.state.handle_peers_asked();
                 false
             }
+            Update::Answered(duty) => return self.notify_watchers(duty),
         };
         self.publish();
         if !newer {
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddrV4;
 
+use camphorwinch_core::opaque::balancer::Duty;
 use camphorwinch_wire::opaque::{Body, Hello, ZonesEntry};
 use rand::seq::IteratorRandom;
 
@@ -65,11 +66,12 @@
             return;
         }
         let balancers = self.present.len();
-        let routes = watch_role(self.state.is_config_watcher(&self.live), balancers);
+        let rank = |duty| self.state.duty_rank(duty, &self.live);
+        let routes = watch_role(rank(Duty::ConfigWatch), balancers);
         self.routes_role_sender.send_if_modified(|it| std::mem::replace(it, routes) != routes);
-        let zones = watch_role(self.state.is_zone_watcher(&self.live), balancers);
+        let zones = watch_role(rank(Duty::ZoneWatch), balancers);
         self.zones_role_sender.send_if_modified(|it| std::mem::replace(it, zones) != zones);
-        let removals = self.state.is_removal_watcher(&self.live);
+        let removals = rank(Duty::RemovalWatch).is_some();
         self.removals_sender.send_if_modified(|it| std::mem::replace(it, removals) != removals);
     }
 
@@ -145,7 +147,7 @@
     /// Sends a hello to a random agent that keeps a copy of the configuration, so that the copy stays current. Done
     /// only by balancers that watch the store.
     fn send_hello_to_replica(&mut self, now: u64) {
-        if *self.routes_role_sender.borrow() != WatchRole::Watch
+        if !matches!(*self.routes_role_sender.borrow(), WatchRole::Watch(_))
             || self.state.routes().config_version().is_none()
         {
             return;
@@ -185,6 +187,18 @@
         }
     }
 
+    /// Notifies the other watchers of a topic that the store has answered this one.
+    pub(super) fn notify_watchers(&mut self, duty: Duty) {
+        let hello = Hello {
+            config_answered: duty == Duty::ConfigWatch,
+            zones_answered: duty == Duty::ZoneWatch,
+            ..self.hello()
+        };
+        for to in self.state.duty_peers(duty, &self.live) {
+            self.peers.control(to, Body::Hello(hello.clone()));
+        }
+    }
+
     pub(super) fn send_hello_to_all(&mut self, leaving: bool) {
         for agent in self.state.fleet().members() {
             self.send_hello(agent.address, leaving);
@@ -200,6 +214,6 @@
     }
 }
 
-fn watch_role(watches: bool, balancers: usize) -> WatchRole {
-    if watches { WatchRole::Watch } else { WatchRole::Read(balancers) }
+fn watch_role(rank: Option<usize>, balancers: usize) -> WatchRole {
+    rank.map_or(WatchRole::Read(balancers), WatchRole::Watch)
 }
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -8,10 +8,13 @@
 #[cfg(test)]
 mod tests;
 mod topic;
+mod watch_timer;
 
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
 
-use camphorwinch_core::opaque::{fleet::MemberEntry, route::Routes, zone::ZonesOut};
+use camphorwinch_core::opaque::{
+    balancer::Duty, fleet::MemberEntry, route::Routes, zone::ZonesOut,
+};
 use camphorwinch_wire::opaque::{Part, Snapshot, SnapshotRequest};
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
@@ -60,6 +63,8 @@
     PeerLostZones(Vec<String>),
     /// Zones out of service, from the store.
     StoreZones(ZonesOut),
+    /// The store has answered the watch that is this duty, so that what is known is current.
+    Answered(Duty),
     /// The complete list of members, or all balancers for an agent, and the number of the attempt that fetched it.
     Members(Members, u64),
     /// Members known to a peer.
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use camphorwinch_core::opaque::{
     PoolId,
+    balancer::Duty,
     fleet::MemberEntry,
     revision::Revision,
     route::Routes,
@@ -18,7 +19,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc, watch},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{
@@ -119,7 +120,7 @@
 }
 
 async fn calls_in_a_second(store: &HistoryStore) -> Vec<Option<u64>> {
-    let (_role_sender, role) = watch::channel(WatchRole::Watch);
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(0));
     let (out, mut updates) = mpsc::channel::<Update>(16);
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, role, Arc::default(), out));
     let drain = tokio::spawn(async move { while updates.recv().await.is_some() {} });
@@ -150,7 +151,8 @@
     S: Store,
 {
     let start = watch::channel(DiscoveryState::FromStore).1;
-    Follow { store, role, start, config_read, out }.run(topic).await;
+    let peer_answers = watch::channel(None).1;
+    Follow { store, role, start, config_read, peer_answers, out }.run(topic).await;
 }
 
 /// Joins without any hello received.
@@ -193,7 +195,7 @@
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None]);
     // On the change to watching it reads what it may have missed, then watches.
-    role_sender.send_replace(WatchRole::Watch);
+    role_sender.send_replace(WatchRole::Watch(0));
     assert!(matches!(updates.recv().await, Some(Update::StoreRoutes(_))));
     sleep(Duration::from_millis(300)).await;
     assert_eq!(store.calls(), [None, None, Some(STORE_AT)]);
@@ -205,15 +207,19 @@
 }
 
 async fn next_zones(updates: &mut mpsc::Receiver<Update>) -> Vec<String> {
-    let update = updates.recv().await;
-    let Some(Update::StoreZones(zones)) = update else { panic!("{update:?}") };
-    zones.names().map(str::to_owned).collect()
+    loop {
+        match updates.recv().await {
+            Some(Update::StoreZones(zones)) => return zones.names().map(str::to_owned).collect(),
+            Some(Update::Answered(Duty::ZoneWatch)) => {}
+            update => panic!("{update:?}"),
+        }
+    }
 }
 
 #[tokio::test]
 async fn zone_changes_follow_the_first_list() {
     let store = HistoryStore::default();
-    let (_role_sender, role) = watch::channel(WatchRole::Watch);
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(0));
     let (out, mut updates) = mpsc::channel::<Update>(1);
     let task = tokio::spawn(follow(store.clone(), Topic::zones(), role, Arc::default(), out));
     assert_eq!(next_zones(&mut updates).await, ["a"]);
@@ -255,7 +261,7 @@
 #[tokio::test]
 async fn zones_retry_after_configuration_read_succeeds() {
     let store = HistoryStore { zones_busy: true, ..HistoryStore::default() };
-    let (_role_sender, role) = watch::channel(WatchRole::Watch);
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(0));
     let (out, _updates) = mpsc::channel::<Update>(1);
     let config_read = Arc::new(Notify::new());
     let task = tokio::spawn(follow(store.clone(), Topic::zones(), role, config_read.clone(), out));
@@ -270,7 +276,7 @@
 #[tokio::test]
 async fn zones_are_read_again_after_compaction() {
     let store = HistoryStore { compacts: true, ..HistoryStore::default() };
-    let (_role_sender, role) = watch::channel(WatchRole::Watch);
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(0));
     let (out, mut updates) = mpsc::channel::<Update>(1);
     let task = tokio::spawn(follow(store.clone(), Topic::zones(), role, Arc::default(), out));
     for _ in 0..3 {
@@ -286,7 +292,7 @@
 #[tokio::test]
 async fn watch_ends_on_store_reset() {
     let store = HistoryStore::default();
-    let (_role_sender, role) = watch::channel(WatchRole::Watch);
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(0));
     let (out, _updates) = mpsc::channel::<Update>(16);
     let task = tokio::spawn(follow(store.clone(), Topic::Routes, role, Arc::default(), out));
     sleep(Duration::from_millis(100)).await;
@@ -355,6 +361,30 @@
     assert_eq!(calls_in_a_second(&store).await, [None, Some(STORE_AT)]);
 }
 
+// Guards against a watcher that waits for long on a connection that may have gone silent: that other watchers get no answers
+// was taken for the absence of news.
+#[tokio::test(start_paused = true)]
+async fn waiting_call_is_replaced_once_no_watcher_gets_answers() {
+    let store = HistoryStore::default();
+    let (_role_sender, role) = watch::channel(WatchRole::Watch(1));
+    let (answers, peer_answers) = watch::channel(Some(Instant::now()));
+    let (out, mut updates) = mpsc::channel::<Update>(16);
+    let start = watch::channel(DiscoveryState::FromStore).1;
+    let config_read = Arc::default();
+    let follow = Follow { store: store.clone(), role, start, config_read, peer_answers, out };
+    let task = tokio::spawn(follow.run(Topic::Routes));
+    let drain = tokio::spawn(async move { while updates.recv().await.is_some() {} });
+    for _ in 0..10 {
+        sleep(Duration::from_secs(1)).await;
+        answers.send_replace(Some(Instant::now()));
+    }
+    assert_eq!(store.calls(), [None, Some(STORE_AT)], "while another watcher gets answers");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(store.calls(), [None, Some(STORE_AT), Some(STORE_AT)], "without any answers");
+    task.abort();
+    drain.abort();
+}
+
 #[tokio::test]
 async fn permanent_compaction_does_not_cause_a_busy_loop() {
     let store = HistoryStore { compacts: true, ..HistoryStore::default() };
--- a/crates/opaque/src/discovery/topic.rs
+++ b/crates/opaque/src/discovery/topic.rs
@@ -1,24 +1,19 @@
 //! Watching the configuration and the zones out of service in the store.
 
-use std::{ops::Range, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use camphorwinch_core::opaque::{revision::Revision, zone::ZonesOut};
-use rand::Rng;
+use camphorwinch_core::opaque::{balancer::Duty, revision::Revision, zone::ZonesOut};
 use tokio::{
     sync::{Notify, mpsc, watch},
     time::{Instant, sleep, timeout},
 };
 
-use super::{Backoff, DiscoveryState, INITIAL_BACKOFF, Update, count_call, jitter, reset_after};
+use super::{
+    Backoff, DiscoveryState, INITIAL_BACKOFF, Update, count_call, jitter, reset_after,
+    watch_timer::WatchTimer,
+};
 use crate::store::{Freshness, Store, StoreError, Watched};
 
-/// Mean duration of one watch call for the configuration. It bounds the time until a silent connection is noticed;
-/// each call is jittered so that calls don't end together.
-const WATCH_WAIT: Duration = Duration::from_secs(6);
-/// The same for the zones out of service, which other balancers also poll.
-const WATCH_ZONES_WAIT: Duration = Duration::from_secs(12);
-/// Jitter of the watch duration, as a factor of its mean.
-const WATCH_JITTER: Range<f64> = 0.75..1.25;
 /// Longest wait after a failed zones call. A successful configuration call ends it early. Waiting for that call instead
 /// of retrying halves the call rate during an outage.
 const ZONES_RETRY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -66,13 +61,20 @@
         }
     }
 
-    /// Jittered duration of the next watch call.
-    fn watch_wait(&self) -> Duration {
-        let mean = match self {
-            Topic::Routes => WATCH_WAIT,
-            Topic::Zones(_) => WATCH_ZONES_WAIT,
-        };
-        mean.mul_f64(rand::rng().random_range(WATCH_JITTER))
+    /// Duty of the balancers that watch this topic.
+    fn duty(&self) -> Duty {
+        match self {
+            Topic::Routes => Duty::ConfigWatch,
+            Topic::Zones(_) => Duty::ZoneWatch,
+        }
+    }
+
+    /// Name of a watch call, for metrics and logs.
+    fn watch_step(&self) -> &'static str {
+        match self {
+            Topic::Routes => "watch-config",
+            Topic::Zones(_) => "watch-zones",
+        }
     }
 
     /// Waits after a failed call.
@@ -121,16 +123,17 @@
         &mut self,
         store: &S,
         at: Revision,
+        wait: Duration,
         call_timeout: Duration,
     ) -> Result<Step, StoreError>
     where
         S: Store,
     {
-        let wait = self.watch_wait();
+        let step = self.watch_step();
         match self {
             Topic::Routes => {
                 let watched = store.watch(at, wait, call_timeout).await;
-                Ok(match count_call("watch-config", watched)? {
+                Ok(match count_call(step, watched)? {
                     Watched::Advanced(seen) => {
                         Watched::Advanced((seen.at, seen.routes.map(Update::StoreRoutes)))
                     }
@@ -139,7 +142,7 @@
             }
             Topic::Zones(known) => {
                 let watched = store.watch_zones(known, wait, call_timeout).await;
-                let Watched::Advanced(zones) = count_call("watch-zones", watched)? else {
+                let Watched::Advanced(zones) = count_call(step, watched)? else {
                     return Ok(Watched::Compacted);
                 };
                 *known = zones;
@@ -154,8 +157,8 @@
 pub(crate) enum WatchRole {
     /// Undecided, as the members are not known yet.
     Undecided,
-    /// Watches the store for changes.
-    Watch,
+    /// Watches the store for changes, at this position among the watchers.
+    Watch(usize),
     /// Polls the store, as this many balancers do; peers report changes in between.
     Read(usize),
 }
@@ -165,7 +168,8 @@
     match timeout(ROLE_TIMEOUT, role.wait_for(|&it| it != WatchRole::Undecided)).await {
         Ok(Ok(it)) => Some(*it),
         Ok(Err(_)) => None,
-        Err(_) => Some(WatchRole::Watch),
+        // No other watcher is known.
+        Err(_) => Some(WatchRole::Watch(0)),
     }
 }
 
@@ -210,6 +214,8 @@
     pub(crate) start: watch::Receiver<DiscoveryState>,
     /// Notifies the zones' follower of a successful configuration call.
     pub(crate) config_read: Arc<Notify>,
+    /// Time of the store's latest answer to another watcher of the topic.
+    pub(crate) peer_answers: watch::Receiver<Option<Instant>>,
     /// Receives the updates.
     pub(crate) out: mpsc::Sender<Update>,
 }
@@ -223,6 +229,7 @@
         let mut backoff = Backoff::new();
         let mut resets = self.store.era();
         let mut era = Era::default();
+        let mut timer = WatchTimer::new(self.peer_answers.clone());
         // Revision at which the last call ended; `None` if the next one has to read.
         let mut at = None;
         let mut freshness = Freshness::Current;
@@ -246,8 +253,8 @@
                 if let WatchRole::Read(balancers) = role {
                     let pause = topic.read_interval(balancers).mul_f64(jitter());
                     // Peers report changes meanwhile. A closed channel means that the process ends.
-                    let watch_role =
-                        timeout(pause, self.role.wait_for(|&it| it == WatchRole::Watch));
+                    let is_watch = |it: &WatchRole| matches!(it, WatchRole::Watch(_));
+                    let watch_role = timeout(pause, self.role.wait_for(is_watch));
                     if let Ok(Err(_)) = watch_role.await {
                         return;
                     }
@@ -255,13 +262,22 @@
                 }
             }
             may_defer_read = false;
+            let is_current = at.is_some() || freshness == Freshness::Current;
             let step = match at {
                 None => topic.read(&self.store, freshness, backoff.call_timeout()).await,
-                Some(at) => tokio::select! {
-                    it = topic.watch(&self.store, at, backoff.call_timeout()) => it,
-                    // The connection may have gone silent with the old store.
-                    () = reset_after(&mut resets, at.era) => Ok(Watched::Compacted),
-                },
+                Some(at) => {
+                    let call = timer.next_call(self.rank().unwrap_or_default());
+                    let (wait, step) = (Duration::from_millis(call.wait_ms), topic.watch_step());
+                    tokio::select! {
+                        it = topic.watch(&self.store, at, wait, backoff.call_timeout()) => it,
+                        // The connection may have gone silent with the old store.
+                        () = reset_after(&mut resets, at.era) => Ok(Watched::Compacted),
+                        () = timer.renewal_due(&call) => {
+                            timer.log_renewal(step, &call);
+                            continue;
+                        }
+                    }
+                }
             };
             let requested = std::mem::replace(&mut freshness, Freshness::Current);
             let step = match step {
@@ -279,11 +295,16 @@
                     }
                     at = Some(seen_at);
                     has_state = true;
-                    let Some(update) = update else {
-                        continue;
-                    };
-                    if self.out.send(update).await.is_err() {
-                        return;
+                    if is_current {
+                        timer.record_answer();
+                    }
+                    // Others need to know of answers to watchers only.
+                    let answered = Some(Update::Answered(topic.duty()))
+                        .filter(|_| is_current && self.rank().is_some());
+                    for it in update.into_iter().chain(answered) {
+                        if self.out.send(it).await.is_err() {
+                            return;
+                        }
                     }
                 }
                 Ok(Watched::Compacted) => {
@@ -306,6 +327,14 @@
         }
     }
 
+    /// Position of this process among the watchers; `None` if it does not watch.
+    fn rank(&self) -> Option<usize> {
+        match *self.role.borrow() {
+            WatchRole::Watch(rank) => Some(rank),
+            WatchRole::Undecided | WatchRole::Read(_) => None,
+        }
+    }
+
     /// Whether a failed call is retried only at the next interval. Peers also read the configuration, and retries
     /// would add load while the store rejects calls.
     fn waits_for_next_interval(&self, topic: &Topic, error: &StoreError) -> bool {
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -461,6 +461,12 @@
     /// Balancer about which the sender asks.
     #[prost(message, optional, tag = "11")]
     pub sought: Option<PeerEntry>,
+    /// Whether the store has just answered the sender's watch of the configuration.
+    #[prost(bool, tag = "12")]
+    pub config_answered: bool,
+    /// The same for the zones out of service.
+    #[prost(bool, tag = "13")]
+    pub zones_answered: bool,
 }
 
 /// A balancer that the sender of a hello has heard of.
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -152,6 +152,8 @@
         service: Some(service.into()),
         heard: vec![HeardEntry { ip: 0x0a00_0001, port: 7720, age_ms: 1_500 }],
         probe: true,
+        config_answered: true,
+        zones_answered: true,
         sought: Some(PeerEntry { ip: 0x0a00_0002, port: 7720 }),
     });
     let config = ConfigVersion { version: 9, revision: Revision::new(2, 5) };
