Balancers: flows of a route that moved are searched in its former pools too

Cause: a balancer without the flow in its table took the pools that the route includes now for all that may hold it, and "absent" from their agents for certain. The same for a pool that leaves a weighted route.

Ruled out: the holder counted as gone (it reports throughout); the configuration ended the flows (all were served for five seconds after it); the holder answered "absent" (it is never queried on the old code). 647 now has the number of agents of former pools that were queried, 611 the number of former pools.

Mend: balancers keep the pools that a configuration takes out of a route for ten minutes and search their agents as well. One that has just started asks the peers that it asks for reporting agents, or fetches an agent's copy if none knows all, and resets nothing for lack of a holder before, for 300 ms at most; if no peer knows and no agent has a copy, it does not wait. One that skipped a configuration hears of its pools by gossip. Nothing is sent or queried before a route has moved.

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -17,6 +17,7 @@
 pub mod effect;
 pub mod fleet;
 pub mod flow;
+pub mod former_pools;
 pub mod load;
 pub mod member_list;
 pub mod packet_buffer;
--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -30,6 +30,7 @@
         note_drop, push_reset,
     },
     fleet::{AgentPlan, Candidates, Fleet, MemberEntry, Report, ReportChange, ZoneId},
+    former_pools::{FORMER_POOL_TTL_MS, FormerPool},
     packet_buffer::PacketBuffer,
     route::{ConfigVersion, Lookup, Objective, RouteTable, Routes},
     zone::{Regions, ZoneUpdateResult, ZonesOut},
@@ -48,6 +49,9 @@
 /// Longest wait for peers to name agents that report to them, beside a member list: several round trips between
 /// regions.
 const PEERS_TIMEOUT_MS: u64 = 300;
+/// Interval between requests for a copy of the former pools, and their number.
+const FORMER_POOLS_RETRY_MS: u64 = 700;
+const MAX_FORMER_POOLS_REQUESTS: u32 = 3;
 /// Interval between scans of all agents for those due a hello: a scan passes over 5,900 in the size designed for.
 const HELLO_CHECK_INTERVAL_MS: u64 = 60;
 /// Gap between events that means that the process was stalled; ticks come every 20 ms.
@@ -111,6 +115,14 @@
     member_list_ms: Option<u64>,
     /// Time until which the membership is incomplete, as peers may know agents that the list lacks.
     peers_deadline_ms: Option<u64>,
+    /// Whether the peers have answered.
+    peers_asked: bool,
+    /// Whether the former pools of all routes are known, from the first start on or from a process that knows them.
+    knows_former_pools: bool,
+    /// Time of the last request for a copy of them, and the number of requests.
+    former_pools_requested: Option<(u64, u32)>,
+    /// Whether an agent has reported a copy of the configuration.
+    has_copies: bool,
     list_refreshed: bool,
     last_event_ms: u64,
     last_hello_check_ms: u64,
@@ -137,6 +149,10 @@
             requested_config: None,
             member_list_ms: None,
             peers_deadline_ms: None,
+            peers_asked: true,
+            knows_former_pools: false,
+            former_pools_requested: None,
+            has_copies: false,
             list_refreshed: false,
             last_event_ms: 0,
             last_hello_check_ms: 0,
@@ -155,6 +171,11 @@
         Balancer { late_binding, ..self }
     }
 
+    /// Sets whether the system starts for the first time, so that no route has former pools.
+    pub fn with_first_start(self, first_start: bool) -> Balancer {
+        Balancer { knows_former_pools: first_start, ..self }
+    }
+
     /// Sets the region of each zone.
     pub fn with_regions(self, regions: Regions) -> Balancer {
         Balancer { fleet: self.fleet.with_regions(regions), ..self }
@@ -188,11 +209,18 @@
 
     /// Applies a configuration; false if one that is as new or newer is already in force.
     pub fn update_routes(&mut self, routes: Routes) -> bool {
-        let updated = self.routes.update(routes);
+        let updated = self.routes.update(routes, self.last_event_ms);
         self.deferred.routes_changed |= updated;
         updated
     }
 
+    /// Adds pools that routes included before, as known to another process, which may know all of them. Returns the
+    /// number of those that were unknown.
+    pub fn merge_former_pools(&mut self, others: &[FormerPool], all: bool, now_ms: u64) -> usize {
+        self.knows_former_pools |= all;
+        self.routes.merge_former_pools(others, now_ms)
+    }
+
     /// Applies an update of the zones out of service.
     pub fn update_zones(&mut self, update: ZonesOut, now_ms: u64) -> ZoneUpdateResult {
         self.fleet.update_zones(update, now_ms)
@@ -217,15 +245,38 @@
         self.fleet.sync_members(members, now_ms);
     }
 
-    /// Records that peers are asked for agents that report to them. Until they have answered, no flow is reset for lack
-    /// of a holder: the agent of a living upstream may be missing from the list.
+    /// Records that peers are asked for agents that report to them and for former pools. Until they have answered, no
+    /// flow is reset for lack of a holder: the agent of a living upstream may be missing from the list, or in a pool that
+    /// the route no longer includes.
     pub fn await_peers(&mut self, now_ms: u64) {
         self.peers_deadline_ms = Some(now_ms + PEERS_TIMEOUT_MS);
+        self.peers_asked = false;
     }
 
     /// Records that the peers have answered, or can't.
     pub fn handle_peers_asked(&mut self) {
-        self.peers_deadline_ms = None;
+        self.peers_asked = true;
+    }
+
+    /// Whether the former pools of all routes are known.
+    pub fn knows_former_pools(&self) -> bool {
+        self.knows_former_pools
+    }
+
+    /// Whether to request the former pools from an agent that has reported a copy, as no peer knows them.
+    pub fn should_request_former_pools(&mut self, now_ms: u64) -> bool {
+        self.has_copies = true;
+        let (requested_ms, requests) = self.former_pools_requested.unwrap_or_default();
+        let is_due = requests == 0 || now_ms.saturating_sub(requested_ms) >= FORMER_POOLS_RETRY_MS;
+        if self.knows_former_pools
+            || !self.peers_asked
+            || !is_due
+            || requests == MAX_FORMER_POOLS_REQUESTS
+        {
+            return false;
+        }
+        self.former_pools_requested = Some((now_ms, requests + 1));
+        true
     }
 
     /// Adds members received from a peer, whose list may be partial.
@@ -332,6 +383,10 @@
         }
         if now_ms.saturating_sub(self.last_prune_ms) >= PRUNE_INTERVAL_MS {
             self.last_prune_ms = now_ms;
+            // A pool that left a route before this balancer started is not searched any more.
+            self.knows_former_pools |= self
+                .member_list_ms
+                .is_some_and(|it| now_ms.saturating_sub(it) >= FORMER_POOL_TTL_MS);
             self.flows
                 .retain(|_, it| now_ms.saturating_sub(it.last_used_ms) < FLOW_IDLE_TIMEOUT_MS);
         }
@@ -525,10 +580,15 @@
     }
 
     fn is_membership_settled(&self, now_ms: u64) -> bool {
-        let awaits_peers = self.peers_deadline_ms.is_some_and(|it| now_ms < it);
         let settled =
             self.member_list_ms.is_some_and(|it| now_ms.saturating_sub(it) > MEMBERSHIP_SETTLE_MS);
-        settled && !awaits_peers
+        let may_wait = self.peers_deadline_ms.is_some_and(|it| now_ms < it);
+        settled && (!may_wait || self.peers_asked && !self.awaits_copy())
+    }
+
+    /// Whether an agent may have a copy of the former pools, which no peer knows.
+    fn awaits_copy(&self) -> bool {
+        !self.knows_former_pools && (self.has_copies || self.fleet.unreported_count() > 0)
     }
 
     fn relay(
--- a/crates/core/src/opaque/balancer/search.rs
+++ b/crates/core/src/opaque/balancer/search.rs
@@ -49,12 +49,21 @@
     /// Agents that do not hold the flow.
     absent: Vec<SocketAddrV4>,
     queried_count: usize,
+    /// Number of agents of pools that the route no longer includes.
+    former_count: usize,
 }
 
 impl Search {
-    fn new(remaining: Vec<SocketAddrV4>, now_ms: u64) -> Search {
-        let (pending, unknown, absent) = (Vec::new(), Vec::new(), Vec::new());
-        Search { started_ms: now_ms, pending, remaining, unknown, absent, queried_count: 0 }
+    fn new(remaining: Vec<SocketAddrV4>, former_count: usize, now_ms: u64) -> Search {
+        Search {
+            started_ms: now_ms,
+            pending: Vec::new(),
+            remaining,
+            unknown: Vec::new(),
+            absent: Vec::new(),
+            queried_count: 0,
+            former_count,
+        }
     }
 
     /// Whether all agents were queried and the pending ones all reported the status as unknown.
@@ -106,10 +115,14 @@
             first.into_iter().partition(|&it| self.fleet.is_region_allowed(it, allowed));
         let mut remaining = first.split_off(first.len().min(INITIAL_QUERY_COUNT));
         remaining.extend(disallowed);
+        let mut former = self.former_holders(key, now_ms);
+        former.retain(|&it| Some(it) != except);
+        let former_count = former.len();
+        remaining.extend(former);
         let asked = first.len();
         note(key, Decision::Searched { asked }, out);
         self.send_locate(&first, bytes, out);
-        let mut search = Search::new(remaining, now_ms);
+        let mut search = Search::new(remaining, former_count, now_ms);
         search.pending = first;
         search.queried_count = asked;
         search.absent.extend(except);
@@ -117,6 +130,16 @@
         self.buffer_packet(key, bytes, now_ms + SEARCH_TIMEOUT_MS, out);
     }
 
+    /// Agents of pools that the route no longer includes, which may hold a flow opened before.
+    fn former_holders(&self, key: FlowKey, now_ms: u64) -> Vec<SocketAddrV4> {
+        let former_pools = self.routes.former_pools();
+        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+            return Vec::new();
+        };
+        let is_former = |it| !route.includes(it) && former_pools.contains(key.service, it, now_ms);
+        self.fleet.possible_holders(is_former, key.hash(), self.zone, now_ms)
+    }
+
     fn send_locate(&self, agents: &[SocketAddrV4], bytes: &[u8], out: &mut Vec<Effect>) {
         for &agent in agents {
             if let Some(pool) = self.fleet.pool_of(agent) {
@@ -351,10 +374,13 @@
             self.buffer.take(&key);
             return note_drop(key, DropReason::NoRoute, out);
         };
-        let remaining =
+        let mut remaining =
             self.fleet.possible_holders(|it| route.includes(it), key.hash(), self.zone, now_ms);
+        let former = self.former_holders(key, now_ms);
+        let former_count = former.len();
+        remaining.extend(former);
         if let Some(flow) = self.flows.get_mut(&key) {
-            flow.search = Some(Search::new(remaining, now_ms));
+            flow.search = Some(Search::new(remaining, former_count, now_ms));
         }
         self.buffer.extend(&key, now_ms + SEARCH_TIMEOUT_MS);
         if !self.query_remaining(key, out) {
@@ -369,13 +395,10 @@
         let Some(search) = self.flows.get(key).and_then(|it| it.search.as_ref()) else {
             return false;
         };
-        let Lookup::Route(route) = self.routes.lookup(key.service) else {
-            return false;
-        };
-        let holders =
-            self.fleet.possible_holders(|it| route.includes(it), key.hash(), self.zone, now_ms);
+        let may_hold = |it| self.routes.may_hold(key.service, it, now_ms);
+        let holders = self.fleet.possible_holders(may_hold, key.hash(), self.zone, now_ms);
         let absent = holders.iter().all(|it| search.absent.contains(it));
-        let complete = self.fleet.is_complete(|it| route.includes(it), now_ms);
+        let complete = self.fleet.is_complete(may_hold, now_ms);
         absent && complete && self.is_membership_settled(now_ms)
     }
 
@@ -392,7 +415,8 @@
         flow.failed_searches += 1;
         let absent = search.queried_count - search.pending.len();
         let silent = search.pending.first().copied();
-        note(key, Decision::NotFound { absent, asked: search.queried_count, silent }, out);
+        let (asked, former) = (search.queried_count, search.former_count);
+        note(key, Decision::NotFound { absent, asked, former, silent }, out);
         Some(flow)
     }
 
--- a/crates/core/src/opaque/balancer/startup.rs
+++ b/crates/core/src/opaque/balancer/startup.rs
@@ -278,7 +278,8 @@
 impl Balancer {
     /// Buffers packets that arrive before the balancer, started at `now_ms`, can decide on them.
     pub fn with_startup_buffer(self, now_ms: u64) -> Balancer {
-        Balancer { startup: Some(Box::new(Startup::new(now_ms))), ..self }
+        let startup = Some(Box::new(Startup::new(now_ms)));
+        Balancer { startup, last_event_ms: now_ms, ..self }
     }
 
     /// Buffers a packet that can't be decided on yet; false if it is to be handled now.
--- a/crates/core/src/opaque/route.rs
+++ b/crates/core/src/opaque/route.rs
@@ -5,7 +5,10 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use siphasher::sip::SipHasher13;
 
-use super::zone::RegionId;
+use super::{
+    former_pools::{FormerPool, FormerPools},
+    zone::RegionId,
+};
 use crate::{
     invariant::{self, Invariant},
     revision::Revision,
@@ -164,6 +167,7 @@
 pub struct RouteTable {
     routes: Option<Routes>,
     dropped: FxHashSet<SocketAddrV4>,
+    former_pools: FormerPools,
 }
 
 impl RouteTable {
@@ -177,12 +181,33 @@
         self.routes.as_ref().map(Routes::config_version)
     }
 
-    /// Applies a configuration if it is newer than the one in force; returns whether it was applied.
-    pub fn update(&mut self, routes: Routes) -> bool {
+    /// Pools that the routes in force no longer include.
+    pub fn former_pools(&self) -> &FormerPools {
+        &self.former_pools
+    }
+
+    /// Adds former pools that another process knows; returns the number of those that were unknown.
+    pub fn merge_former_pools(&mut self, others: &[FormerPool], now_ms: u64) -> usize {
+        self.former_pools.merge(others, now_ms)
+    }
+
+    /// Whether upstreams of the pool may hold flows of an address: its route includes the pool, or did so before.
+    pub fn may_hold(&self, address: SocketAddrV4, pool: PoolId, now_ms: u64) -> bool {
+        let route = self.routes.as_ref().and_then(|it| it.by_address.get(&address));
+        route.is_some_and(|it| {
+            it.includes(pool) || self.former_pools.contains(address, pool, now_ms)
+        })
+    }
+
+    /// Applies a configuration if it is newer than the one in force; returns whether it was applied. An older one still
+    /// tells which pools its routes included.
+    pub fn update(&mut self, routes: Routes, now_ms: u64) -> bool {
         if let Some(known) = &self.routes {
             if !is_newer(&known.config_version(), &routes.config_version()) {
+                self.former_pools.record(&routes, known, now_ms);
                 return false;
             }
+            self.former_pools.record(known, &routes, now_ms);
             let gone = known.by_address.keys().filter(|it| !routes.by_address.contains_key(it));
             self.dropped.extend(gone.copied());
         }
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -6,6 +6,7 @@
 mod balancer_monitor;
 mod candidate_list;
 mod fleet;
+mod former_pools;
 mod late_binding;
 mod load;
 mod member_list;
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -158,6 +158,7 @@
             | Update::PeerLostZones(_)
             | Update::StoreZones(_)
             | Update::Answered(_)
+            | Update::PeerFormerPools(..)
             | Update::Removed(_)
             | Update::RemovalsUnknown
             | Update::PeersAsked => return,
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -156,6 +156,7 @@
     let mut state = Balancer::new(own.address, ZoneId::of(&own.zone))
         .with_regions(settings.regions)
         .with_late_binding(settings.late_binding)
+        .with_first_start(settings.first_start)
         .with_startup_buffer(now);
     if settings.zones_change {
         state = state.with_unknown_zones();
@@ -342,6 +343,8 @@
             Snapshot::new(self.state.routes().routes(), &members).with_reporting(&reporting);
         let lost_zones = self.state.fleet().lost_zones().map(str::to_owned).collect();
         let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
+        let former_pools = self.state.routes().former_pools().list(now_ms());
+        let snapshot = snapshot.with_former_pools(&former_pools, self.state.knows_former_pools());
         let snapshot = Snapshot { lost_zones, ..snapshot };
         self.newest.send_replace(Arc::new(snapshot));
     }
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -4,6 +4,7 @@
 
 use camphorwinch_core::opaque::{
     fleet::{MemberEntry, ReportChange},
+    former_pools::FormerPool,
     route::{ConfigVersion, Routes},
     zone::{ZoneUpdateResult, ZonesOut},
 };
@@ -128,10 +129,13 @@
         self.apply(&[], now);
     }
 
-    /// Fetches the copy of the configuration that an agent keeps, if this balancer has none yet.
+    /// Fetches the copy of the configuration that an agent keeps, if this balancer has none yet or no peer knows the former
+    /// pools.
     fn handle_config_copy(&mut self, from: SocketAddrV4, config: Option<ConfigVersion>, now: u64) {
         let known = self.state.routes().config_version().is_some();
-        if config.is_some_and(|it| !known && self.state.should_request_config(it, now)) {
+        let needs_config =
+            !known && config.is_some_and(|it| self.state.should_request_config(it, now));
+        if needs_config || config.is_some() && self.state.should_request_former_pools(now) {
             self.request_snapshot(from);
         }
     }
@@ -158,6 +162,7 @@
             self.unpublished = true;
         }
         self.record_answers(&hello);
+        self.handle_former_pools(&hello.former_pools(), false, now_ms());
         let config = hello.config();
         if let Some(zones) = hello.zones {
             self.update_zones(zones.into());
@@ -237,6 +242,10 @@
                 self.handle_peer_members(&members, now);
                 false
             }
+            Update::PeerFormerPools(pools, all) => {
+                self.handle_former_pools(&pools, all, now);
+                false
+            }
             Update::Removed(members) => {
                 self.handle_removed_members(&members, now);
                 false
@@ -313,9 +322,6 @@
     fn request_reporting_agents(&mut self, now: u64) {
         let peers = self.balancers.iter().copied();
         let peers = peers.choose_multiple(&mut rand::rng(), MAX_PEERS_ASKED);
-        if peers.is_empty() {
-            return;
-        }
         self.state.await_peers(now);
         let updates = self.updates.clone();
         tokio::spawn(async move { discovery::request_reporting(&peers, &updates).await });
@@ -355,6 +361,16 @@
         self.add_balancers(members);
     }
 
+    /// Adds pools that routes no longer include, as known to a peer.
+    fn handle_former_pools(&mut self, pools: &[FormerPool], all: bool, now: u64) {
+        let unknown = self.state.merge_former_pools(pools, all, now);
+        if unknown > 0 {
+            self.unpublished = true;
+            let id = Id::FormerPools;
+            tracing::info!(id = id as u16, name = id.name(), pools = pools.len(), unknown, all);
+        }
+    }
+
     /// Applies zones out of service from the store or a peer.
     fn update_zones(&mut self, news: ZonesOut) -> ZoneUpdateResult {
         let change = self.state.update_zones(news, now_ms());
@@ -401,6 +417,7 @@
             known_era = known.map_or(0, |it| it.revision.era),
             known_version = known.map_or(0, |it| it.version),
             routes = count,
+            former_pools = self.state.routes().former_pools().list(now_ms()).len(),
         );
         if newer {
             metrics::REVISION.set(config_version.revision.number as i64);
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -18,6 +18,8 @@
 pub(super) const HELLO_RESEND_DELAY_MS: u64 = 600;
 /// Time between two status updates that means that the process was stalled.
 const STALL_MS: u64 = 1_000;
+/// Most former pools in one hello; they take a quarter of a datagram.
+const MAX_FORMER_POOLS: usize = 16;
 /// Balancers that are asked about a silent one.
 const WITNESSES: usize = 2;
 /// Interval between checks for agents to withdraw.
@@ -90,9 +92,11 @@
         self.send_hello_to_replica(now);
     }
 
-    /// Hello with the balancers that have a duty and that this one has heard of lately.
+    /// Hello with the balancers that have a duty and that this one has heard of lately, and with pools that left routes.
     fn gossip_hello(&self, now: u64) -> Hello {
-        let mut hello = self.hello();
+        let recent = self.state.routes().former_pools().recent(now).into_iter();
+        let recent = recent.choose_multiple(&mut rand::rng(), MAX_FORMER_POOLS);
+        let mut hello = self.hello().with_former_pools(&recent);
         for it in self.state.duty_holders(&self.live) {
             if let Some(age_ms) = self.monitor.age_ms(it, now) {
                 hello = hello.with_heard(it, age_ms);
--- a/crates/opaque/src/decision_log.rs
+++ b/crates/opaque/src/decision_log.rs
@@ -170,9 +170,9 @@
         Decision::Found { agent, after_ms } => {
             tracing::info!(id, name, flow, agent = %agent, after_ms);
         }
-        Decision::NotFound { absent, asked, silent } => {
+        Decision::NotFound { absent, asked, former, silent } => {
             let silent = silent.map(|it| it.to_string());
-            tracing::warn!(id, name, flow, absent, asked, silent);
+            tracing::warn!(id, name, flow, absent, asked, former, silent);
         }
         Decision::Admitted { waited_ms, reason, waiting } => {
             tracing::info!(id, name, flow, waited_ms, cause = reason.as_str(), waiting);
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -13,7 +13,7 @@
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
 
 use camphorwinch_core::opaque::{
-    balancer::Duty, fleet::MemberEntry, route::Routes, zone::ZonesOut,
+    balancer::Duty, fleet::MemberEntry, former_pools::FormerPool, route::Routes, zone::ZonesOut,
 };
 use camphorwinch_wire::opaque::{Part, Snapshot, SnapshotRequest};
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -69,6 +69,8 @@
     Members(Members, u64),
     /// Members known to a peer.
     PeerMembers(Vec<MemberEntry>),
+    /// Pools that routes no longer include, as known to a peer, and whether these are all.
+    PeerFormerPools(Vec<FormerPool>, bool),
     /// Members that were removed from the store.
     Removed(Vec<RemovedMember>),
     /// Members may have been removed from the store; the next list shows which.
@@ -224,34 +226,51 @@
     }
 }
 
-/// Asks peers for the agents that report to them, until one names some.
+/// Asks peers for the agents that report to them and for former pools, until one has named some agents and one knows all
+/// former pools. A peer that has just started does not know more than this process.
 pub(crate) async fn request_reporting(peers: &[SocketAddrV4], out: &mpsc::Sender<Update>) {
     let request = SnapshotRequest::default().with_members(Part::Reporting);
     let mut answers: FuturesUnordered<_> =
         peers.iter().map(|&it| request_one(it, &request)).collect();
+    let (mut has_agents, mut has_all_pools) = (false, false);
     while let Some((peer, answer)) = answers.next().await {
         let id = Id::PeerAsked;
-        let members = match answer {
-            Ok(found) => found.into_iter().find_map(|it| match it {
-                Update::PeerMembers(members) => Some(members),
-                _ => None,
-            }),
+        let found = match answer {
+            Ok(found) => found,
             Err(e) => {
                 let error = format!("{e:#}");
                 tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
                 continue;
             }
         };
-        let members = members.unwrap_or_default();
-        tracing::info!(id = id as u16, name = id.name(), peer = %peer, reporting = members.len());
-        if members.is_empty() {
-            // A peer that has just started does not know more than this process.
-            continue;
+        let (mut reporting, mut former_pools) = (0, 0);
+        for it in found {
+            match &it {
+                Update::PeerMembers(members) if !has_agents && !members.is_empty() => {
+                    reporting = members.len();
+                    has_agents = true;
+                }
+                Update::PeerFormerPools(pools, all) => {
+                    former_pools = pools.len();
+                    has_all_pools |= all;
+                }
+                _ => continue,
+            }
+            if out.send(it).await.is_err() {
+                return;
+            }
         }
-        if out.send(Update::PeerMembers(members)).await.is_err() {
-            return;
+        tracing::info!(
+            id = id as u16,
+            name = id.name(),
+            peer = %peer,
+            reporting,
+            former_pools,
+            all_former_pools = has_all_pools,
+        );
+        if has_agents && has_all_pools {
+            break;
         }
-        break;
     }
     // A closed channel means that the process ends.
     let _ = out.send(Update::PeersAsked).await;
@@ -274,6 +293,10 @@
     if with_members {
         found.push(Update::PeerMembers(snapshot.members()?));
     }
+    let former_pools = snapshot.former_pools()?;
+    if snapshot.all_former_pools || !former_pools.is_empty() {
+        found.push(Update::PeerFormerPools(former_pools, snapshot.all_former_pools));
+    }
     // Must precede the routes: flows are placed once the routes are known.
     if !snapshot.lost_zones.is_empty() {
         found.push(Update::PeerLostZones(snapshot.lost_zones.clone()));
--- a/crates/opaque/src/discovery/tests.rs
+++ b/crates/opaque/src/discovery/tests.rs
@@ -9,6 +9,7 @@
     PoolId,
     balancer::Duty,
     fleet::MemberEntry,
+    former_pools::FormerPool,
     revision::Revision,
     route::Routes,
     zone::{ZoneId, ZonesOut},
@@ -630,6 +631,39 @@
     assert!(matches!(updates.recv().await, Some(Update::PeersAsked)));
 }
 
+// Guards against a starting balancer that takes the former pools that another starting one knows for all of them.
+#[tokio::test]
+async fn former_pools_are_requested_until_a_peer_knows_all() {
+    let (starting, newest) = seed(&Arc::default()).await;
+    let (running, running_newest) = seed(&Arc::default()).await;
+    let former = |pool| {
+        let address = SocketAddrV4::new([198, 18, 0, 1].into(), 443);
+        FormerPool { address, pool: PoolId(pool), age_ms: 40 }
+    };
+    let agent = MemberEntry { pool: Some(PoolId(1)), ..member().listed() };
+    let known = |pools: &[FormerPool], all| {
+        let reporting = [agent.address].into();
+        Arc::new(
+            Snapshot::new(None, &[agent]).with_reporting(&reporting).with_former_pools(pools, all),
+        )
+    };
+    newest.send_replace(known(&[], false));
+    running_newest.send_replace(known(&[former(7)], true));
+    let (out, mut updates) = mpsc::channel(16);
+    request_reporting(&[starting, running], &out).await;
+    drop(out);
+    let (mut agents, mut pools) = (Vec::new(), Vec::new());
+    while let Some(update) = updates.recv().await {
+        match update {
+            Update::PeerMembers(it) => agents.extend(it),
+            Update::PeerFormerPools(it, true) => pools.extend(it),
+            Update::PeersAsked => {}
+            update => panic!("{update:?}"),
+        }
+    }
+    assert_eq!((agents, pools), (vec![agent], vec![former(7)]));
+}
+
 // The store may reject the seed while it accepts other processes.
 #[tokio::test]
 async fn process_reads_list_if_seed_fails() {
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -467,6 +467,9 @@
     /// The same for the zones out of service.
     #[prost(bool, tag = "13")]
     pub zones_answered: bool,
+    /// Pools that routes have lately ceased to include.
+    #[prost(message, repeated, tag = "14")]
+    pub former_pools: Vec<FormerPoolEntry>,
 }
 
 /// A balancer that the sender of a hello has heard of.
@@ -682,6 +685,29 @@
     /// Whether the full snapshot follows in another frame.
     #[prost(bool, tag = "13")]
     pub pending: bool,
+    /// Pools that routes no longer include.
+    #[prost(message, repeated, tag = "15")]
+    pub former_pools: Vec<FormerPoolEntry>,
+    /// Whether these are all pools whose flows may still be open.
+    #[prost(bool, tag = "16")]
+    pub all_former_pools: bool,
+}
+
+/// A pool that a route no longer includes; encoded form of [`FormerPool`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FormerPoolEntry {
+    /// IPv4 address of the route, as an integer.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port of the route.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// ID of the pool.
+    #[prost(fixed64, tag = "3")]
+    pub pool: u64,
+    /// Time since it was last known to be part of the route, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// IPv4 address and port of a process.
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -8,6 +8,7 @@
 use camphorwinch_core::opaque::{
     PoolId,
     fleet::{self, ZoneId},
+    former_pools::FormerPool,
     member_list::Freshness,
     revision::Revision,
     route::{ConfigVersion, Objective, Route, Routes, WeightedPool},
@@ -15,8 +16,8 @@
 };
 
 use crate::opaque::{
-    Age, ColdRateEntry, DecodeError, HeardEntry, Hello, MemberEntry, Part, PeerEntry, Report,
-    RouteEntry, ShareEntry, Snapshot, SnapshotRequest, ZonesEntry,
+    Age, ColdRateEntry, DecodeError, FormerPoolEntry, HeardEntry, Hello, MemberEntry, Part,
+    PeerEntry, Report, RouteEntry, ShareEntry, Snapshot, SnapshotRequest, ZonesEntry,
 };
 
 impl From<&ZonesOut> for ZonesEntry {
@@ -64,6 +65,16 @@
         self.heard.iter().filter_map(entry)
     }
 
+    /// Sets the pools that routes have lately ceased to include.
+    pub fn with_former_pools(self, pools: &[FormerPool]) -> Hello {
+        Hello { former_pools: pools.iter().map(FormerPoolEntry::from).collect(), ..self }
+    }
+
+    /// Pools that routes have lately ceased to include. Invalid entries are skipped.
+    pub fn former_pools(&self) -> Vec<FormerPool> {
+        self.former_pools.iter().filter_map(|&it| it.try_into().ok()).collect()
+    }
+
     /// Balancer about which the sender asks.
     pub fn sought(&self) -> Option<SocketAddrV4> {
         self.sought.and_then(|it| it.try_into().ok())
@@ -162,8 +173,22 @@
             Part::Reporting => self.members.iter().filter(|it| it.reports).cloned().collect(),
         };
         let Snapshot { list_era, list_revision, .. } = *self;
+        // A balancer that asks for reporting agents has just started.
+        let with_former = request.config || request.members() == Part::Reporting;
+        let (former_pools, all_former_pools) = if with_former {
+            (self.former_pools.clone(), self.all_former_pools)
+        } else {
+            Default::default()
+        };
         if !request.config {
-            return Snapshot { members, list_era, list_revision, ..Snapshot::default() };
+            return Snapshot {
+                members,
+                list_era,
+                list_revision,
+                former_pools,
+                all_former_pools,
+                ..Snapshot::default()
+            };
         }
         Snapshot {
             revision: self.revision,
@@ -176,6 +201,8 @@
             members,
             list_era,
             list_revision,
+            former_pools,
+            all_former_pools,
             ..Snapshot::default()
         }
     }
@@ -198,6 +225,17 @@
         Snapshot { zones: zones.map(ZonesEntry::from), ..self }
     }
 
+    /// Sets the pools that routes no longer include, and whether these are all.
+    pub fn with_former_pools(self, pools: &[FormerPool], all: bool) -> Snapshot {
+        let former_pools = pools.iter().map(FormerPoolEntry::from).collect();
+        Snapshot { former_pools, all_former_pools: all, ..self }
+    }
+
+    /// Converts the pools that routes no longer include.
+    pub fn former_pools(&self) -> Result<Vec<FormerPool>, DecodeError> {
+        self.former_pools.iter().map(|&it| it.try_into()).collect()
+    }
+
     /// Creates a snapshot of the active routes, if any, and the members.
     pub fn new(routes: Option<&Routes>, members: &[fleet::MemberEntry]) -> Snapshot {
         let members = members.iter().map(MemberEntry::from).collect();
@@ -248,6 +286,26 @@
     }
 }
 
+impl From<&FormerPool> for FormerPoolEntry {
+    fn from(it: &FormerPool) -> FormerPoolEntry {
+        FormerPoolEntry {
+            ip: it.address.ip().to_bits(),
+            port: u32::from(it.address.port()),
+            pool: it.pool.0,
+            age_ms: it.age_ms,
+        }
+    }
+}
+
+impl TryFrom<FormerPoolEntry> for FormerPool {
+    type Error = DecodeError;
+
+    fn try_from(it: FormerPoolEntry) -> Result<FormerPool, DecodeError> {
+        let FormerPoolEntry { ip, port, pool, age_ms } = it;
+        Ok(FormerPool { address: address(ip, port)?, pool: PoolId(pool), age_ms })
+    }
+}
+
 impl MemberEntry {
     /// Converts the entry; fails if the port is out of range.
     pub fn listed(&self) -> Result<fleet::MemberEntry, DecodeError> {
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -13,9 +13,10 @@
     zone::{RegionId, ZonesOut},
 };
 use camphorwinch_wire::opaque::{
-    Body, Control, Datagram, DecodeError, HeardEntry, Hello, PeerEntry, Report, ServiceEntry,
-    Snapshot, ZonesEntry, decode, encode_answer, encode_control, encode_decline, encode_fan_out,
-    encode_offer, encode_packet, encode_query, encode_query_response, encode_reserve,
+    Body, Control, Datagram, DecodeError, FormerPoolEntry, HeardEntry, Hello, PeerEntry, Report,
+    ServiceEntry, Snapshot, ZonesEntry, decode, encode_answer, encode_control, encode_decline,
+    encode_fan_out, encode_offer, encode_packet, encode_query, encode_query_response,
+    encode_reserve,
 };
 use quickcheck::quickcheck;
 
@@ -154,6 +155,7 @@
         probe: true,
         config_answered: true,
         zones_answered: true,
+        former_pools: vec![FormerPoolEntry { ip: 0xc612_0001, port: 443, pool: 7, age_ms: 900 }],
         sought: Some(PeerEntry { ip: 0x0a00_0002, port: 7720 }),
     });
     let config = ConfigVersion { version: 9, revision: Revision::new(2, 5) };
