Balancers tell each other of announced restarts

Cause: a listed agent that a balancer has never heard counts as gone after 4.5 s. One that announced a restart is waited for for 10 s, but announcements go to the balancers of that moment only, so a starting one takes its own ignorance for silence.

Ruled out: the upstream's end (it lives and holds the flows), an agent that answers "absent" (it has ended), a restart that takes longer than any balancer waits (the one that heard it resets nothing). 608 names announcements heard from others.

Mend: balancers name the agents that announced a restart, with the time since then, in answers to starting balancers and in gossip, until the agent reports or counts as gone. Whoever hears of it waits as long as the one that heard it first.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -29,7 +29,9 @@
         Answer, Decision, DropReason, Effect, Payload, RelayAction, RelayHeader, ResetReason, note,
         note_drop, push_reset,
     },
-    fleet::{AgentPlan, Candidates, Fleet, MemberEntry, Report, ReportChange, ZoneId},
+    fleet::{
+        AgentPlan, Candidates, Fleet, MemberEntry, Report, ReportChange, RestartingAgent, ZoneId,
+    },
     former_pools::{FORMER_POOL_TTL_MS, FormerPool},
     packet_buffer::PacketBuffer,
     route::{ConfigVersion, Lookup, Objective, RouteTable, Routes},
@@ -279,6 +281,16 @@
         true
     }
 
+    /// Applies announcements of restarts that other balancers have heard; returns the agents that were not known to
+    /// restart.
+    pub fn merge_restarting(
+        &mut self,
+        agents: &[RestartingAgent],
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        self.fleet.merge_restarting(agents, now_ms)
+    }
+
     /// Adds members received from a peer, whose list may be partial.
     pub fn merge_members(&mut self, members: &[MemberEntry], now_ms: u64) {
         let has_agent = members.iter().any(|it| it.pool.is_some());
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -113,6 +113,15 @@
     pub zone: ZoneId,
 }
 
+/// An agent that announced a restart, as named to other balancers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestartingAgent {
+    /// Address of the agent.
+    pub address: SocketAddrV4,
+    /// Time since the announcement, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What a report changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportChange {
@@ -139,6 +148,8 @@
     /// at first.
     draining: bool,
     last_seen_ms: u64,
+    /// Time at which the agent announced a restart to another balancer; none once it reports.
+    restart_ms: Option<u64>,
     last_hello_ms: u64,
     remembered: Option<RememberedService>,
 }
@@ -151,6 +162,7 @@
             report: None,
             draining: false,
             last_seen_ms: now_ms,
+            restart_ms: None,
             last_hello_ms: 0,
             remembered: None,
         }
@@ -174,6 +186,18 @@
         let interval_ms = self.report.map_or(0, |it| u64::from(it.interval_ms));
         self.is_silent(now_ms)
             && now_ms.saturating_sub(self.last_seen_ms) > allowed.max(interval_ms * 3)
+            && self.restart_ms.is_none_or(|it| now_ms.saturating_sub(it) > RESTART_GONE_AFTER_MS)
+    }
+
+    /// Whether the agent announced a restart, to this balancer or another one, and has not reported since.
+    fn is_restarting(&self) -> bool {
+        self.plan() == AgentPlan::Restart || self.restart_ms.is_some()
+    }
+
+    /// Time of the announcement of a restart.
+    fn restart_announced_ms(&self) -> Option<u64> {
+        let own = Some(self.last_seen_ms).filter(|_| self.plan() == AgentPlan::Restart);
+        own.or(self.restart_ms)
     }
 
     fn plan(&self) -> AgentPlan {
@@ -182,7 +206,7 @@
 
     /// Whether the agent is not silent and plans to keep running.
     fn is_stable(&self, now_ms: u64) -> bool {
-        self.plan() == AgentPlan::Stay && !self.is_silent(now_ms)
+        self.plan() == AgentPlan::Stay && !self.is_restarting() && !self.is_silent(now_ms)
     }
 
     fn is_ready(&self) -> bool {
@@ -194,7 +218,7 @@
             matches!(it.upstream, UpstreamState::Ready | UpstreamState::Unknown)
                 && it.plan == AgentPlan::Stay
         });
-        accepting && !self.draining && !self.is_silent(now_ms)
+        accepting && !self.is_restarting() && !self.draining && !self.is_silent(now_ms)
     }
 }
 
@@ -280,6 +304,7 @@
         entry.remember_service(&report, now_ms);
         entry.report = Some(report);
         entry.last_seen_ms = now_ms;
+        entry.restart_ms = None;
         self.agents.set_pool(from, report.pool);
         change
     }
@@ -294,15 +319,54 @@
             return;
         };
         entry.report = None;
+        entry.restart_ms = None;
         entry.remembered = None;
         entry.draining = false;
         entry.last_hello_ms = 0;
         self.agents.set_pool(agent, pool);
     }
 
-    /// Whether the agent announced a restart and has not reported since.
+    /// Whether the agent announced a restart, to this balancer or another one, and has not reported since.
     pub fn is_restarting(&self, agent: SocketAddrV4) -> bool {
-        self.agents.get(agent).is_some_and(|it| it.plan() == AgentPlan::Restart)
+        self.agents.get(agent).is_some_and(AgentEntry::is_restarting)
+    }
+
+    /// Agents that announced a restart, have not reported since and are not gone.
+    pub fn restarting_agents(&self, now_ms: u64) -> Vec<RestartingAgent> {
+        let restarting = self.agents.iter().filter(|(_, it)| !it.is_gone(now_ms));
+        let announced = restarting
+            .filter_map(|(address, it)| it.restart_announced_ms().map(|at_ms| (address, at_ms)));
+        announced
+            .map(|(address, at_ms)| RestartingAgent {
+                address,
+                age_ms: now_ms.saturating_sub(at_ms),
+            })
+            .collect()
+    }
+
+    /// Applies announcements of restarts that other balancers have heard. Those of unknown agents, and from before an
+    /// agent's last report, are ignored. Returns the agents that were not known to restart.
+    pub fn merge_restarting(
+        &mut self,
+        agents: &[RestartingAgent],
+        now_ms: u64,
+    ) -> Vec<SocketAddrV4> {
+        let mut unknown = Vec::new();
+        for &RestartingAgent { address, age_ms } in agents {
+            let at_ms = now_ms.saturating_sub(age_ms);
+            let Some(entry) = self.agents.get_mut(address) else {
+                continue;
+            };
+            let has_later_report = entry.report.is_some() && entry.last_seen_ms >= at_ms;
+            if has_later_report || age_ms > RESTART_GONE_AFTER_MS {
+                continue;
+            }
+            if !entry.is_restarting() {
+                unknown.push(address);
+            }
+            entry.restart_ms = entry.restart_ms.max(Some(at_ms));
+        }
+        unknown
     }
 
     /// Whether the agent is unknown, or silent for too long for its flows to be of use to their callers.
@@ -329,6 +393,7 @@
     pub fn shift_last_seen(&mut self, elapsed_ms: u64, now_ms: u64) {
         for (_, entry) in self.agents.iter_mut() {
             entry.last_seen_ms = (entry.last_seen_ms + elapsed_ms).min(now_ms);
+            entry.restart_ms = entry.restart_ms.map(|it| (it + elapsed_ms).min(now_ms));
         }
     }
 
@@ -387,7 +452,7 @@
         P: Fn(PoolId) -> bool,
     {
         self.agents.in_pools(allows).all(|(_, it)| {
-            let reporting = !it.is_silent(now_ms) && it.plan() != AgentPlan::Restart;
+            let reporting = !it.is_silent(now_ms) && !it.is_restarting();
             reporting || it.is_gone(now_ms)
         })
     }
--- a/crates/core/tests/opaque/main.rs
+++ b/crates/core/tests/opaque/main.rs
@@ -14,6 +14,7 @@
 mod pool_monitor;
 mod ranked_queue;
 mod regions;
+mod restarting_agents;
 mod rival_instances;
 mod route;
 mod route_share;
--- a/crates/opaque/src/agent/input.rs
+++ b/crates/opaque/src/agent/input.rs
@@ -159,6 +159,7 @@
             | Update::StoreZones(_)
             | Update::Answered(_)
             | Update::PeerFormerPools(..)
+            | Update::PeerRestarting(_)
             | Update::Removed(_)
             | Update::RemovalsUnknown
             | Update::PeersAsked => return,
--- a/crates/opaque/src/balancer.rs
+++ b/crates/opaque/src/balancer.rs
@@ -344,7 +344,10 @@
         let lost_zones = self.state.fleet().lost_zones().map(str::to_owned).collect();
         let snapshot = snapshot.with_zones(self.state.fleet().zones_out());
         let former_pools = self.state.routes().former_pools().list(now_ms());
-        let snapshot = snapshot.with_former_pools(&former_pools, self.state.knows_former_pools());
+        let restarting = self.state.fleet().restarting_agents(now_ms());
+        let snapshot = snapshot
+            .with_former_pools(&former_pools, self.state.knows_former_pools())
+            .with_restarting(&restarting);
         let snapshot = Snapshot { lost_zones, ..snapshot };
         self.newest.send_replace(Arc::new(snapshot));
     }
--- a/crates/opaque/src/balancer/input.rs
+++ b/crates/opaque/src/balancer/input.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use camphorwinch_core::opaque::{
-    fleet::{MemberEntry, ReportChange},
+    fleet::{MemberEntry, ReportChange, RestartingAgent},
     former_pools::FormerPool,
     route::{ConfigVersion, Routes},
     zone::{ZoneUpdateResult, ZonesOut},
@@ -163,6 +163,7 @@
         }
         self.record_answers(&hello);
         self.handle_former_pools(&hello.former_pools(), false, now_ms());
+        self.handle_restarting_agents(&hello.restarting(), now_ms());
         let config = hello.config();
         if let Some(zones) = hello.zones {
             self.update_zones(zones.into());
@@ -242,6 +243,10 @@
                 self.handle_peer_members(&members, now);
                 false
             }
+            Update::PeerRestarting(agents) => {
+                self.handle_restarting_agents(&agents, now);
+                false
+            }
             Update::PeerFormerPools(pools, all) => {
                 self.handle_former_pools(&pools, all, now);
                 false
@@ -361,6 +366,15 @@
         self.add_balancers(members);
     }
 
+    /// Applies announcements of restarts that a peer has heard.
+    fn handle_restarting_agents(&mut self, agents: &[RestartingAgent], now: u64) {
+        for agent in self.state.merge_restarting(agents, now) {
+            self.unpublished = true;
+            let id = Id::AgentRestarting;
+            tracing::info!(id = id as u16, name = id.name(), %agent);
+        }
+    }
+
     /// Adds pools that routes no longer include, as known to a peer.
     fn handle_former_pools(&mut self, pools: &[FormerPool], all: bool, now: u64) {
         let unknown = self.state.merge_former_pools(pools, all, now);
--- a/crates/opaque/src/balancer/maintenance.rs
+++ b/crates/opaque/src/balancer/maintenance.rs
@@ -20,6 +20,8 @@
 const STALL_MS: u64 = 1_000;
 /// Most former pools in one hello; they take a quarter of a datagram.
 const MAX_FORMER_POOLS: usize = 16;
+/// Most agents that announced a restart in one hello.
+const MAX_RESTARTING: usize = 16;
 /// Balancers that are asked about a silent one.
 const WITNESSES: usize = 2;
 /// Interval between checks for agents to withdraw.
@@ -96,7 +98,9 @@
     fn gossip_hello(&self, now: u64) -> Hello {
         let recent = self.state.routes().former_pools().recent(now).into_iter();
         let recent = recent.choose_multiple(&mut rand::rng(), MAX_FORMER_POOLS);
-        let mut hello = self.hello().with_former_pools(&recent);
+        let restarting = self.state.fleet().restarting_agents(now).into_iter();
+        let restarting = restarting.choose_multiple(&mut rand::rng(), MAX_RESTARTING);
+        let mut hello = self.hello().with_former_pools(&recent).with_restarting(&restarting);
         for it in self.state.duty_holders(&self.live) {
             if let Some(age_ms) = self.monitor.age_ms(it, now) {
                 hello = hello.with_heard(it, age_ms);
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -13,7 +13,11 @@
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
 
 use camphorwinch_core::opaque::{
-    balancer::Duty, fleet::MemberEntry, former_pools::FormerPool, route::Routes, zone::ZonesOut,
+    balancer::Duty,
+    fleet::{MemberEntry, RestartingAgent},
+    former_pools::FormerPool,
+    route::Routes,
+    zone::ZonesOut,
 };
 use camphorwinch_wire::opaque::{Part, Snapshot, SnapshotRequest};
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -71,6 +75,8 @@
     PeerMembers(Vec<MemberEntry>),
     /// Pools that routes no longer include, as known to a peer, and whether these are all.
     PeerFormerPools(Vec<FormerPool>, bool),
+    /// Agents that announced a restart to a peer.
+    PeerRestarting(Vec<RestartingAgent>),
     /// Members that were removed from the store.
     Removed(Vec<RemovedMember>),
     /// Members may have been removed from the store; the next list shows which.
@@ -226,8 +232,8 @@
     }
 }
 
-/// Asks peers for the agents that report to them and for former pools, until one has named some agents and one knows all
-/// former pools. A peer that has just started does not know more than this process.
+/// Asks peers for the agents that report to them, announced restarts and former pools, until one has named some agents and
+/// one knows all former pools. A peer that has just started does not know more than this process.
 pub(crate) async fn request_reporting(peers: &[SocketAddrV4], out: &mpsc::Sender<Update>) {
     let request = SnapshotRequest::default().with_members(Part::Reporting);
     let mut answers: FuturesUnordered<_> =
@@ -254,6 +260,7 @@
                     former_pools = pools.len();
                     has_all_pools |= all;
                 }
+                Update::PeerRestarting(_) => {}
                 _ => continue,
             }
             if out.send(it).await.is_err() {
@@ -293,6 +300,10 @@
     if with_members {
         found.push(Update::PeerMembers(snapshot.members()?));
     }
+    let restarting = snapshot.restarting();
+    if !restarting.is_empty() {
+        found.push(Update::PeerRestarting(restarting));
+    }
     let former_pools = snapshot.former_pools()?;
     if snapshot.all_former_pools || !former_pools.is_empty() {
         found.push(Update::PeerFormerPools(former_pools, snapshot.all_former_pools));
--- a/crates/opaque/src/event.rs
+++ b/crates/opaque/src/event.rs
@@ -34,6 +34,7 @@
     605 BalancerChecked "opaque-balancer-checked" "a balancer that has not been heard of for long is checked; its entry is withdrawn if it stays silent";
     606 WatchRenewed "opaque-watch-renewed" "no watcher has had an answer from the store for too long: a waiting call was replaced by one on a new connection";
     607 FormerPools "opaque-former-pools" "a peer named pools that routes no longer include; their upstreams may hold flows of these routes";
+    608 AgentRestarting "opaque-agent-restarting" "a peer named an agent that announced a restart to it";
     611 ConfigInForce "opaque-config-in-force" "a revision of the configuration is in force in this process";
     612 ConfigOld "opaque-config-old" "an older configuration was ignored";
     613 StoreLost "opaque-store-lost" "a call to the store failed; the last known state stays in use";
--- a/crates/wire/src/opaque.rs
+++ b/crates/wire/src/opaque.rs
@@ -470,9 +470,12 @@
     /// Pools that routes have lately ceased to include.
     #[prost(message, repeated, tag = "14")]
     pub former_pools: Vec<FormerPoolEntry>,
+    /// Agents that announced a restart and have not reported to the sender since; `age_ms` counts from the announcement.
+    #[prost(message, repeated, tag = "15")]
+    pub restarting: Vec<HeardEntry>,
 }
 
-/// A balancer that the sender of a hello has heard of.
+/// A process that the sender has heard of.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct HeardEntry {
     /// IPv4 address as an integer.
@@ -691,6 +694,9 @@
     /// Whether these are all pools whose flows may still be open.
     #[prost(bool, tag = "16")]
     pub all_former_pools: bool,
+    /// Agents that announced a restart and have not reported to the sender since; `age_ms` counts from the announcement.
+    #[prost(message, repeated, tag = "17")]
+    pub restarting: Vec<HeardEntry>,
 }
 
 /// A pool that a route no longer includes; encoded form of [`FormerPool`].
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -7,7 +7,7 @@
 
 use camphorwinch_core::opaque::{
     PoolId,
-    fleet::{self, ZoneId},
+    fleet::{self, RestartingAgent, ZoneId},
     former_pools::FormerPool,
     member_list::Freshness,
     revision::Revision,
@@ -54,11 +54,20 @@
 
     /// Adds a balancer that the sender has heard of.
     pub fn with_heard(mut self, balancer: SocketAddrV4, age_ms: u64) -> Hello {
-        let PeerEntry { ip, port } = balancer.into();
-        self.heard.push(HeardEntry { ip, port, age_ms: age_ms.try_into().unwrap_or(u32::MAX) });
+        self.heard.push(heard_entry(balancer, age_ms));
         self
     }
 
+    /// Sets the agents that announced a restart.
+    pub fn with_restarting(self, agents: &[RestartingAgent]) -> Hello {
+        Hello { restarting: restarting_entries(agents), ..self }
+    }
+
+    /// Agents that announced a restart. Invalid entries are skipped.
+    pub fn restarting(&self) -> Vec<RestartingAgent> {
+        restarting_agents(&self.restarting)
+    }
+
     /// Balancers that the sender has heard of, with the time since then in milliseconds. Invalid entries are skipped.
     pub fn heard(&self) -> impl Iterator<Item = (SocketAddrV4, u64)> {
         let entry = |it: &HeardEntry| Some((address(it.ip, it.port).ok()?, u64::from(it.age_ms)));
@@ -172,23 +181,20 @@
             Part::All => self.members.clone(),
             Part::Reporting => self.members.iter().filter(|it| it.reports).cloned().collect(),
         };
-        let Snapshot { list_era, list_revision, .. } = *self;
-        // A balancer that asks for reporting agents has just started.
-        let with_former = request.config || request.members() == Part::Reporting;
-        let (former_pools, all_former_pools) = if with_former {
-            (self.former_pools.clone(), self.all_former_pools)
-        } else {
-            Default::default()
+        let mut selected = Snapshot {
+            members,
+            list_era: self.list_era,
+            list_revision: self.list_revision,
+            ..Snapshot::default()
         };
+        // A balancer that asks for reporting agents has just started.
+        if request.config || request.members() == Part::Reporting {
+            selected.former_pools = self.former_pools.clone();
+            selected.all_former_pools = self.all_former_pools;
+            selected.restarting = self.restarting.clone();
+        }
         if !request.config {
-            return Snapshot {
-                members,
-                list_era,
-                list_revision,
-                former_pools,
-                all_former_pools,
-                ..Snapshot::default()
-            };
+            return selected;
         }
         Snapshot {
             revision: self.revision,
@@ -198,12 +204,7 @@
             zones: self.zones.clone(),
             cold_rates: self.cold_rates.clone(),
             lost_zones: self.lost_zones.clone(),
-            members,
-            list_era,
-            list_revision,
-            former_pools,
-            all_former_pools,
-            ..Snapshot::default()
+            ..selected
         }
     }
 
@@ -231,6 +232,16 @@
         Snapshot { former_pools, all_former_pools: all, ..self }
     }
 
+    /// Sets the agents that announced a restart.
+    pub fn with_restarting(self, agents: &[RestartingAgent]) -> Snapshot {
+        Snapshot { restarting: restarting_entries(agents), ..self }
+    }
+
+    /// Agents that announced a restart. Invalid entries are skipped.
+    pub fn restarting(&self) -> Vec<RestartingAgent> {
+        restarting_agents(&self.restarting)
+    }
+
     /// Converts the pools that routes no longer include.
     pub fn former_pools(&self) -> Result<Vec<FormerPool>, DecodeError> {
         self.former_pools.iter().map(|&it| it.try_into()).collect()
@@ -317,6 +328,23 @@
     }
 }
 
+fn heard_entry(process: SocketAddrV4, age_ms: u64) -> HeardEntry {
+    let PeerEntry { ip, port } = process.into();
+    HeardEntry { ip, port, age_ms: age_ms.try_into().unwrap_or(u32::MAX) }
+}
+
+fn restarting_entries(agents: &[RestartingAgent]) -> Vec<HeardEntry> {
+    agents.iter().map(|it| heard_entry(it.address, it.age_ms)).collect()
+}
+
+fn restarting_agents(entries: &[HeardEntry]) -> Vec<RestartingAgent> {
+    let agent = |it: &HeardEntry| {
+        let address = address(it.ip, it.port).ok()?;
+        Some(RestartingAgent { address, age_ms: u64::from(it.age_ms) })
+    };
+    entries.iter().filter_map(agent).collect()
+}
+
 /// Returns version, era and revision number. Revision numbers start at 1; 0 encodes a missing version.
 fn config_version_fields(it: ConfigVersion) -> (u64, u64, u64) {
     (it.version, it.revision.era, it.revision.number)
--- a/crates/wire/tests/opaque.rs
+++ b/crates/wire/tests/opaque.rs
@@ -155,6 +155,7 @@
         probe: true,
         config_answered: true,
         zones_answered: true,
+        restarting: vec![HeardEntry { ip: 0x0a00_0002, port: 7720, age_ms: 700 }],
         former_pools: vec![FormerPoolEntry { ip: 0xc612_0001, port: 443, pool: 7, age_ms: 900 }],
         sought: Some(PeerEntry { ip: 0x0a00_0002, port: 7720 }),
     });
