Read-through of the change: one piece of code where it wrote things twice

No behaviour changes but for the second point.

- Searches: one list of possible holders, of present and former pools, for the start, the retry and the verdict.
- A search whose route was removed before it ended is not certain again, as before the former pools came; that check had been lost.
- Fleet: an announced restart is one field, whoever heard it; the copy requests need no tuple in an option.
- Duties, the order of the distribution tree: one sort.
Ages of processes in hellos: one decoder.
Peers that don't answer are logged where they are requested.

Tests: core, wire and opaque pass but for the known red one, and the soak's scenes of late writes, moved routes, slow restarts and silent channels. No assertion changed.

--- a/crates/core/src/opaque/balancer.rs
+++ b/crates/core/src/opaque/balancer.rs
@@ -52,8 +52,8 @@
 /// regions.
 const PEERS_TIMEOUT_MS: u64 = 300;
 /// Interval between requests for a copy of the former pools, and their number.
-const FORMER_POOLS_RETRY_MS: u64 = 700;
-const MAX_FORMER_POOLS_REQUESTS: u32 = 3;
+const COPY_RETRY_MS: u64 = 700;
+const MAX_COPY_REQUESTS: u32 = 3;
 /// Interval between scans of all agents for those due a hello: a scan passes over 5,900 in the size designed for.
 const HELLO_CHECK_INTERVAL_MS: u64 = 60;
 /// Gap between events that means that the process was stalled; ticks come every 20 ms.
@@ -121,8 +121,9 @@
     peers_asked: bool,
     /// Whether the former pools of all routes are known, from the first start on or from a process that knows them.
     knows_former_pools: bool,
-    /// Time of the last request for a copy of them, and the number of requests.
-    former_pools_requested: Option<(u64, u32)>,
+    /// Number of requests for a copy of them, and the time of the last one.
+    copy_requests: u32,
+    copy_requested_ms: u64,
     /// Whether an agent has reported a copy of the configuration.
     has_copies: bool,
     list_refreshed: bool,
@@ -153,7 +154,8 @@
             peers_deadline_ms: None,
             peers_asked: true,
             knows_former_pools: false,
-            former_pools_requested: None,
+            copy_requests: 0,
+            copy_requested_ms: 0,
             has_copies: false,
             list_refreshed: false,
             last_event_ms: 0,
@@ -268,17 +270,15 @@
     /// Whether to request the former pools from an agent that has reported a copy, as no peer knows them.
     pub fn should_request_former_pools(&mut self, now_ms: u64) -> bool {
         self.has_copies = true;
-        let (requested_ms, requests) = self.former_pools_requested.unwrap_or_default();
-        let is_due = requests == 0 || now_ms.saturating_sub(requested_ms) >= FORMER_POOLS_RETRY_MS;
-        if self.knows_former_pools
-            || !self.peers_asked
-            || !is_due
-            || requests == MAX_FORMER_POOLS_REQUESTS
-        {
-            return false;
-        }
-        self.former_pools_requested = Some((now_ms, requests + 1));
-        true
+        let needs_copy = !self.knows_former_pools && self.peers_asked;
+        let is_pending =
+            self.copy_requests > 0 && now_ms.saturating_sub(self.copy_requested_ms) < COPY_RETRY_MS;
+        let requests = needs_copy && !is_pending && self.copy_requests < MAX_COPY_REQUESTS;
+        if requests {
+            self.copy_requests += 1;
+            self.copy_requested_ms = now_ms;
+        }
+        requests
     }
 
     /// Applies announcements of restarts that other balancers have heard; returns the agents that were not known to
--- a/crates/core/src/opaque/balancer/duties.rs
+++ b/crates/core/src/opaque/balancer/duties.rs
@@ -130,7 +130,7 @@
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        let mut peers = self.order_of(duty, others);
+        let mut peers = self.holders(duty, others);
         peers.retain(|&it| it != self.address);
         peers
     }
@@ -141,17 +141,26 @@
         I: IntoIterator<Item = &'a SocketAddrV4, IntoIter: Clone>,
     {
         let others = others.into_iter();
-        Duty::ALL.into_iter().flat_map(|it| self.order_of(it, others.clone())).collect()
+        Duty::ALL.into_iter().flat_map(|it| self.holders(it, others.clone())).collect()
     }
 
     /// The balancers with a duty, in their order.
-    fn order_of<'a, I>(&self, duty: Duty, others: I) -> Vec<SocketAddrV4>
+    fn holders<'a, I>(&self, duty: Duty, others: I) -> Vec<SocketAddrV4>
+    where
+        I: IntoIterator<Item = &'a SocketAddrV4>,
+    {
+        let mut holders = self.order(duty.seed(), others);
+        holders.truncate(duty.holder_count(holders.len()));
+        holders
+    }
+
+    /// All balancers, in the rendezvous hashing order of `seed`.
+    fn order<'a, I>(&self, seed: u64, others: I) -> Vec<SocketAddrV4>
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
         let mut order: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
-        order.sort_unstable_by_key(|&it| rendezvous_weight(it, duty.seed()));
-        order.truncate(duty.holder_count(order.len()));
+        order.sort_unstable_by_key(|&it| rendezvous_weight(it, seed));
         order
     }
 
@@ -176,8 +185,7 @@
     where
         I: IntoIterator<Item = &'a SocketAddrV4>,
     {
-        let mut order: Vec<_> = others.into_iter().copied().chain([self.address]).collect();
-        order.sort_unstable_by_key(|&it| rendezvous_weight(it, Duty::ConfigWatch.seed()));
+        let order = self.order(Duty::ConfigWatch.seed(), others);
         let own = order.iter().position(|&it| it == self.address).unwrap_or(0);
         order
             .into_iter()
--- a/crates/core/src/opaque/balancer/search.rs
+++ b/crates/core/src/opaque/balancer/search.rs
@@ -49,21 +49,12 @@
     /// Agents that do not hold the flow.
     absent: Vec<SocketAddrV4>,
     queried_count: usize,
-    /// Number of agents of pools that the route no longer includes.
-    former_count: usize,
 }
 
 impl Search {
-    fn new(remaining: Vec<SocketAddrV4>, former_count: usize, now_ms: u64) -> Search {
-        Search {
-            started_ms: now_ms,
-            pending: Vec::new(),
-            remaining,
-            unknown: Vec::new(),
-            absent: Vec::new(),
-            queried_count: 0,
-            former_count,
-        }
+    fn new(remaining: Vec<SocketAddrV4>, now_ms: u64) -> Search {
+        let (pending, unknown, absent) = (Vec::new(), Vec::new(), Vec::new());
+        Search { started_ms: now_ms, pending, remaining, unknown, absent, queried_count: 0 }
     }
 
     /// Whether all agents were queried and the pending ones all reported the status as unknown.
@@ -105,24 +96,23 @@
             let due_ms = now_ms + flow.retry_delay_ms();
             return self.buffer_packet(key, bytes, due_ms, out);
         }
-        let allows = |it| route.includes(it);
-        let mut first = self.fleet.possible_holders(allows, key.hash(), self.zone, now_ms);
-        first.retain(|&it| Some(it) != except);
-        // The packet goes to allowed regions only. Other regions get a query without it, as the flow may be older
-        // than the route's present regions.
+        // The packet goes to allowed regions and to pools of the route only. Others get a query without it, as the flow
+        // may be older than the route's present regions and pools.
         let allowed = route.regions();
-        let (mut first, disallowed): (Vec<_>, Vec<_>) =
-            first.into_iter().partition(|&it| self.fleet.is_region_allowed(it, allowed));
+        let gets_packet = |&agent: &SocketAddrV4| {
+            let pool = self.fleet.pool_of(agent);
+            pool.is_some_and(|it| route.includes(it))
+                && self.fleet.is_region_allowed(agent, allowed)
+        };
+        let holders = self.possible_holders(&key, now_ms).into_iter();
+        let (mut first, others): (Vec<_>, Vec<_>) =
+            holders.filter(|&it| Some(it) != except).partition(gets_packet);
         let mut remaining = first.split_off(first.len().min(INITIAL_QUERY_COUNT));
-        remaining.extend(disallowed);
-        let mut former = self.former_holders(key, now_ms);
-        former.retain(|&it| Some(it) != except);
-        let former_count = former.len();
-        remaining.extend(former);
+        remaining.extend(others);
         let asked = first.len();
         note(key, Decision::Searched { asked }, out);
         self.send_locate(&first, bytes, out);
-        let mut search = Search::new(remaining, former_count, now_ms);
+        let mut search = Search::new(remaining, now_ms);
         search.pending = first;
         search.queried_count = asked;
         search.absent.extend(except);
@@ -130,14 +120,18 @@
         self.buffer_packet(key, bytes, now_ms + SEARCH_TIMEOUT_MS, out);
     }
 
-    /// Agents of pools that the route no longer includes, which may hold a flow opened before.
-    fn former_holders(&self, key: FlowKey, now_ms: u64) -> Vec<SocketAddrV4> {
-        let former_pools = self.routes.former_pools();
+    /// Agents that may hold a flow, of all pools that its route includes or included before.
+    fn possible_holders(&self, key: &FlowKey, now_ms: u64) -> Vec<SocketAddrV4> {
+        let may_hold = |it| self.routes.may_hold(key.service, it, now_ms);
+        self.fleet.possible_holders(may_hold, key.hash(), self.zone, now_ms)
+    }
+
+    /// Whether an agent's pool is not part of the flow's route any more.
+    fn is_former_holder(&self, key: &FlowKey, agent: SocketAddrV4) -> bool {
         let Lookup::Route(route) = self.routes.lookup(key.service) else {
-            return Vec::new();
+            return false;
         };
-        let is_former = |it| !route.includes(it) && former_pools.contains(key.service, it, now_ms);
-        self.fleet.possible_holders(is_former, key.hash(), self.zone, now_ms)
+        self.fleet.pool_of(agent).is_some_and(|it| !route.includes(it))
     }
 
     fn send_locate(&self, agents: &[SocketAddrV4], bytes: &[u8], out: &mut Vec<Effect>) {
@@ -370,17 +364,13 @@
 
     /// Repeats a search with queries only, as many flows may be searched for at once.
     fn retry_search(&mut self, key: FlowKey, now_ms: u64, out: &mut Vec<Effect>) {
-        let Lookup::Route(route) = self.routes.lookup(key.service) else {
+        let Lookup::Route(_) = self.routes.lookup(key.service) else {
             self.buffer.take(&key);
             return note_drop(key, DropReason::NoRoute, out);
         };
-        let mut remaining =
-            self.fleet.possible_holders(|it| route.includes(it), key.hash(), self.zone, now_ms);
-        let former = self.former_holders(key, now_ms);
-        let former_count = former.len();
-        remaining.extend(former);
+        let remaining = self.possible_holders(&key, now_ms);
         if let Some(flow) = self.flows.get_mut(&key) {
-            flow.search = Some(Search::new(remaining, former_count, now_ms));
+            flow.search = Some(Search::new(remaining, now_ms));
         }
         self.buffer.extend(&key, now_ms + SEARCH_TIMEOUT_MS);
         if !self.query_remaining(key, out) {
@@ -395,9 +385,12 @@
         let Some(search) = self.flows.get(key).and_then(|it| it.search.as_ref()) else {
             return false;
         };
-        let may_hold = |it| self.routes.may_hold(key.service, it, now_ms);
-        let holders = self.fleet.possible_holders(may_hold, key.hash(), self.zone, now_ms);
+        let Lookup::Route(_) = self.routes.lookup(key.service) else {
+            return false;
+        };
+        let holders = self.possible_holders(key, now_ms);
         let absent = holders.iter().all(|it| search.absent.contains(it));
+        let may_hold = |it| self.routes.may_hold(key.service, it, now_ms);
         let complete = self.fleet.is_complete(may_hold, now_ms);
         absent && complete && self.is_membership_settled(now_ms)
     }
@@ -409,13 +402,15 @@
         now_ms: u64,
         out: &mut Vec<Effect>,
     ) -> Option<&Flow> {
+        let search = self.flows.get_mut(&key)?.search.take()?;
+        let queried = search.absent.iter().chain(&search.pending);
+        let former = queried.filter(|&&it| self.is_former_holder(&key, it)).count();
         let flow = self.flows.get_mut(&key)?;
-        let search = flow.search.take()?;
         flow.last_failed_search_ms = Some(now_ms);
         flow.failed_searches += 1;
         let absent = search.queried_count - search.pending.len();
         let silent = search.pending.first().copied();
-        let (asked, former) = (search.queried_count, search.former_count);
+        let asked = search.queried_count;
         note(key, Decision::NotFound { absent, asked, former, silent }, out);
         Some(flow)
     }
--- a/crates/core/src/opaque/effect.rs
+++ b/crates/core/src/opaque/effect.rs
@@ -259,7 +259,7 @@
         absent: usize,
         /// Agents queried.
         asked: usize,
-        /// Agents of pools that the route no longer includes, among those to query.
+        /// Agents of pools that the route no longer includes, among them.
         former: usize,
         /// One of the agents that did not answer.
         silent: Option<SocketAddrV4>,
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -148,7 +148,7 @@
     /// at first.
     draining: bool,
     last_seen_ms: u64,
-    /// Time at which the agent announced a restart to another balancer; none once it reports.
+    /// Time at which the agent announced a restart, to this balancer or another one; none once it reports.
     restart_ms: Option<u64>,
     last_hello_ms: u64,
     remembered: Option<RememberedService>,
@@ -181,23 +181,15 @@
             // An agent without an upstream holds no flows worth waiting for.
             return self.is_silent(now_ms);
         }
-        let allowed =
-            if self.plan() == AgentPlan::Restart { RESTART_GONE_AFTER_MS } else { GONE_AFTER_MS };
         let interval_ms = self.report.map_or(0, |it| u64::from(it.interval_ms));
         self.is_silent(now_ms)
-            && now_ms.saturating_sub(self.last_seen_ms) > allowed.max(interval_ms * 3)
+            && now_ms.saturating_sub(self.last_seen_ms) > GONE_AFTER_MS.max(interval_ms * 3)
             && self.restart_ms.is_none_or(|it| now_ms.saturating_sub(it) > RESTART_GONE_AFTER_MS)
     }
 
     /// Whether the agent announced a restart, to this balancer or another one, and has not reported since.
     fn is_restarting(&self) -> bool {
-        self.plan() == AgentPlan::Restart || self.restart_ms.is_some()
-    }
-
-    /// Time of the announcement of a restart.
-    fn restart_announced_ms(&self) -> Option<u64> {
-        let own = Some(self.last_seen_ms).filter(|_| self.plan() == AgentPlan::Restart);
-        own.or(self.restart_ms)
+        self.restart_ms.is_some()
     }
 
     fn plan(&self) -> AgentPlan {
@@ -304,7 +296,7 @@
         entry.remember_service(&report, now_ms);
         entry.report = Some(report);
         entry.last_seen_ms = now_ms;
-        entry.restart_ms = None;
+        entry.restart_ms = (report.plan == AgentPlan::Restart).then_some(now_ms);
         self.agents.set_pool(from, report.pool);
         change
     }
@@ -333,14 +325,13 @@
 
     /// Agents that announced a restart, have not reported since and are not gone.
     pub fn restarting_agents(&self, now_ms: u64) -> Vec<RestartingAgent> {
-        let restarting = self.agents.iter().filter(|(_, it)| !it.is_gone(now_ms));
-        let announced = restarting
-            .filter_map(|(address, it)| it.restart_announced_ms().map(|at_ms| (address, at_ms)));
-        announced
-            .map(|(address, at_ms)| RestartingAgent {
-                address,
-                age_ms: now_ms.saturating_sub(at_ms),
-            })
+        let agents = self.agents.iter();
+        let restarting =
+            agents.filter_map(|(address, it)| Some((address, it.restart_ms?, it.is_gone(now_ms))));
+        let age_ms = |at_ms| now_ms.saturating_sub(at_ms);
+        restarting
+            .filter(|&(_, _, gone)| !gone)
+            .map(|(address, at_ms, _)| RestartingAgent { address, age_ms: age_ms(at_ms) })
             .collect()
     }
 
--- a/crates/core/src/opaque/watch_schedule.rs
+++ b/crates/core/src/opaque/watch_schedule.rs
@@ -10,6 +10,8 @@
 const LONG_CALL_MS: u64 = 20_000;
 /// Time for an answer and the notification of it to arrive.
 const NOTIFICATION_MS: u64 = 300;
+/// Time without an answer to another watcher after which none is to be expected.
+const PEER_TIMEOUT_MS: u64 = ANSWER_INTERVAL_MS + NOTIFICATION_MS;
 /// Additional time for each preceding watcher, so that not all begin new calls at once.
 const RANK_DELAY_MS: u64 = 100;
 
@@ -48,9 +50,8 @@
 
     /// Returns the next call of the watcher of this rank; the first watcher has rank 0.
     pub fn next_call(&self, rank: usize, now_ms: u64) -> WatchCall {
-        let peers_answered = self
-            .peer_answered_ms
-            .is_some_and(|it| now_ms.saturating_sub(it) <= ANSWER_INTERVAL_MS + NOTIFICATION_MS);
+        let peers_answered =
+            self.peer_answered_ms.is_some_and(|it| now_ms.saturating_sub(it) <= PEER_TIMEOUT_MS);
         let wait_ms = if rank > 0 && peers_answered { LONG_CALL_MS } else { ANSWER_INTERVAL_MS };
         WatchCall { begun_ms: now_ms, wait_ms, rank }
     }
@@ -58,8 +59,8 @@
     /// Time at which a new call replaces this one, unless a watcher gets an answer before; `None` for a short call, whose
     /// own time-out comes soon enough.
     pub fn renewal_ms(&self, call: &WatchCall) -> Option<u64> {
-        let since_ms = self.answered_ms.max(Some(call.begun_ms))?;
-        let allowed_ms = ANSWER_INTERVAL_MS + NOTIFICATION_MS + call.rank as u64 * RANK_DELAY_MS;
+        let since_ms = self.answered_ms.unwrap_or_default().max(call.begun_ms);
+        let allowed_ms = PEER_TIMEOUT_MS + call.rank as u64 * RANK_DELAY_MS;
         (call.wait_ms > ANSWER_INTERVAL_MS).then_some(since_ms + allowed_ms)
     }
 
--- a/crates/opaque/src/discovery.rs
+++ b/crates/opaque/src/discovery.rs
@@ -212,15 +212,10 @@
 ) {
     let others = peers.iter().copied().filter(|&it| it != own);
     let mut answers: FuturesUnordered<_> = others.map(|it| request_one(it, request)).collect();
-    while let Some((peer, answer)) = answers.next().await {
+    while let Some(answer) = answers.next().await {
         let id = Id::PeerAsked;
-        let found = match answer {
-            Ok(found) => found,
-            Err(e) => {
-                let error = format!("{e:#}");
-                tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
-                continue;
-            }
+        let Some((peer, found)) = answer else {
+            continue;
         };
         tracing::info!(id = id as u16, name = id.name(), peer = %peer, found = found.len());
         for it in found {
@@ -239,15 +234,10 @@
     let mut answers: FuturesUnordered<_> =
         peers.iter().map(|&it| request_one(it, &request)).collect();
     let (mut has_agents, mut has_all_pools) = (false, false);
-    while let Some((peer, answer)) = answers.next().await {
+    while let Some(answer) = answers.next().await {
         let id = Id::PeerAsked;
-        let found = match answer {
-            Ok(found) => found,
-            Err(e) => {
-                let error = format!("{e:#}");
-                tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
-                continue;
-            }
+        let Some((peer, found)) = answer else {
+            continue;
         };
         let (mut reporting, mut former_pools) = (0, 0);
         for it in found {
@@ -283,13 +273,22 @@
     let _ = out.send(Update::PeersAsked).await;
 }
 
+/// Requests a snapshot and returns what it contains; a failure is logged.
 async fn request_one(
     peer: SocketAddrV4,
     request: &SnapshotRequest,
-) -> (SocketAddrV4, anyhow::Result<Vec<Update>>) {
+) -> Option<(SocketAddrV4, Vec<Update>)> {
     let answer = snapshot::request(peer, request, REQUEST_TIMEOUT).await;
     let with_members = request.members() != Part::None;
-    (peer, answer.and_then(|it| Ok(updates(&it, with_members)?)))
+    match answer.and_then(|it| Ok(updates(&it, with_members)?)) {
+        Ok(found) => Some((peer, found)),
+        Err(e) => {
+            let id = Id::PeerAsked;
+            let error = format!("{e:#}");
+            tracing::info!(id = id as u16, name = id.name(), peer = %peer, error);
+            None
+        }
+    }
 }
 
 fn updates(
--- a/crates/wire/src/opaque_convert.rs
+++ b/crates/wire/src/opaque_convert.rs
@@ -70,8 +70,7 @@
 
     /// Balancers that the sender has heard of, with the time since then in milliseconds. Invalid entries are skipped.
     pub fn heard(&self) -> impl Iterator<Item = (SocketAddrV4, u64)> {
-        let entry = |it: &HeardEntry| Some((address(it.ip, it.port).ok()?, u64::from(it.age_ms)));
-        self.heard.iter().filter_map(entry)
+        self.heard.iter().filter_map(heard_process)
     }
 
     /// Sets the pools that routes have lately ceased to include.
@@ -333,16 +332,18 @@
     HeardEntry { ip, port, age_ms: age_ms.try_into().unwrap_or(u32::MAX) }
 }
 
+/// Process and age in an entry; `None` if it is invalid.
+fn heard_process(it: &HeardEntry) -> Option<(SocketAddrV4, u64)> {
+    Some((address(it.ip, it.port).ok()?, u64::from(it.age_ms)))
+}
+
 fn restarting_entries(agents: &[RestartingAgent]) -> Vec<HeardEntry> {
     agents.iter().map(|it| heard_entry(it.address, it.age_ms)).collect()
 }
 
 fn restarting_agents(entries: &[HeardEntry]) -> Vec<RestartingAgent> {
-    let agent = |it: &HeardEntry| {
-        let address = address(it.ip, it.port).ok()?;
-        Some(RestartingAgent { address, age_ms: u64::from(it.age_ms) })
-    };
-    entries.iter().filter_map(agent).collect()
+    let heard = entries.iter().filter_map(heard_process);
+    heard.map(|(address, age_ms)| RestartingAgent { address, age_ms }).collect()
 }
 
 /// Returns version, era and revision number. Revision numbers start at 1; 0 encodes a missing version.
