Times that are passed on as ages do not grow younger with each message

What callers would see: flows of an upstream that is gone are not reset after 10 s, as its agent never counts as gone; seen in tests only. A former pool would stay in gossip.

Cause: a balancer takes now minus the age for the time of an announcement, so each message adds its delay, and of two times the later one counted. Passed around, the time followed the clock; by how much depends on the delay.

Mend: a time that is later by less than a second is that of the same event, and the first one known stays.

--- a/crates/core/src/opaque.rs
+++ b/crates/core/src/opaque.rs
@@ -26,6 +26,7 @@
 pub mod route;
 pub mod route_share;
 pub mod service_rate;
+mod told_time;
 pub mod upstream_tracker;
 mod warmup;
 pub mod watch_schedule;
--- a/crates/core/src/opaque/fleet.rs
+++ b/crates/core/src/opaque/fleet.rs
@@ -14,6 +14,7 @@
 use super::{
     PoolId,
     agents::Agents,
+    told_time::latest_ms,
     zone::{Regions, ZoneTable},
 };
 
@@ -355,7 +356,7 @@
             if !entry.is_restarting() {
                 unknown.push(address);
             }
-            entry.restart_ms = entry.restart_ms.max(Some(at_ms));
+            entry.restart_ms = Some(latest_ms(entry.restart_ms, at_ms));
         }
         unknown
     }
--- a/crates/core/src/opaque/former_pools.rs
+++ b/crates/core/src/opaque/former_pools.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{PoolId, route::Routes};
+use super::{PoolId, route::Routes, told_time::latest_ms};
 
 /// Time for which a pool that left a route is searched for the route's flows.
 pub(super) const FORMER_POOL_TTL_MS: u64 = 600_000;
@@ -90,7 +90,7 @@
     fn insert(&mut self, address: SocketAddrV4, entry: Entry) -> bool {
         let entries = self.by_address.entry(address).or_default();
         if let Some(known) = entries.iter_mut().find(|it| it.pool == entry.pool) {
-            known.left_ms = known.left_ms.max(entry.left_ms);
+            known.left_ms = latest_ms(Some(known.left_ms), entry.left_ms);
             return false;
         }
         entries.push(entry);
--- a/crates/core/tests/opaque/former_pools.rs
+++ b/crates/core/tests/opaque/former_pools.rs
@@ -175,3 +175,22 @@
     assert_eq!(table.merge_former_pools(&pools[..8], 10_000), 0, "they are known");
     assert_eq!(table.merge_former_pools(&[former(PoolId(9), EXPIRY_MS)], 10_000), 0, "expired");
 }
+
+// Guards against gossip that never ends: each balancer that passed a former pool on made it younger by the message's delay.
+#[test]
+fn a_former_pool_that_is_passed_around_grows_old() {
+    const DELAY_MS: u64 = 200;
+    let mut tables = [RouteTable::default(), RouteTable::default()];
+    for table in &mut tables {
+        table.update(routes_to(2, OTHER_POOL), 0);
+    }
+    tables[0].merge_former_pools(&[former(POOL, 0)], 0);
+    for now in (DELAY_MS..20_000).step_by(DELAY_MS as usize) {
+        let sent = [0, 1].map(|it| tables[it].former_pools().recent(now - DELAY_MS));
+        tables[0].merge_former_pools(&sent[1], now);
+        tables[1].merge_former_pools(&sent[0], now);
+    }
+    for table in &tables {
+        assert!(table.former_pools().recent(12_000).is_empty(), "{:?}", table.former_pools());
+    }
+}
--- a/crates/core/tests/opaque/restarting_agents.rs
+++ b/crates/core/tests/opaque/restarting_agents.rs
@@ -99,3 +99,32 @@
     assert_eq!(third.merge_restarting(&[restarting(2, 50)], 2_900), [address(2)]);
     assert!(third.stable_agents(2_900).is_empty());
 }
+
+// Guards against an announcement that never ends: each balancer that passed it on added the delay of the message, and the
+// latest time counted.
+#[test]
+fn an_announcement_that_is_passed_around_ends_in_time() {
+    const DELAY_MS: u64 = 200;
+    let mut fleets = vec![Fleet::default(); 4];
+    for it in &mut fleets {
+        it.sync_members(&[member(1)], START_MS);
+    }
+    let announced = Report { plan: AgentPlan::Restart, ..report(7, 0) };
+    fleets[0].apply_report(address(1), announced, START_MS);
+    let mut sent = Vec::new();
+    for now in (START_MS..START_MS + 2 * RESTART_GONE_AFTER_MS).step_by(50) {
+        for (from, it) in fleets.iter().enumerate() {
+            sent.push((now + DELAY_MS, from, it.restarting_agents(now)));
+        }
+        for (_, from, agents) in sent.extract_if(.., |it| it.0 <= now) {
+            for (to, it) in fleets.iter_mut().enumerate() {
+                if to != from {
+                    it.merge_restarting(&agents, now);
+                }
+            }
+        }
+    }
+    let end_ms = START_MS + RESTART_GONE_AFTER_MS + 4 * DELAY_MS;
+    let gone = |it: &Fleet| it.is_gone(address(1), end_ms);
+    assert!(fleets.iter().all(gone), "{:?}", fleets.iter().map(gone).collect::<Vec<_>>());
+}
